--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets for building, testing and measuring wasabiworks.
+
+ALL := wasabiworks.example/wasabiworks/...
+# SOURCES are the Go files written by hand.
+SOURCES := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+
+.PHONY: all build tools generate fmt lint vet test demo bench capacity
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/...
+
+tools:
+	cd tools && GOWORK=off go build -o ../bin/ honnef.co/go/tools/cmd/staticcheck google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+
+# generate needs protoc; its output is committed, so the build does not.
+generate: tools
+	PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative internal/peer/peerpb/peer.proto
+
+fmt:
+	@out=$$(gofmt -l $(SOURCES)); if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
+
+vet:
+	go vet $(ALL)
+
+lint: tools
+	bin/staticcheck $(ALL)
+
+test: fmt vet lint build
+	go test -race -count=1 $(ALL)
+
+demo: build
+	bin/demo
--- /dev/null
+++ b/internal/backend/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is a client of the model engines.
+package engine
--- /dev/null
+++ b/internal/decide/evidence/doc.go
@@ -0,0 +1,3 @@
+// Package evidence counts request outcomes per node and merges the counters of
+// all nodes.
+package evidence
--- /dev/null
+++ b/internal/decide/move/doc.go
@@ -0,0 +1,3 @@
+// Package move decides the share of traffic that a new version receives and
+// whether a move is rolled back.
+package move
--- /dev/null
+++ b/internal/decide/move/move.go
@@ -0,0 +1,62 @@
+package move
+
+import (
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
+)
+
+// Phase is the state of a move.
+type Phase int
+
+// Phases of a move.
+const (
+	Running Phase = iota
+	Done
+	TakenBack
+)
+
+// String returns the phase as operators read it.
+func (p Phase) String() string {
+	switch p {
+	case Running:
+		return "running"
+	case Done:
+		return "done"
+	case TakenBack:
+		return "rolled back"
+	}
+	return "unknown"
+}
+
+// Plan is the move record: all that a node needs to advance the move without
+// the store.
+type Plan struct {
+	ID, From, To               string
+	Start, Deadline, KeepUntil time.Time
+}
+
+// State is what a node knows about a move.
+type State struct {
+	Plan     Plan
+	Evidence map[evidence.Key]evidence.Count
+	// Vetoed is true once any node's veto has been received.
+	Vetoed bool
+	// Isolated is true if fewer than half of the known failure domains are
+	// heard from.
+	Isolated bool
+}
+
+// Decision is the share of traffic for the new version and the reason for it.
+type Decision struct {
+	// Share is from 0 to 1.
+	Share  float64
+	Phase  Phase
+	Veto   bool
+	Reason string
+}
+
+// Policy decides on a move. Implementations are pure functions.
+type Policy interface {
+	Decide(s State, now time.Time) Decision
+}
--- /dev/null
+++ b/internal/decide/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses the backend server for a request.
+package route
--- /dev/null
+++ b/internal/operator/catalogue/snapshot.go
@@ -0,0 +1,74 @@
+package catalogue
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Snapshot is an immutable catalogue at a revision, indexed for lookups.
+type Snapshot struct {
+	Revision  int64
+	Catalogue *Catalogue
+
+	entries    map[string]*Entry
+	workspaces map[string]*Workspace
+	moves      map[string]*Move
+	limits     map[limitKey]Limit
+}
+
+type limitKey struct{ entry, workspace string }
+
+// NewSnapshot returns a snapshot of c, which must not be changed afterwards.
+func NewSnapshot(revision int64, c *Catalogue) *Snapshot {
+	s := &Snapshot{
+		Revision:   revision,
+		Catalogue:  c,
+		entries:    make(map[string]*Entry),
+		workspaces: make(map[string]*Workspace),
+		moves:      make(map[string]*Move),
+		limits:     make(map[limitKey]Limit),
+	}
+	for i := range c.Entries {
+		e := &c.Entries[i]
+		s.entries[e.Name] = e
+		for _, l := range e.Limits {
+			s.limits[limitKey{e.Name, l.Workspace}] = l
+		}
+	}
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		for _, h := range w.TokenHashes {
+			s.workspaces[h] = w
+		}
+	}
+	for i := range c.Moves {
+		m := &c.Moves[i]
+		s.moves[m.Entry] = m // the last move of an entry is the current one
+	}
+	return s
+}
+
+// Entry returns the entry called name.
+func (s *Snapshot) Entry(name string) (*Entry, bool) {
+	e, ok := s.entries[name]
+	return e, ok
+}
+
+// WorkspaceByToken returns the workspace that a bearer token belongs to.
+func (s *Snapshot) WorkspaceByToken(token string) (*Workspace, bool) {
+	sum := sha256.Sum256([]byte(token))
+	w, ok := s.workspaces[hex.EncodeToString(sum[:])]
+	return w, ok
+}
+
+// MoveOf returns the latest move of an entry.
+func (s *Snapshot) MoveOf(entry string) (*Move, bool) {
+	m, ok := s.moves[entry]
+	return m, ok
+}
+
+// LimitOf returns the limit of a workspace on an entry.
+func (s *Snapshot) LimitOf(entry, workspace string) (Limit, bool) {
+	l, ok := s.limits[limitKey{entry, workspace}]
+	return l, ok
+}
--- /dev/null
+++ b/internal/platform/kv/doc.go
@@ -0,0 +1,2 @@
+// Package kv is a client of the platform's key-value service.
+package kv
