--- /dev/null
+++ b/internal/bench/demo/demo.go
@@ -0,0 +1,294 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Config says where the programs are and where to report.
+type Config struct {
+	// Binaries is the directory of the built programs.
+	Binaries string
+	// Logs is the directory for the output of the processes.
+	Logs string
+	// Output receives the progress and the result table.
+	Output io.Writer
+}
+
+// moveTime is how long the demo's version move may take.
+const moveTime = 12 * time.Second
+
+// Run starts the system, drives it and stops it. It returns an error if any
+// response was wrong, incomplete or doubled, or if a process failed.
+func Run(ctx context.Context, c Config) error {
+	if err := os.MkdirAll(c.Logs, 0o755); err != nil {
+		return fmt.Errorf("create the log directory: %w", err)
+	}
+	d := &demo{topology: topology{config: c}}
+	started := time.Now()
+	err := d.run(ctx)
+	d.progress("stopping all processes")
+	faults := d.topology.stop()
+	d.report(time.Since(started))
+	for _, f := range d.tally.faults {
+		faults = append(faults, errors.New(f))
+	}
+	return errors.Join(append([]error{err}, faults...)...)
+}
+
+type demo struct {
+	topology topology
+	tally    tally
+	moved    string
+	totals   totals
+}
+
+// totals are sums over the status of all entry instances.
+type totals struct {
+	generated, recomputed int64
+	cost                  float64
+}
+
+func (d *demo) progress(format string, args ...any) {
+	fmt.Fprintf(d.topology.config.Output, "demo: "+format+"\n", args...)
+}
+
+func (d *demo) run(ctx context.Context) error {
+	d.progress("starting platform, backend servers and entry instances in %s", strings.Join(failureDomains, " and "))
+	if err := d.topology.start(ctx); err != nil {
+		return err
+	}
+	d.progress("applying the catalogue (%s on version %s)", languageEntry, oldVersion)
+	out, err := d.topology.applyCatalogue(ctx, oldVersion, 0, time.Time{})
+	if err != nil {
+		return err
+	}
+	d.progress("%s", strings.TrimSpace(out))
+	if err := d.topology.ready(ctx); err != nil {
+		return err
+	}
+	d.progress("sending 40 completions, half of them streamed, and 10 bookings, each booking twice")
+	d.completions(ctx, "completion", 40)
+	d.bookings(ctx, 10)
+	if err := d.checkRuns(ctx); err != nil {
+		return err
+	}
+	if err := d.move(ctx); err != nil {
+		return err
+	}
+	d.progress("reclaiming a backend server in the middle of 16 streams")
+	if err := d.reclaim(ctx); err != nil {
+		return err
+	}
+	if err := d.readTotals(ctx); err != nil {
+		return err
+	}
+	d.progress("stopping one entry instance in the middle of 8 streams")
+	return d.plannedStop(ctx)
+}
+
+// completions sends n requests over all entry instances, 8 at a time.
+func (d *demo) completions(ctx context.Context, kind string, n int) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, 8)
+	for i := range n {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			d.completion(ctx, kind, i, d.topology.entries[i%len(d.topology.entries)], 24)
+		})
+	}
+	wg.Wait()
+}
+
+func (d *demo) completion(ctx context.Context, kind string, i int, e entryInstance, maxTokens int) {
+	message := fmt.Sprintf("%s %d: draft a face-painting design with a tiger for a birthday party", kind, i)
+	got, err := newChatter(e.client, demoToken, languageEntry).ask(ctx, message, maxTokens, i%2 == 0)
+	d.tally.record(kind, message, got, expectedAnswer(message, maxTokens), err)
+}
+
+// bookings sends each booking twice, the second time through another entry
+// instance.
+func (d *demo) bookings(ctx context.Context, n int) {
+	for i := range n {
+		key, body := fmt.Sprintf("booking-%d", i), fmt.Sprintf(`{"slot":%d}`, i)
+		first := d.topology.entries[i%len(d.topology.entries)]
+		second := d.topology.entries[(i+1)%len(d.topology.entries)]
+		want, _, err := book(ctx, first.client, demoToken, serviceEntry, key, body)
+		d.tally.record("booking", key, want, want, err)
+		got, replayed, err := book(ctx, second.client, demoToken, serviceEntry, key, body)
+		d.tally.record("booking", key+" again", got, want, err)
+		if err == nil && !replayed {
+			d.tally.fault("booking %s: the second call was not answered from the journal", key)
+		}
+		d.tally.update("booking", func(c *Counts) {
+			if replayed {
+				c.Replayed++
+			}
+		})
+	}
+}
+
+// checkRuns compares the runs that the plain services counted with one per
+// booking.
+func (d *demo) checkRuns(ctx context.Context) error {
+	runs := make(map[string]int)
+	for _, s := range d.topology.services {
+		data, err := fetch(ctx, "http://"+s.address+"/runs")
+		if err != nil {
+			return err
+		}
+		var counted map[string]int
+		if err := json.Unmarshal(data, &counted); err != nil {
+			return fmt.Errorf("runs of %s: %w", s.id, err)
+		}
+		for key, n := range counted {
+			runs[key] += n
+		}
+	}
+	for key, n := range runs {
+		if n != 1 {
+			d.tally.fault("booking %s ran %d times", key, n)
+			d.tally.update("booking", func(c *Counts) { c.Doubled += n - 1 })
+		}
+	}
+	return nil
+}
+
+// move moves the language entry to the new version under traffic.
+func (d *demo) move(ctx context.Context) error {
+	deadline := time.Now().Add(moveTime)
+	d.progress("moving %s to version %s by %s", languageEntry, newVersion, deadline.Format(time.TimeOnly))
+	revision, err := d.revision(ctx)
+	if err != nil {
+		return err
+	}
+	if _, err := d.topology.applyCatalogue(ctx, newVersion, revision, deadline); err != nil {
+		return err
+	}
+	for i := 0; time.Now().Before(deadline.Add(5 * time.Second)); i++ {
+		d.completions(ctx, "during move", 8)
+		m, err := d.moveState(ctx)
+		if err != nil {
+			return err
+		}
+		d.moved = fmt.Sprintf("%s %s to %s: %s", m.Entry, m.From, m.To, m.Phase)
+		if i%4 == 0 {
+			d.progress("share of %s: %.0f%% (%s)", newVersion, 100*m.Share, m.Phase)
+		}
+		if m.Phase == "done" {
+			if late := time.Since(deadline); late > 0 {
+				return fmt.Errorf("move was done %s after its deadline", late)
+			}
+			d.progress("move is done %s before its deadline", time.Until(deadline).Round(100*time.Millisecond))
+			return nil
+		}
+	}
+	return fmt.Errorf("move did not finish: %s", d.moved)
+}
+
+// reclaim announces the reclaim of an engine while streams run on it.
+func (d *demo) reclaim(ctx context.Context) error {
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			d.completion(ctx, "during reclaim", i, d.topology.entries[i%len(d.topology.entries)], 120)
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	body := fmt.Sprintf(`{"kind":"reclaim","target":%q,"until":%q}`,
+		d.topology.engines[0].id, time.Now().Add(3*time.Second).Format(time.RFC3339Nano))
+	res, err := http.Post("http://"+d.topology.platform+"/faults", "application/json", strings.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("announce the reclaim: %w", err)
+	}
+	res.Body.Close()
+	time.Sleep(3 * time.Second)
+	_ = d.topology.engines[0].process.cmd.Process.Kill()
+	<-d.topology.engines[0].process.done
+	d.topology.engines = d.topology.engines[1:]
+	wg.Wait()
+	return nil
+}
+
+// plannedStop stops an entry instance while it streams.
+func (d *demo) plannedStop(ctx context.Context) error {
+	leaving := d.topology.entries[0]
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() { d.completion(ctx, "planned stop", i, leaving, 40) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	err := leaving.process.stop(time.Now().Add(30 * time.Second))
+	d.topology.entries = d.topology.entries[1:]
+	wg.Wait()
+	return err
+}
+
+// moveStatus is a move as an instance reports it.
+type moveStatus struct {
+	Entry string  `json:"entry"`
+	From  string  `json:"from"`
+	To    string  `json:"to"`
+	Share float64 `json:"share"`
+	Phase string  `json:"phase"`
+}
+
+func (d *demo) status(ctx context.Context, e entryInstance, into any) error {
+	data, err := fetch(ctx, "http://"+e.operations+"/status")
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("status of %s: %w", e.id, err)
+	}
+	return nil
+}
+
+func (d *demo) revision(ctx context.Context) (int64, error) {
+	var s struct {
+		Revision int64 `json:"catalogue-revision"`
+	}
+	err := d.status(ctx, d.topology.entries[0], &s)
+	return s.Revision, err
+}
+
+func (d *demo) moveState(ctx context.Context) (moveStatus, error) {
+	var s struct {
+		Moves []moveStatus `json:"moves"`
+	}
+	if err := d.status(ctx, d.topology.entries[0], &s); err != nil {
+		return moveStatus{}, err
+	}
+	for _, m := range s.Moves {
+		if m.Entry == languageEntry && m.To == newVersion {
+			return m, nil
+		}
+	}
+	return moveStatus{}, fmt.Errorf("no move of %s is known", languageEntry)
+}
+
+func (d *demo) readTotals(ctx context.Context) error {
+	for _, e := range d.topology.entries {
+		var s struct {
+			Generated  int64   `json:"generated-tokens"`
+			Recomputed int64   `json:"recomputed-tokens"`
+			Cost       float64 `json:"cost"`
+		}
+		if err := d.status(ctx, e, &s); err != nil {
+			return err
+		}
+		d.totals.generated += s.Generated
+		d.totals.recomputed += s.Recomputed
+		d.totals.cost += s.Cost
+	}
+	return nil
+}
