--- /dev/null
+++ b/internal/platform/kv/kvtest/doc.go
@@ -0,0 +1,2 @@
+// Package kvtest provides an in-memory kv.Store with fault switches for tests.
+package kvtest
--- /dev/null
+++ b/internal/platform/kv/kvtest/store.go
@@ -0,0 +1,196 @@
+package kvtest
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"wasabiworks.example/wasabiworks/internal/platform/kv"
+)
+
+// Calls counts calls by kind; calls that failed are included.
+type Calls struct {
+	Get, Put, Delete, Watch int
+}
+
+// Store is an in-memory kv.Store that is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	values   map[string]kv.Value
+	revision int64
+	calls    Calls
+	outage   bool
+	lost     int
+	held     chan struct{}
+	// changed is closed and replaced at each change that a watch reacts to.
+	changed chan struct{}
+}
+
+var _ kv.Store = (*Store)(nil)
+
+// New returns an empty store without faults.
+func New() *Store {
+	return &Store{values: make(map[string]kv.Value), changed: make(chan struct{})}
+}
+
+// SetOutage makes calls, pending watches included, fail with
+// kv.ErrUnavailable while on is true.
+func (s *Store) SetOutage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage = on
+	s.notify()
+}
+
+// LoseAnswers makes the next n writes take effect and return kv.ErrUnknown.
+// Writes that fail for another reason are not counted.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = n
+}
+
+// Hold makes new calls wait until release is called or their context ends. A
+// write whose context ends has no effect and returns kv.ErrUnknown.
+func (s *Store) Hold() (release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := make(chan struct{})
+	s.held = held
+	return sync.OnceFunc(func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.held == held {
+			s.held = nil
+		}
+		close(held)
+	})
+}
+
+// Calls returns the calls so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Get implements kv.Store.
+func (s *Store) Get(ctx context.Context, key string) (kv.Value, error) {
+	if err := s.begin(ctx, func(c *Calls) { c.Get++ }); err != nil {
+		return kv.Value{}, fmt.Errorf("%w: %w", kv.ErrUnavailable, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage {
+		return kv.Value{}, kv.ErrUnavailable
+	}
+	v, ok := s.values[key]
+	if !ok {
+		return kv.Value{}, kv.ErrAbsent
+	}
+	return clone(v), nil
+}
+
+// Put implements kv.Store.
+func (s *Store) Put(ctx context.Context, key string, data []byte, ifRevision int64) (int64, error) {
+	if len(data) > kv.MaxValue {
+		return 0, kv.ErrTooLarge
+	}
+	if err := s.begin(ctx, func(c *Calls) { c.Put++ }); err != nil {
+		return 0, fmt.Errorf("%w: %w", kv.ErrUnknown, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage {
+		return 0, kv.ErrUnavailable
+	}
+	if s.values[key].Revision != ifRevision {
+		return 0, kv.ErrConflict
+	}
+	s.revision++
+	s.values[key] = clone(kv.Value{Data: data, Revision: s.revision})
+	s.notify()
+	if s.lose() {
+		return 0, kv.ErrUnknown
+	}
+	return s.revision, nil
+}
+
+// Delete removes the key like kv.Client.Delete.
+func (s *Store) Delete(ctx context.Context, key string, ifRevision int64) error {
+	if err := s.begin(ctx, func(c *Calls) { c.Delete++ }); err != nil {
+		return fmt.Errorf("%w: %w", kv.ErrUnknown, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, ok := s.values[key]
+	switch {
+	case s.outage:
+		return kv.ErrUnavailable
+	case !ok:
+		return kv.ErrAbsent
+	case v.Revision != ifRevision:
+		return kv.ErrConflict
+	}
+	s.revision++
+	delete(s.values, key)
+	if s.lose() {
+		return kv.ErrUnknown
+	}
+	return nil
+}
+
+// Watch implements kv.Store.
+func (s *Store) Watch(ctx context.Context, key string, after int64) (kv.Value, error) {
+	if err := s.begin(ctx, func(c *Calls) { c.Watch++ }); err != nil {
+		return kv.Value{}, fmt.Errorf("%w: %w", kv.ErrUnavailable, err)
+	}
+	for {
+		s.mu.Lock()
+		v, outage, changed := clone(s.values[key]), s.outage, s.changed
+		s.mu.Unlock()
+		if outage {
+			return kv.Value{}, kv.ErrUnavailable
+		}
+		if v.Revision > after {
+			return v, nil
+		}
+		select {
+		case <-ctx.Done():
+			return kv.Value{}, fmt.Errorf("%w: %w", kv.ErrUnavailable, ctx.Err())
+		case <-changed:
+		}
+	}
+}
+
+// begin counts a call and waits while calls are held.
+func (s *Store) begin(ctx context.Context, count func(*Calls)) error {
+	s.mu.Lock()
+	count(&s.calls)
+	held := s.held
+	s.mu.Unlock()
+	if held != nil {
+		select {
+		case <-ctx.Done():
+		case <-held:
+		}
+	}
+	return ctx.Err()
+}
+
+func (s *Store) lose() bool {
+	if s.lost == 0 {
+		return false
+	}
+	s.lost--
+	return true
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func clone(v kv.Value) kv.Value {
+	return kv.Value{Data: append([]byte(nil), v.Data...), Revision: v.Revision}
+}
