Add fakes of the platform, engines and plain services

Entry instances can be tested and measured only against external systems whose faults can be switched, and no third-party servers may run.

Each fake is an http.Handler with a Config and an Inject method; cmd/standin runs them as processes that register in the instance list, obey reclaim notices and stop gracefully. Every engine token is a pure function of the prompt and the index (package answer), so that a client can detect a wrong byte. Engines and plain services log what they ran.

--- /dev/null
+++ b/cmd/standin/serve.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// headerTimeout bounds the time a client takes to send a request's headers.
+const headerTimeout = 10 * time.Second
+
+// serveOptions are the flags of all commands.
+type serveOptions struct {
+	Listen string        `long:"listen" env:"WASABIWORKS_STANDIN_LISTEN" default:"127.0.0.1:0" description:"address to listen on"`
+	Grace  time.Duration `long:"grace" env:"WASABIWORKS_STANDIN_GRACE" default:"30s" description:"time for running requests to finish after SIGTERM"`
+}
+
+// server is a fake that runs in this process.
+type server struct {
+	handler http.Handler
+	// leave is called at SIGTERM, before running requests are awaited.
+	leave func()
+	// accompany runs with the server and ends after ctx does.
+	accompany func(ctx context.Context, address string)
+}
+
+// serve runs s until SIGTERM or SIGINT and until running requests have
+// finished or the grace period has passed.
+func (o serveOptions) serve(log *zap.Logger, s server) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	listener, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return fmt.Errorf("--listen %s: %w", o.Listen, err)
+	}
+	address := listener.Addr().String()
+	log.Info("listening", zap.String("address", address))
+	h := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
+	var g errgroup.Group
+	g.Go(func() error { return h.Serve(listener) })
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	if s.accompany != nil {
+		g.Go(func() error { s.accompany(background, address); return nil })
+	}
+	<-ctx.Done()
+	log.Info("stopping")
+	s.leave()
+	drain, cancel := context.WithTimeout(context.Background(), o.Grace)
+	defer cancel()
+	err = h.Shutdown(drain)
+	if err != nil {
+		err = fmt.Errorf("requests were running after the grace period: %w", errors.Join(err, h.Close()))
+	}
+	stopBackground()
+	if served := g.Wait(); !errors.Is(served, http.ErrServerClosed) {
+		err = errors.Join(err, served)
+	}
+	log.Info("stopped")
+	return err
+}
+
+func newLogger(fake string) (*zap.Logger, error) {
+	log, err := zap.NewProduction()
+	if err != nil {
+		return nil, fmt.Errorf("create logger: %w", err)
+	}
+	return log.With(zap.String("fake", fake)), nil
+}
--- /dev/null
+++ b/internal/bench/engine/cache.go
@@ -0,0 +1,130 @@
+package engine
+
+import (
+	"container/list"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	blockWords = 16
+	// eventLimit is the number of cache events that are kept.
+	eventLimit = 4096
+)
+
+// Event is a change of the prefix cache.
+type Event struct {
+	Sequence int64  `json:"sequence"`
+	Kind     string `json:"kind"`
+	// Prefix is the hash of the prompt up to and with the block.
+	Prefix string `json:"prefix"`
+}
+
+// cache is an LRU cache of prompt blocks. A block is identified by the hash of
+// the prompt up to its end.
+type cache struct {
+	capacity int
+	gap      int
+	now      func() time.Time
+
+	mu     sync.Mutex
+	blocks map[uint64]*list.Element
+	// recent holds hashes, the most recently used one first.
+	recent   *list.List
+	sequence int64
+	events   []timedEvent
+}
+
+type timedEvent struct {
+	at    time.Time
+	event Event
+}
+
+func newCache(capacity, gap int, now func() time.Time) *cache {
+	return &cache{capacity: capacity, gap: gap, now: now, blocks: make(map[uint64]*list.Element), recent: list.New()}
+}
+
+// use looks up a prompt and adds its blocks. It returns the number of prompt
+// tokens and how many of them were cached.
+func (c *cache) use(prompt string) (tokens, cached int) {
+	words := strings.Fields(prompt)
+	chain := chain(words)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for cached < len(chain) && c.blocks[chain[cached]] != nil {
+		cached++
+	}
+	// The first block is touched last, because later ones are useless
+	// without it.
+	for i := len(chain) - 1; i >= 0; i-- {
+		c.touch(chain[i])
+	}
+	for c.recent.Len() > c.capacity {
+		hash := c.recent.Remove(c.recent.Back()).(uint64)
+		delete(c.blocks, hash)
+		c.record("evict", hash)
+	}
+	return len(words), cached * blockWords
+}
+
+// chain returns the hashes of the prompt's complete blocks.
+func chain(words []string) []uint64 {
+	var hashes []uint64
+	d := xxhash.New()
+	for i, w := range words {
+		_, _ = d.WriteString(w)
+		_, _ = d.WriteString(" ")
+		if (i+1)%blockWords == 0 {
+			hashes = append(hashes, d.Sum64())
+		}
+	}
+	return hashes
+}
+
+func (c *cache) touch(hash uint64) {
+	if e := c.blocks[hash]; e != nil {
+		c.recent.MoveToFront(e)
+		return
+	}
+	c.blocks[hash] = c.recent.PushFront(hash)
+	c.record("add", hash)
+}
+
+func (c *cache) record(kind string, hash uint64) {
+	c.sequence++
+	if c.gap > 0 && c.sequence%int64(c.gap) == 0 {
+		return
+	}
+	if len(c.events) >= eventLimit {
+		c.events = append(c.events[:0], c.events[eventLimit/2:]...)
+	}
+	prefix := strconv.FormatUint(hash, 16)
+	c.events = append(c.events, timedEvent{c.now(), Event{c.sequence, kind, prefix}})
+}
+
+// since returns the events above a sequence number that are older than the
+// lag.
+func (c *cache) since(after int64, lag time.Duration) (events []Event, next int64) {
+	visible := c.now().Add(-lag)
+	events, next = []Event{}, after
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.events {
+		if e.event.Sequence > after && !e.at.After(visible) {
+			events = append(events, e.event)
+			next = e.event.Sequence
+		}
+	}
+	return events, next
+}
+
+func (c *cache) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.blocks)
+	c.recent.Init()
+}
--- /dev/null
+++ b/internal/bench/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is a small fake of a model engine.
+package engine
--- /dev/null
+++ b/internal/bench/engine/generate.go
@@ -0,0 +1,237 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabiworks.example/wasabiworks/internal/bench/answer"
+)
+
+// body is the body of a generate request.
+type body struct {
+	Request      string   `json:"request"`
+	Entry        string   `json:"entry"`
+	Version      string   `json:"version"`
+	Prompt       string   `json:"prompt"`
+	MaxTokens    int      `json:"max-tokens"`
+	From         int      `json:"from"`
+	PrefixTokens []string `json:"prefix-tokens"`
+	Import       string   `json:"import"`
+}
+
+type usage struct {
+	Prompt     int `json:"prompt"`
+	Cached     int `json:"cached"`
+	Recomputed int `json:"recomputed"`
+}
+
+// frame is a line of the response.
+type frame struct {
+	Attempt string `json:"attempt"`
+	Index   int    `json:"index"`
+	Token   string `json:"token"`
+	Finish  string `json:"finish,omitempty"`
+	Usage   *usage `json:"usage,omitempty"`
+}
+
+// attempt is a request that the engine accepted.
+type attempt struct {
+	id       string
+	body     body
+	prompt   uint64
+	response answer.Response
+	cancel   context.CancelCauseFunc
+	// next is the index of the next token.
+	next atomic.Int64
+}
+
+func (a *attempt) kvCache() kvCache {
+	return kvCache{Attempt: a.id, Prompt: a.prompt, Tokens: int(a.next.Load())}
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
+	a, ok := s.decode(w, r)
+	if !ok {
+		return
+	}
+	run := s.runs.received(a.body, a.id)
+	s.applyLeave()
+	if !s.serves(a.body.Entry, a.body.Version) {
+		reject(w, http.StatusServiceUnavailable, "version")
+		return
+	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	a.cancel = cancel
+	if !s.begin(a) {
+		http.Error(w, "attempt is already running", http.StatusBadRequest)
+		return
+	}
+	defer s.end(a)
+	if err := s.scheduler.acquire(ctx, priority(r)); err != nil {
+		s.refuse(ctx, w, err)
+		return
+	}
+	defer s.scheduler.release()
+	s.runs.ran(run)
+	s.run(ctx, w, a)
+}
+
+func (s *Server) decode(w http.ResponseWriter, r *http.Request) (*attempt, bool) {
+	a := &attempt{id: r.Header.Get("Attempt")}
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit)).Decode(&a.body); err != nil {
+		http.Error(w, "invalid request: "+err.Error(), http.StatusBadRequest)
+		return nil, false
+	}
+	a.response = answer.For(a.body.Prompt)
+	a.prompt = xxhash.Sum64String(a.body.Prompt)
+	if err := a.check(); err != nil {
+		http.Error(w, "invalid request: "+err.Error(), http.StatusBadRequest)
+		return nil, false
+	}
+	a.next.Store(int64(a.body.From))
+	return a, true
+}
+
+func (a *attempt) check() error {
+	switch n := len(a.body.PrefixTokens); {
+	case a.id == "":
+		return errors.New("the header Attempt is missing")
+	case a.body.From < 0 || a.body.From > a.response.Length(a.body.MaxTokens):
+		return errors.New("from is outside the response")
+	case n > 0 && n != a.body.From:
+		return errors.New("prefix-tokens does not have from elements")
+	}
+	for i, t := range a.body.PrefixTokens {
+		if t != a.response.Token(i) {
+			return errors.New("prefix-tokens differs at index " + strconv.Itoa(i))
+		}
+	}
+	return nil
+}
+
+// priority is a number, a higher one first; "interactive" is 1 and anything
+// else 0.
+func priority(r *http.Request) int {
+	p := r.Header.Get("Priority")
+	if p == "interactive" {
+		return 1
+	}
+	n, err := strconv.Atoi(p)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// begin registers an attempt, unless one with its ID is running.
+func (s *Server) begin(a *attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.attempts[a.id] != nil {
+		return false
+	}
+	s.attempts[a.id] = a
+	return true
+}
+
+// end keeps the KV cache of an attempt for export.
+func (s *Server) end(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.attempts, a.id)
+	s.exports.put(a.id, a.kvCache())
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	a := s.attempts[r.PathValue("attempt")]
+	s.mu.Unlock()
+	if a == nil {
+		http.Error(w, "no such attempt", http.StatusNotFound)
+		return
+	}
+	a.cancel(context.Canceled)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// refuse answers an attempt that got no slot.
+func (s *Server) refuse(ctx context.Context, w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, errLeaving):
+		reject(w, http.StatusServiceUnavailable, "leaving")
+	case errors.Is(err, errOverloaded):
+		reject(w, http.StatusTooManyRequests, "overloaded")
+	case errors.Is(context.Cause(ctx), errCrashed):
+		panic(http.ErrAbortHandler)
+	default:
+		// The attempt was cancelled while it waited.
+		reject(w, http.StatusServiceUnavailable, "overloaded")
+	}
+}
+
+func reject(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set("Not-Run", reason)
+	http.Error(w, reason, status)
+}
+
+// run generates the response in a slot.
+func (s *Server) run(ctx context.Context, w http.ResponseWriter, a *attempt) {
+	if s.poison(a) {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
+	if s.fails(a) {
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	u := s.usage(a)
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	out := newFrames(w, s, a)
+	if out.flush() != nil {
+		return
+	}
+	delay := s.config.FirstToken + time.Duration(u.Recomputed)*s.config.PerPromptToken
+	// On an error the client left or cancelled the attempt.
+	if err := s.tokens(ctx, a, out, delay, u); err != nil && errors.Is(context.Cause(ctx), errCrashed) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// tokens sends the frames of an attempt. Each token has its time on a fixed
+// schedule, so that late timers do not add up.
+func (s *Server) tokens(ctx context.Context, a *attempt, out *frames, delay time.Duration, u usage) error {
+	length := a.response.Length(a.body.MaxTokens)
+	due := s.config.Now()
+	for i := a.body.From; ; i++ {
+		f := frame{Attempt: a.id, Index: i}
+		if i < length {
+			f.Token = a.response.Token(i)
+		}
+		if i >= length-1 {
+			f.Finish, f.Usage = a.response.Finish(a.body.MaxTokens), &u
+		}
+		due = due.Add(time.Duration(float64(delay) * s.faults.Slowness(a.body.Version)))
+		if err := s.config.Wait(ctx, due.Sub(s.config.Now())); err != nil {
+			return err
+		}
+		if err := s.faults.AwaitStall(ctx, a.body.Version, i); err != nil {
+			return err
+		}
+		a.next.Store(int64(min(i+1, length)))
+		if err := out.send(f); err != nil {
+			return err
+		}
+		if f.Finish != "" {
+			return nil
+		}
+		delay = s.config.BetweenTokens
+	}
+}
--- /dev/null
+++ b/internal/bench/engine/runs.go
@@ -0,0 +1,70 @@
+package engine
+
+import (
+	"slices"
+	"sync"
+)
+
+// runLimit bounds the log; the oldest attempts are dropped.
+const runLimit = 200000
+
+// Run counts how often an attempt was received and run.
+type Run struct {
+	Request  string `json:"request"`
+	Attempt  string `json:"attempt"`
+	Version  string `json:"version"`
+	From     int    `json:"from"`
+	Received int    `json:"received"`
+	Ran      int    `json:"ran"`
+}
+
+// runs is the log of attempts in order of arrival.
+type runs struct {
+	mu   sync.Mutex
+	list []*Run
+	byID map[string]*Run
+}
+
+func (l *runs) received(b body, attempt string) *Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byID == nil {
+		l.byID = make(map[string]*Run)
+	}
+	id := b.Request + "\x00" + attempt
+	r := l.byID[id]
+	if r == nil {
+		r = &Run{Request: b.Request, Attempt: attempt, Version: b.Version, From: b.From}
+		l.byID[id] = r
+		l.list = append(l.list, r)
+		l.trim()
+	}
+	r.Received++
+	return r
+}
+
+func (l *runs) trim() {
+	if len(l.list) <= runLimit {
+		return
+	}
+	for _, r := range l.list[:runLimit/2] {
+		delete(l.byID, r.Request+"\x00"+r.Attempt)
+	}
+	l.list = slices.Clone(l.list[runLimit/2:])
+}
+
+func (l *runs) ran(r *Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.Ran++
+}
+
+func (l *runs) all() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Run, len(l.list))
+	for i, r := range l.list {
+		out[i] = *r
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bench/fault/doc.go
@@ -0,0 +1,2 @@
+// Package fault keeps the faults that tests inject into the fakes.
+package fault
--- /dev/null
+++ b/internal/bench/platform/instances.go
@@ -0,0 +1,206 @@
+package platform
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/bench/fault"
+	"wasabiworks.example/wasabiworks/internal/platform/cloud"
+	"wasabiworks.example/wasabiworks/internal/platform/instances"
+)
+
+var errNoInstance = errors.New("target must be an instance or a failure domain with instances")
+
+// listing is a published instance list.
+type listing struct {
+	Revision  int64                `json:"revision"`
+	Instances []instances.Instance `json:"instances"`
+}
+
+func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	s.reap()
+	l := s.listing.Get(s.config.Now())
+	s.mu.Unlock()
+	if l.Instances == nil {
+		l.Instances = []instances.Instance{}
+	}
+	respond(w, http.StatusOK, l)
+}
+
+func (s *Server) register(w http.ResponseWriter, r *http.Request) {
+	var i instances.Instance
+	if err := json.NewDecoder(r.Body).Decode(&i); err != nil {
+		http.Error(w, "invalid instance: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := check(i, r.PathValue("id")); err != nil {
+		http.Error(w, "invalid instance: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.reclaims[i.ID]; ok {
+		i.State = instances.StateLeaving
+	}
+	s.members[i.ID] = i
+	s.publish()
+	w.WriteHeader(http.StatusOK)
+}
+
+func check(i instances.Instance, id string) error {
+	switch {
+	case i.ID != id || id == "":
+		return fmt.Errorf("id %q is not the one in the path", i.ID)
+	case i.Role != instances.RoleEntry && i.Role != instances.RoleBackend:
+		return fmt.Errorf("role %q is not entry or backend", i.Role)
+	case i.State != instances.StateLive && i.State != instances.StateLeaving:
+		return fmt.Errorf("state %q is not live or leaving", i.State)
+	case i.FailureDomain == "":
+		return errors.New("failure-domain is empty")
+	}
+	return nil
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.members[r.PathValue("id")]; ok {
+		delete(s.members, r.PathValue("id"))
+		s.publish()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// publish makes a new list visible after the lag; the caller holds the lock.
+func (s *Server) publish() {
+	s.listing.Set(s.config.Now(), listing{
+		Revision: s.listing.Latest().Revision + 1,
+		Instances: slices.SortedFunc(maps.Values(s.members), func(a, b instances.Instance) int {
+			return cmp.Compare(a.ID, b.ID)
+		}),
+	})
+}
+
+// reclaim announces that matching instances end at the deadline.
+func (s *Server) reclaim(target string, deadline time.Time) error {
+	if deadline.IsZero() {
+		deadline = s.config.Now().Add(noticePeriod)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := false
+	for _, id := range slices.Sorted(maps.Keys(s.members)) {
+		i := s.members[id]
+		if target == "" || (id != target && (i.FailureDomain != target || !i.Reclaimable)) {
+			continue
+		}
+		found = true
+		i.State = instances.StateLeaving
+		s.members[id] = i
+		s.reclaims[id] = deadline
+		s.notices = append(s.notices, cloud.Notice{Sequence: int64(len(s.notices)) + 1, Instance: id, Deadline: deadline})
+	}
+	if !found {
+		return fmt.Errorf("%w: %w", fault.ErrInvalid, errNoInstance)
+	}
+	s.publish()
+	s.notify()
+	return nil
+}
+
+// reap removes reclaimed instances; the caller holds the lock.
+func (s *Server) reap() {
+	now := s.config.Now()
+	removed := false
+	for id, deadline := range s.reclaims {
+		if !now.Before(deadline) {
+			delete(s.reclaims, id)
+			delete(s.members, id)
+			removed = true
+		}
+	}
+	if removed {
+		s.publish()
+	}
+}
+
+func (s *Server) pollNotices(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil || after < 0 {
+		http.Error(w, "after must be a sequence number", http.StatusBadRequest)
+		return
+	}
+	found := []cloud.Notice{}
+	outage := false
+	answered := s.poll(r, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if outage = s.active(Outage, "notices/"); outage {
+			return true
+		}
+		if after < int64(len(s.notices)) {
+			found = slices.Clone(s.notices[after:])
+		}
+		return len(found) > 0
+	})
+	if outage || !answered {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return
+	}
+	respond(w, http.StatusOK, struct {
+		Next    int64          `json:"next"`
+		Notices []cloud.Notice `json:"notices"`
+	}{after + int64(len(found)), found})
+}
+
+func (s *Server) launch(w http.ResponseWriter, r *http.Request) {
+	var l cloud.Launch
+	if err := json.NewDecoder(r.Body).Decode(&l); err != nil {
+		http.Error(w, "invalid launch: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if _, refused := s.faults.Find(RefuseInstances, func(f fault.Fault) bool {
+		return f.Target == "" || f.Target == l.Class || f.Target == l.FailureDomain
+	}); refused {
+		http.Error(w, "refused", http.StatusConflict)
+		return
+	}
+	s.mu.Lock()
+	s.launched++
+	id := "launched-" + strconv.Itoa(s.launched)
+	s.mu.Unlock()
+	if s.config.Launch != nil {
+		s.config.Launch(id, l)
+	}
+	respond(w, http.StatusCreated, struct {
+		ID string `json:"id"`
+	}{id})
+}
+
+// weight streams a version's weights at the limited rate.
+func (s *Server) weight(w http.ResponseWriter, r *http.Request) {
+	chunk := make([]byte, 16<<10)
+	if burst := s.weights.Burst(); burst > 0 {
+		chunk = chunk[:min(len(chunk), burst)]
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(s.config.WeightBytes))
+	for left := s.config.WeightBytes; left > 0; {
+		n := min(left, len(chunk))
+		if err := s.weights.WaitN(r.Context(), n); err != nil {
+			return
+		}
+		if _, err := w.Write(chunk[:n]); err != nil {
+			return
+		}
+		left -= n
+	}
+}
--- /dev/null
+++ b/internal/bench/service/doc.go
@@ -0,0 +1,2 @@
+// Package service is a small fake of a plain service.
+package service
