Add the simple decisions of the request path

The entry instance needs a version choice, a routing policy, limits, a retry budget and poison detection before any of them is tuned.

go test -race ./internal/decide/... passes; nothing is measured yet.

--- /dev/null
+++ b/internal/decide/limit/limit_test.go
@@ -0,0 +1,79 @@
+package limit
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// Guards against a bucket that admits more than its rate and burst, or that
+// rejects what is within them.
+func TestBucketRate(t *testing.T) {
+	for _, rate := range []float64{0.5, 1, 10, 250} {
+		var b Bucket
+		b.SetRate(rate, 0)
+		admitted := 0
+		for at := time.Duration(0); at < 20*time.Second; at += time.Millisecond {
+			if b.Take(epoch.Add(at)) {
+				admitted++
+			}
+		}
+		least, most := 20*rate, 20*rate+max(rate, 1)+1
+		if got := float64(admitted); got < least || got > most {
+			t.Errorf("rate %v: admitted %v in 20 s, want %v to %v", rate, got, least, most)
+		}
+	}
+}
+
+// Guards against concurrent callers that together exceed the concurrency.
+func TestBucketConcurrent(t *testing.T) {
+	is := is.New(t)
+	var b Bucket
+	b.SetRate(0, 3)
+	var admitted atomic.Int64
+	var wg sync.WaitGroup
+	for range 50 {
+		wg.Go(func() {
+			if b.Take(epoch) {
+				admitted.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(admitted.Load(), int64(3))
+	b.Release()
+	is.True(b.Take(epoch)) // a released place is free again
+	is.True(!b.Take(epoch))
+}
+
+// Guards against a zero bucket that rejects entries without limits.
+func TestBucketZero(t *testing.T) {
+	is := is.New(t)
+	var b Bucket
+	for range 1000 {
+		is.True(b.Take(epoch))
+	}
+}
+
+// Guards against batch requests that crowd out interactive ones, and against
+// one workspace that takes the places of the others.
+func TestShedder(t *testing.T) {
+	is := is.New(t)
+	var s Shedder
+	s.SetCapacity(100)
+	fill := func(workspace string, c Class) (n int) {
+		for s.Admit(workspace, c) {
+			n++
+		}
+		return n
+	}
+	is.Equal(fill("large", Batch), 75)
+	is.True(fill("large", Interactive) >= 13) // batch leaves room for interactive
+	is.True(fill("small", Interactive) >= 5)  // one workspace leaves room for another
+	is.True(s.Load() <= 1)
+}
--- /dev/null
+++ b/internal/decide/poison/doc.go
@@ -0,0 +1,2 @@
+// Package poison finds requests that crash the backend servers that run them.
+package poison
--- /dev/null
+++ b/internal/decide/retry/doc.go
@@ -0,0 +1,3 @@
+// Package retry bounds the extra load that retries put on failing backend
+// servers.
+package retry
