Start the composition of the entry instance

Cause: the parts of the request path need a process that holds them. Result: not measured; it does not build yet without the other parts.

--- /dev/null
+++ b/internal/entry/instance/adapters.go
@@ -0,0 +1,114 @@
+package instance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/backend/engine"
+	"wasabiworks.example/wasabiworks/internal/backend/fleet"
+	"wasabiworks.example/wasabiworks/internal/caller/openai"
+	"wasabiworks.example/wasabiworks/internal/caller/services"
+	"wasabiworks.example/wasabiworks/internal/decide/journal"
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
+	"wasabiworks.example/wasabiworks/internal/decide/retry"
+	peerjournal "wasabiworks.example/wasabiworks/internal/peer/journal"
+)
+
+// suspectKept is how long a crash record counts.
+const suspectKept = time.Hour
+
+// budgets holds the retry budget of each backend server.
+type budgets struct{ byBackend sync.Map }
+
+func (b *budgets) of(backend string) *retry.Budget {
+	if v, ok := b.byBackend.Load(backend); ok {
+		return v.(*retry.Budget)
+	}
+	v, _ := b.byBackend.LoadOrStore(backend, new(retry.Budget))
+	return v.(*retry.Budget)
+}
+
+// Deposit records a first attempt on a backend server.
+func (b *budgets) Deposit(backend string) { b.of(backend).Deposit() }
+
+// Withdraw takes the allowance of one more attempt on a backend server.
+func (b *budgets) Withdraw(backend string) bool { return b.of(backend).Withdraw() }
+
+// poisons adapts the set of crash records to the request path.
+type poisons struct {
+	set    *poison.Set
+	notify func()
+	now    func() time.Time
+}
+
+// Verdict returns what is known about a request.
+func (p poisons) Verdict(fingerprint uint64) openai.Verdict {
+	switch p.set.Verdict(fingerprint, p.now()) {
+	case poison.Poison:
+		return openai.Poison
+	case poison.Suspect:
+		return openai.Suspect
+	default:
+		return openai.Clear
+	}
+}
+
+// Crash records a crash and tells the peers at once.
+func (p poisons) Crash(backend, incarnation string, fingerprints []uint64) {
+	p.set.Crash(backend, incarnation, fingerprints, p.now().Add(suspectKept))
+	p.notify()
+}
+
+// calls adapts the journal to the request path of plain services.
+type calls struct{ journal *peerjournal.Journal }
+
+var statuses = map[journal.Status]services.Status{
+	journal.Reserved:            services.Reserved,
+	journal.Pending:             services.Pending,
+	journal.Done:                services.Done,
+	journal.DoneWithoutResponse: services.DoneWithoutResponse,
+	journal.Mismatch:            services.Mismatch,
+}
+
+// Reserve records the intent of a call.
+func (c calls) Reserve(ctx context.Context, key services.Key, fingerprint uint64, attempt string) (services.Status, *services.Response, error) {
+	r, err := c.journal.Reserve(ctx, journal.Key(key), attempt, fingerprint)
+	if err != nil {
+		return services.Unavailable, nil, err
+	}
+	if r.Response == nil {
+		return statuses[r.Status], nil, nil
+	}
+	return statuses[r.Status], &services.Response{
+		Status: int(r.Response.Status), ContentType: r.Response.ContentType, Body: r.Response.Body,
+	}, nil
+}
+
+// Complete records the response to a reserved call.
+func (c calls) Complete(ctx context.Context, key services.Key, attempt string, r *services.Response) error {
+	var kept *journal.Response
+	if r != nil {
+		kept = &journal.Response{Status: uint32(r.Status), ContentType: r.ContentType, Body: r.Body}
+	}
+	_, err := c.journal.Complete(ctx, journal.Key(key), attempt, false, kept)
+	return err
+}
+
+// NotRun removes the reservation of a call that provably did not run.
+func (c calls) NotRun(ctx context.Context, key services.Key, attempt string) error {
+	_, err := c.journal.Complete(ctx, journal.Key(key), attempt, true, nil)
+	return err
+}
+
+// poller reads the load of engines for the fleet.
+type poller struct{ engine *engine.Client }
+
+// Load returns the load report of the engine at an address.
+func (p poller) Load(ctx context.Context, address string) (fleet.Report, error) {
+	l, err := p.engine.Load(ctx, address)
+	if err != nil {
+		return fleet.Report{}, err
+	}
+	return report(l), nil
+}
--- /dev/null
+++ b/internal/entry/instance/fleetsync.go
@@ -0,0 +1,130 @@
+package instance
+
+import (
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/backend/fleet"
+	"wasabiworks.example/wasabiworks/internal/decide/membership"
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
+	"wasabiworks.example/wasabiworks/internal/peer/exchange"
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+)
+
+const (
+	// reportKept is how long a load report counts.
+	reportKept = 10 * time.Second
+	// relayLimit is the number of backend servers up to which load reports
+	// travel to other failure domains; above it they would exceed the budget of
+	// 22 KB/s for control.
+	relayLimit = 200
+	// maxFingerprints bounds the crash records in one digest.
+	maxFingerprints = 1024
+)
+
+// leaving is the mark of a backend server that gets no new work.
+type leaving struct {
+	backend string
+	until   time.Time
+	// reclaim is the deadline of the reclaim notice, or zero.
+	reclaim time.Time
+}
+
+func newLeavings(changed func(leaving), now func() time.Time) *exchange.Set[string, leaving] {
+	return exchange.NewSet(exchange.SetConfig[string, leaving]{
+		Key: func(l leaving) string { return l.backend },
+		Join: func(have, offered leaving) (leaving, bool) {
+			joined := have
+			if offered.until.After(have.until) {
+				joined.until = offered.until
+			}
+			if offered.reclaim.After(have.reclaim) {
+				joined.reclaim = offered.reclaim
+			}
+			return joined, joined != have
+		},
+		Deadline: func(l leaving) time.Time { return l.until },
+		Add: func(d *peerpb.Digest, l leaving) {
+			wire := &peerpb.Leaving{Backend: l.backend, Deadline: l.until.UnixNano()}
+			if !l.reclaim.IsZero() {
+				wire.Reclaim = l.reclaim.UnixNano()
+			}
+			d.Leaving = append(d.Leaving, wire)
+		},
+		Take: func(d *peerpb.Digest) (ls []leaving) {
+			for _, w := range d.GetLeaving() {
+				l := leaving{backend: w.GetBackend(), until: time.Unix(0, w.GetDeadline())}
+				if w.GetReclaim() != 0 {
+					l.reclaim = time.Unix(0, w.GetReclaim())
+				}
+				ls = append(ls, l)
+			}
+			return ls
+		},
+		Urgent:  true,
+		Changed: changed,
+		Now:     now,
+	})
+}
+
+// newReports spreads load reports. In a small fleet they go everywhere, in a
+// large one they stay in the failure domain.
+func newReports(domain string, size func() int, changed func(fleet.Report), now func() time.Time) *exchange.Set[string, fleet.Report] {
+	return exchange.NewSet(exchange.SetConfig[string, fleet.Report]{
+		Key: func(r fleet.Report) string { return r.Backend },
+		Join: func(have, offered fleet.Report) (fleet.Report, bool) {
+			if offered.At.After(have.At) {
+				return offered, true
+			}
+			return have, false
+		},
+		Deadline: func(r fleet.Report) time.Time { return r.At.Add(reportKept) },
+		Add: func(d *peerpb.Digest, r fleet.Report) {
+			d.Loads = append(d.Loads, &peerpb.Load{
+				Backend: r.Backend, Incarnation: r.Incarnation, Running: uint32(r.Running), Queued: uint32(r.Queued),
+				Capacity: uint32(r.Capacity), Versions: r.Versions, At: r.At.UnixNano(), Leaving: r.Leaving,
+			})
+		},
+		Take: func(d *peerpb.Digest) (rs []fleet.Report) {
+			for _, l := range d.GetLoads() {
+				rs = append(rs, fleet.Report{
+					Backend: l.GetBackend(), Incarnation: l.GetIncarnation(), Running: int(l.GetRunning()), Queued: int(l.GetQueued()),
+					Capacity: int(l.GetCapacity()), Versions: l.GetVersions(), At: time.Unix(0, l.GetAt()), Leaving: l.GetLeaving(),
+				})
+			}
+			return rs
+		},
+		Relay: func(to membership.Member, _ fleet.Report) bool {
+			return to.FailureDomain == domain || size() <= relayLimit
+		},
+		Changed: changed,
+		Now:     now,
+	})
+}
+
+// crashes is the source and sink of the crash records.
+type crashes struct{ set *poison.Set }
+
+// Digest implements exchange.Source.
+func (c crashes) Digest(_ membership.Member, since uint64, d *peerpb.Digest) (next uint64) {
+	rs, next := c.set.Since(since)
+	for _, r := range rs {
+		d.Crashes = append(d.Crashes, &peerpb.Crash{
+			Backend: r.Process, Fingerprints: []uint64{r.Fingerprint}, Deadline: r.Deadline.UnixNano(),
+		})
+	}
+	return next
+}
+
+// Merge implements exchange.Sink. A crash is urgent: a client that sends its
+// request again must not reach an instance that does not know of it.
+func (c crashes) Merge(_ membership.Member, d *peerpb.Digest) (urgent bool) {
+	var rs []poison.Record
+	for _, w := range d.GetCrashes() {
+		for _, fp := range w.GetFingerprints() {
+			if len(rs) < maxFingerprints {
+				rs = append(rs, poison.Record{Fingerprint: fp, Process: w.GetBackend(), Deadline: time.Unix(0, w.GetDeadline())})
+			}
+		}
+	}
+	return c.set.Merge(rs) > 0
+}
--- /dev/null
+++ b/internal/entry/instance/moves.go
@@ -0,0 +1,301 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
+	"wasabiworks.example/wasabiworks/internal/decide/move"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+	"wasabiworks.example/wasabiworks/internal/peer/exchange"
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+	"wasabiworks.example/wasabiworks/internal/platform/kv"
+)
+
+const (
+	// decidePeriod is the time between two decisions on each move.
+	decidePeriod = 250 * time.Millisecond
+	// vetoRetry is the time between two attempts to write or read a veto.
+	vetoRetry = 2 * time.Second
+	storeCall = time.Second
+)
+
+// veto rolls a move back. It is sticky: there is no opposite.
+type veto struct {
+	Move   string    `json:"move"`
+	Reason string    `json:"reason"`
+	At     time.Time `json:"at"`
+}
+
+func newVetoes(changed func(veto)) *exchange.Set[string, veto] {
+	return exchange.NewSet(exchange.SetConfig[string, veto]{
+		Key: func(v veto) string { return v.Move },
+		Add: func(d *peerpb.Digest, v veto) {
+			d.Vetoes = append(d.Vetoes, &peerpb.Veto{Move: v.Move, Reason: v.Reason, At: v.At.UnixNano()})
+		},
+		Take: func(d *peerpb.Digest) (vs []veto) {
+			for _, v := range d.GetVetoes() {
+				vs = append(vs, veto{Move: v.GetMove(), Reason: v.GetReason(), At: time.Unix(0, v.GetAt())})
+			}
+			return vs
+		},
+		Urgent:  true,
+		Changed: changed,
+	})
+}
+
+// moveState is a move with the decision in effect.
+type moveState struct {
+	record   catalogue.Move
+	decision move.Decision
+}
+
+// published is what the request path reads: the catalogue in effect and the
+// decisions on its moves by entry. It is replaced as a whole.
+type published struct {
+	snapshot *catalogue.Snapshot
+	moves    map[string]moveState
+}
+
+// mover decides on the moves of the catalogue in effect.
+type mover struct {
+	policy   move.Policy
+	evidence *evidence.Table
+	vetoes   *exchange.Set[string, veto]
+	isolated func(now time.Time) bool
+	store    kv.Store
+	now      func() time.Time
+	log      *zap.Logger
+	shares   *prometheus.GaugeVec
+
+	// wake asks for a decision before the next period.
+	wake chan struct{}
+
+	current atomic.Pointer[published]
+
+	mu     sync.Mutex // serialises publications
+	stored map[string]bool
+}
+
+// Snapshot returns the catalogue in effect, or nil.
+func (m *mover) Snapshot() *catalogue.Snapshot {
+	if p := m.current.Load(); p != nil {
+		return p.snapshot
+	}
+	return nil
+}
+
+// Version returns the version of an entry for a conversation, and the move
+// that the choice is evidence for.
+func (m *mover) Version(e *catalogue.Entry, conversation uint64) (version, moveID string) {
+	p := m.current.Load()
+	if p == nil {
+		return e.Version, ""
+	}
+	s, ok := p.moves[e.Name]
+	if !ok {
+		return e.Version, ""
+	}
+	if m.now().Before(s.record.KeepUntil) {
+		moveID = s.record.ID
+	}
+	if move.Choose(s.decision.Share, conversation) {
+		return s.record.To, moveID
+	}
+	return s.record.From, moveID
+}
+
+// known reports whether a move is in the catalogue in effect.
+func (m *mover) known(id string) bool {
+	s := m.Snapshot()
+	if s == nil {
+		return false
+	}
+	for i := range s.Catalogue.Moves {
+		if s.Catalogue.Moves[i].ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// accept puts a catalogue in effect, with a decision on each of its moves.
+func (m *mover) accept(s *catalogue.Snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	previous := m.current.Load()
+	m.publish(s)
+	if previous == nil {
+		return
+	}
+	for _, old := range previous.snapshot.Catalogue.Moves {
+		if !m.known(old.ID) {
+			m.evidence.Forget(old.ID)
+		}
+	}
+}
+
+// decide decides again on all moves.
+func (m *mover) decide() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.current.Load(); p != nil && len(p.moves) > 0 {
+		m.publish(p.snapshot)
+	}
+}
+
+// publish decides on the moves of s and replaces what the request path reads.
+// The caller holds mu.
+func (m *mover) publish(s *catalogue.Snapshot) {
+	now := m.now()
+	p := &published{snapshot: s, moves: make(map[string]moveState)}
+	for i := range s.Catalogue.Moves {
+		record := s.Catalogue.Moves[i]
+		if latest, ok := s.MoveOf(record.Entry); !ok || latest.ID != record.ID {
+			continue
+		}
+		p.moves[record.Entry] = moveState{record: record, decision: m.decideOne(record, now)}
+	}
+	previous := m.current.Swap(p)
+	m.logChanges(previous, p)
+}
+
+func (m *mover) decideOne(record catalogue.Move, now time.Time) move.Decision {
+	given, vetoed := m.vetoes.Get(record.ID)
+	d := m.policy.Decide(move.State{
+		Plan: move.Plan{
+			ID: record.ID, From: record.From, To: record.To,
+			Start: record.Start, Deadline: record.Deadline, KeepUntil: record.KeepUntil,
+		},
+		Evidence: m.evidence.Totals(record.ID),
+		Vetoed:   vetoed,
+		Isolated: m.isolated(now),
+	}, now)
+	if d.Veto && !vetoed {
+		// The veto set tells the peers; its Changed callback must not decide
+		// again, since mu is held.
+		m.vetoes.Put(veto{Move: record.ID, Reason: d.Reason, At: now})
+	}
+	if vetoed {
+		d.Reason = given.Reason
+	}
+	return d
+}
+
+func (m *mover) logChanges(previous, p *published) {
+	for name, s := range p.moves {
+		m.shares.WithLabelValues(name, s.record.To).Set(s.decision.Share)
+		before := move.Phase(-1)
+		if previous != nil && previous.moves[name].record.ID == s.record.ID {
+			before = previous.moves[name].decision.Phase
+		}
+		if s.decision.Phase == before {
+			continue
+		}
+		m.log.Info("version move changed its phase",
+			zap.Int64("revision", p.snapshot.Revision), zap.String("entry", name), zap.String("move", s.record.ID),
+			zap.String("from", s.record.From), zap.String("to", s.record.To),
+			zap.Stringer("phase", s.decision.Phase), zap.String("reason", s.decision.Reason))
+	}
+}
+
+// vetoed is told of each new veto. It does not decide itself, because it may be
+// called with mu held.
+func (m *mover) vetoed(v veto) {
+	m.log.Info("version move is vetoed", zap.String("move", v.Move), zap.String("reason", v.Reason))
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run decides until ctx ends.
+func (m *mover) run(ctx context.Context) error {
+	decisions := time.NewTicker(decidePeriod)
+	defer decisions.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-decisions.C:
+		case <-m.wake:
+		}
+		m.decide()
+	}
+}
+
+// keep writes vetoes to the store and reads those that others wrote, until ctx
+// ends. The store may be away; peers spread vetoes without it.
+func (m *mover) keep(ctx context.Context) error {
+	retry := time.NewTicker(vetoRetry)
+	defer retry.Stop()
+	for {
+		m.keepOnce(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-retry.C:
+		}
+	}
+}
+
+func (m *mover) keepOnce(ctx context.Context) {
+	p := m.current.Load()
+	if p == nil {
+		return
+	}
+	for _, s := range p.moves {
+		if m.stored[s.record.ID] || m.now().After(s.record.KeepUntil) {
+			continue
+		}
+		if err := m.keepVeto(ctx, s.record.ID); err != nil {
+			return // the store is away; the next round tries again
+		}
+	}
+}
+
+// keepVeto makes the store and the veto set agree on one move. A veto is
+// looked for once when the move is first seen, and written when one is known.
+func (m *mover) keepVeto(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCall)
+	defer cancel()
+	key := "vetoes/" + id
+	if v, ok := m.vetoes.Get(id); ok {
+		data, err := json.Marshal(v)
+		if err != nil {
+			return err
+		}
+		if _, err := m.store.Put(ctx, key, data, 0); err != nil && !errors.Is(err, kv.ErrConflict) {
+			return err
+		}
+		m.stored[id] = true
+		return nil
+	}
+	if _, looked := m.stored[id]; looked {
+		return nil
+	}
+	value, err := m.store.Get(ctx, key)
+	if errors.Is(err, kv.ErrAbsent) {
+		m.stored[id] = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var v veto
+	if err := json.Unmarshal(value.Data, &v); err != nil || v.Move != id {
+		m.log.Error("veto in the store does not decode", zap.String("key", key))
+		m.stored[id] = false
+		return nil
+	}
+	m.stored[id] = true
+	m.vetoes.Put(v)
+	return nil
+}
