--- /dev/null
+++ b/internal/decide/membership/links.go
@@ -0,0 +1,76 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Links returns the sorted IDs of the members to exchange with: all of the own
+// failure domain and two of each other one, chosen by rendezvous hashing so
+// that the instances of a failure domain spread over the members of another.
+// Leaving members stay links until they fall silent; suspects are none.
+func (t *Table) Links(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var links []string
+	remote := make(map[string][]string)
+	for id, r := range t.rows {
+		switch {
+		case id == t.self.ID || t.suspect(r, now):
+		case r.FailureDomain == t.self.FailureDomain:
+			links = append(links, id)
+		default:
+			remote[r.FailureDomain] = append(remote[r.FailureDomain], id)
+		}
+	}
+	key := xxhash.Sum64String(t.self.ID)
+	for _, ids := range remote {
+		links = append(links, top(key, ids, RemoteLinks)...)
+	}
+	slices.Sort(links)
+	return links
+}
+
+// Probes returns one suspect of each failure domain, another one each round.
+// Without probes, two sides that suspect each other during a partition would
+// never exchange again after it.
+func (t *Table) Probes(now time.Time, round uint64) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	suspects := make(map[string][]string)
+	for id, r := range t.rows {
+		if t.suspect(r, now) {
+			suspects[r.FailureDomain] = append(suspects[r.FailureDomain], id)
+		}
+	}
+	var probes []string
+	for _, ids := range suspects {
+		slices.Sort(ids)
+		probes = append(probes, ids[round%uint64(len(ids))])
+	}
+	slices.Sort(probes)
+	return probes
+}
+
+// Isolated reports whether fewer than half of the known failure domains are
+// heard from. The own failure domain always is.
+func (t *Table) Isolated(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := map[string]bool{t.self.FailureDomain: true}
+	for d := range t.listed {
+		known[d] = true
+	}
+	for _, r := range t.rows {
+		known[r.FailureDomain] = true
+	}
+	heard := 1
+	for d := range known {
+		if d != t.self.FailureDomain && now.Before(t.heard[d]) {
+			heard++
+		}
+	}
+	return 2*heard < len(known)
+}
--- /dev/null
+++ b/internal/peer/config/config_test.go
@@ -0,0 +1,170 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabiworks.example/wasabiworks/internal/peer/config"
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+	"wasabiworks.example/wasabiworks/internal/platform/kv/kvtest"
+)
+
+// node is a propagator whose clock and peers the test controls.
+type node struct {
+	*config.Propagator[string]
+	ticks   chan time.Time
+	changes struct {
+		sync.Mutex
+		revisions []int64
+	}
+}
+
+type options struct {
+	self, holder string
+	store        *kvtest.Store
+	peers        map[string]*node
+	clock        *atomic.Int64
+}
+
+func start(t *testing.T, o options) *node {
+	t.Helper()
+	n := &node{ticks: make(chan time.Time)}
+	p, err := config.New(config.Config[string]{
+		Self: o.self, FailureDomain: "zlin", Store: o.store,
+		Decode: func(_ int64, data []byte) (string, error) {
+			switch string(data) {
+			case "bad":
+				return "", errors.New("bad catalogue")
+			case "panic":
+				panic("decoder fault")
+			}
+			return string(data), nil
+		},
+		Changed: func(revision int64, _ string) {
+			n.changes.Lock()
+			defer n.changes.Unlock()
+			n.changes.revisions = append(n.changes.revisions, revision)
+		},
+		Holder: func() string { return o.holder },
+		Peers: func() (ids []string) {
+			for id := range o.peers {
+				ids = append(ids, id)
+			}
+			return ids
+		},
+		Pull: func(ctx context.Context, id string, r *peerpb.PullRequest) (*peerpb.Snapshot, error) {
+			if p, ok := o.peers[id]; ok {
+				return p.ServePull(ctx, r)
+			}
+			return nil, errors.New("unreachable")
+		},
+		Now:   func() time.Time { return time.Unix(0, o.clock.Load()) },
+		Ticks: n.ticks, Random: func() float64 { return 0.5 },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Propagator = p
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- p.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return n
+}
+
+// eventually ticks n, with the clock advancing, until ok.
+func eventually(t *testing.T, o options, n *node, what string, ok func() bool) {
+	t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		o.clock.Add(int64(20 * time.Millisecond))
+		n.ticks <- time.Time{}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%s: not reached", what)
+}
+
+func put(t *testing.T, s *kvtest.Store, value string, ifRevision int64) int64 {
+	t.Helper()
+	revision, err := s.Put(t.Context(), "catalogue", []byte(value), ifRevision)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return revision
+}
+
+func newOptions(self, holder string) options {
+	o := options{self: self, holder: holder, store: kvtest.New(), clock: new(atomic.Int64)}
+	o.clock.Store(time.Unix(1_000_000, 0).UnixNano())
+	return o
+}
+
+// Guards against a value that does not decode taking effect or ending the
+// process, and against the instance missing the next good one.
+func TestUndecodableCatalogueIsNotAccepted(t *testing.T) {
+	is := is.New(t)
+	o := newOptions("a", "a")
+	first := put(t, o.store, "one", 0)
+	n := start(t, o)
+	eventually(t, o, n, "first revision", n.Ready)
+	second := put(t, o.store, "bad", first)
+	third := put(t, o.store, "panic", second)
+	eventually(t, o, n, "watch of the bad revision", func() bool { return o.store.Calls().Watch > 1 })
+	is.Equal(n.Current().Value, "one")
+	fourth := put(t, o.store, "two", third)
+	eventually(t, o, n, "next good revision", func() bool { return n.Revision() == fourth })
+	n.changes.Lock()
+	defer n.changes.Unlock()
+	is.Equal(n.changes.revisions, []int64{first, fourth})
+}
+
+// Guards against a store that hangs delaying the start from peers or a later
+// revision, and against an instance that is ready without a catalogue.
+func TestHangingStoreDoesNotBlock(t *testing.T) {
+	is := is.New(t)
+	source := newOptions("a", "a")
+	first := put(t, source.store, "one", 0)
+	a := start(t, source)
+	eventually(t, source, a, "source", a.Ready)
+
+	o := newOptions("b", "a")
+	o.peers = map[string]*node{}
+	release := o.store.Hold()
+	defer release()
+	alone := start(t, o)
+	for range 20 {
+		alone.ticks <- time.Time{}
+	}
+	is.True(!alone.Ready()) // reaches neither store nor peers
+
+	o.peers = map[string]*node{"a": a}
+	b := start(t, o)
+	eventually(t, o, b, "start from a peer", b.Ready)
+	is.Equal(b.Revision(), first)
+	second := put(t, source.store, "two", first)
+	eventually(t, source, a, "second revision at the source", func() bool { return a.Revision() == second })
+	b.Heard("a", "zlin", second, true)
+	eventually(t, o, b, "second revision from the peer", func() bool { return b.Revision() == second })
+}
+
+// Guards against an instance that hears of no watch holder and never learns of
+// a new revision.
+func TestReadsStoreWithoutWatchHolder(t *testing.T) {
+	o := newOptions("b", "a")
+	first := put(t, o.store, "one", 0)
+	n := start(t, o)
+	eventually(t, o, n, "start", n.Ready)
+	second := put(t, o.store, "two", first)
+	eventually(t, o, n, "direct read", func() bool { return n.Revision() == second })
+	if calls := o.store.Calls(); calls.Watch != 0 {
+		t.Errorf("an instance that is not the holder: got %d watches, want 0", calls.Watch)
+	}
+}
--- /dev/null
+++ b/internal/peer/exchange/evidence.go
@@ -0,0 +1,51 @@
+package exchange
+
+import (
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
+	"wasabiworks.example/wasabiworks/internal/decide/membership"
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+)
+
+// Evidence is the Source and Sink of the evidence on moves.
+type Evidence struct {
+	Table *evidence.Table
+	// Known reports whether a move is in the catalogue; counters of others are
+	// dropped, which bounds the table. Nil takes all.
+	Known func(move string) bool
+}
+
+// Digest implements Source.
+func (e Evidence) Digest(_ membership.Member, since uint64, d *peerpb.Digest) (next uint64) {
+	rs, next := e.Table.Since(since)
+	for _, r := range rs {
+		d.Counters = append(d.Counters, &peerpb.Counter{
+			Node:     r.Node,
+			Move:     r.Key.Move,
+			Version:  r.Key.Version,
+			Route:    r.Key.Route,
+			Load:     uint32(r.Key.Load),
+			Answered: r.Count.Answered,
+			Failed:   r.Count.Failed,
+			Slow:     r.Count.Slow,
+		})
+	}
+	return next
+}
+
+// Merge implements Sink. Evidence travels with the heartbeats; the veto that
+// follows from it is what is urgent.
+func (e Evidence) Merge(_ membership.Member, d *peerpb.Digest) (urgent bool) {
+	rs := make([]evidence.Record, 0, len(d.Counters))
+	for _, c := range d.Counters {
+		if c.GetLoad() > uint32(evidence.LoadFull) || e.Known != nil && !e.Known(c.GetMove()) {
+			continue
+		}
+		rs = append(rs, evidence.Record{
+			Node:  c.GetNode(),
+			Key:   evidence.Key{Move: c.GetMove(), Version: c.GetVersion(), Route: c.GetRoute(), Load: uint8(c.GetLoad())},
+			Count: evidence.Count{Answered: c.GetAnswered(), Failed: c.GetFailed(), Slow: c.GetSlow()},
+		})
+	}
+	e.Table.Merge(rs)
+	return false
+}
--- /dev/null
+++ b/internal/peer/exchange/transport.go
@@ -0,0 +1,167 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+
+	"github.com/go-kit/kit/endpoint"
+	kitgrpc "github.com/go-kit/kit/transport/grpc"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+)
+
+// Method is one remote procedure of the Peer service.
+type Method[Request, Reply any] func(ctx context.Context, r Request) (Reply, error)
+
+// Services are the procedures that other packages serve; a nil one is answered
+// as unimplemented.
+type Services struct {
+	Pull     Method[*peerpb.PullRequest, *peerpb.Snapshot]
+	Reserve  Method[*peerpb.ReserveRequest, *peerpb.ReserveReply]
+	Complete Method[*peerpb.CompleteRequest, *peerpb.CompleteReply]
+	Handover Method[*peerpb.HandoverRequest, *peerpb.HandoverReply]
+}
+
+// server adapts go-kit handlers to the generated service interface.
+type server struct {
+	peerpb.UnimplementedPeerServer
+	exchange, pull, reserve, complete, handover kitgrpc.Handler
+}
+
+func newServer(exchange Method[*peerpb.Digest, *peerpb.Digest], s Services, m *metrics) *server {
+	return &server{
+		exchange: newHandler("Exchange", exchange, m),
+		pull:     newHandler("Pull", s.Pull, m),
+		reserve:  newHandler("Reserve", s.Reserve, m),
+		complete: newHandler("Complete", s.Complete, m),
+		handover: newHandler("Handover", s.Handover, m),
+	}
+}
+
+func (s *server) Exchange(ctx context.Context, r *peerpb.Digest) (*peerpb.Digest, error) {
+	return serve[*peerpb.Digest](ctx, s.exchange, r)
+}
+
+func (s *server) Pull(ctx context.Context, r *peerpb.PullRequest) (*peerpb.Snapshot, error) {
+	return serve[*peerpb.Snapshot](ctx, s.pull, r)
+}
+
+func (s *server) Reserve(ctx context.Context, r *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	return serve[*peerpb.ReserveReply](ctx, s.reserve, r)
+}
+
+func (s *server) Complete(ctx context.Context, r *peerpb.CompleteRequest) (*peerpb.CompleteReply, error) {
+	return serve[*peerpb.CompleteReply](ctx, s.complete, r)
+}
+
+func (s *server) Handover(ctx context.Context, r *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	return serve[*peerpb.HandoverReply](ctx, s.handover, r)
+}
+
+// newHandler puts a method behind a go-kit endpoint and server.
+func newHandler[Request, Reply proto.Message](name string, f Method[Request, Reply], m *metrics) kitgrpc.Handler {
+	e := func(ctx context.Context, r any) (any, error) {
+		request, ok := r.(Request)
+		if !ok || f == nil {
+			return nil, status.Error(codes.Unimplemented, name+" is not served")
+		}
+		return f(ctx, request)
+	}
+	return kitgrpc.NewServer(observe(name, "in", m)(contain(name)(e)), pass, pass)
+}
+
+func serve[Reply proto.Message](ctx context.Context, h kitgrpc.Handler, r proto.Message) (Reply, error) {
+	var none Reply
+	_, reply, err := h.ServeGRPC(ctx, r)
+	if err != nil {
+		return none, toStatus(err)
+	}
+	typed, ok := reply.(Reply)
+	if !ok {
+		return none, status.Error(codes.Internal, "handler returned another type")
+	}
+	return typed, nil
+}
+
+// toStatus translates an error of a method for the wire.
+func toStatus(err error) error {
+	if _, ok := status.FromError(err); ok {
+		return err
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return status.Error(codes.DeadlineExceeded, err.Error())
+	}
+	return status.Error(codes.Unavailable, err.Error())
+}
+
+// clients are the go-kit endpoints of one connection.
+type clients struct {
+	exchange, pull, reserve, complete, handover endpoint.Endpoint
+}
+
+func newClients(c *grpc.ClientConn, m *metrics) clients {
+	return clients{
+		exchange: newClient(c, "Exchange", peerpb.Digest{}, m),
+		pull:     newClient(c, "Pull", peerpb.Snapshot{}, m),
+		reserve:  newClient(c, "Reserve", peerpb.ReserveReply{}, m),
+		complete: newClient(c, "Complete", peerpb.CompleteReply{}, m),
+		handover: newClient(c, "Handover", peerpb.HandoverReply{}, m),
+	}
+}
+
+func newClient(c *grpc.ClientConn, method string, reply any, m *metrics) endpoint.Endpoint {
+	e := kitgrpc.NewClient(c, peerpb.Peer_ServiceDesc.ServiceName, method, pass, pass, reply).Endpoint()
+	return observe(method, "out", m)(e)
+}
+
+func invoke[Reply any](ctx context.Context, e endpoint.Endpoint, r any) (Reply, error) {
+	var none Reply
+	reply, err := e(ctx, r)
+	if err != nil {
+		return none, err
+	}
+	typed, ok := reply.(Reply)
+	if !ok {
+		return none, Failed.New("peer returned another type")
+	}
+	return typed, nil
+}
+
+// pass is the codec of messages that need none.
+func pass(_ context.Context, m any) (any, error) { return m, nil }
+
+// contain turns a panic of a method into an error, so that no peer message can
+// end the process.
+func contain(name string) endpoint.Middleware {
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		return func(ctx context.Context, r any) (reply any, err error) {
+			defer func() {
+				if p := recover(); p != nil {
+					reply, err = nil, status.Errorf(codes.Internal, "%s failed: %v", name, p)
+				}
+			}()
+			return next(ctx, r)
+		}
+	}
+}
+
+// observe counts messages and bytes; direction is "in" for served calls and
+// "out" for own ones.
+func observe(method, direction string, m *metrics) endpoint.Middleware {
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		return func(ctx context.Context, r any) (any, error) {
+			m.count(method, direction, "request", r)
+			reply, err := next(ctx, r)
+			if err != nil {
+				m.failures.WithLabelValues(method, direction).Inc()
+				return nil, err
+			}
+			m.count(method, direction, "reply", reply)
+			return reply, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/journal/codec.go
@@ -0,0 +1,95 @@
+package journal
+
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"wasabiworks.example/wasabiworks/internal/decide/journal"
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+)
+
+// Encode returns the value of a shard as kept in the store.
+func Encode(s *journal.Shard) ([]byte, error) {
+	m := &peerpb.JournalShard{Writer: s.Writer, Batch: s.Batch, Entries: make([]*peerpb.JournalEntry, 0, len(s.Entries))}
+	for k, e := range s.Entries {
+		m.Entries = append(m.Entries, &peerpb.JournalEntry{
+			Key:         k[:],
+			Attempt:     e.Attempt,
+			Fingerprint: e.Fingerprint,
+			Deadline:    e.Deadline.Unix(),
+			Done:        e.Done,
+			Response:    toWire(e.Response),
+		})
+	}
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return nil, Corrupt.Wrap(err, "encode a journal shard")
+	}
+	return data, nil
+}
+
+// Decode returns the shard that data encodes.
+func Decode(data []byte) (*journal.Shard, error) {
+	var m peerpb.JournalShard
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, Corrupt.Wrap(err, "decode a journal shard")
+	}
+	s := &journal.Shard{Writer: m.Writer, Batch: m.Batch}
+	for _, e := range m.Entries {
+		k, err := keyOf(e.Key)
+		if err != nil {
+			return nil, err
+		}
+		s.Add(k, journal.Entry{
+			Attempt:     e.Attempt,
+			Fingerprint: e.Fingerprint,
+			Deadline:    time.Unix(e.Deadline, 0),
+			Done:        e.Done,
+			Response:    fromWire(e.Response),
+		})
+	}
+	return s, nil
+}
+
+func keyOf(b []byte) (k journal.Key, err error) {
+	if len(b) != len(k) {
+		return k, errorx.Decorate(Corrupt.New("key has %d bytes, want %d", len(b), len(k)), "journal key")
+	}
+	return journal.Key(b), nil
+}
+
+func toWire(r *journal.Response) *peerpb.Response {
+	if r == nil {
+		return nil
+	}
+	return &peerpb.Response{Status: r.Status, ContentType: r.ContentType, Body: r.Body}
+}
+
+func fromWire(r *peerpb.Response) *journal.Response {
+	if r == nil {
+		return nil
+	}
+	return &journal.Response{Status: r.Status, ContentType: r.ContentType, Body: r.Body}
+}
+
+var wireStatus = map[journal.Status]peerpb.Status{
+	journal.Unavailable:         peerpb.Status_STATUS_UNAVAILABLE,
+	journal.Reserved:            peerpb.Status_STATUS_RESERVED,
+	journal.Pending:             peerpb.Status_STATUS_PENDING,
+	journal.Done:                peerpb.Status_STATUS_DONE,
+	journal.DoneWithoutResponse: peerpb.Status_STATUS_DONE_WITHOUT_RESPONSE,
+	journal.Mismatch:            peerpb.Status_STATUS_MISMATCH,
+	journal.Full:                peerpb.Status_STATUS_UNAVAILABLE,
+}
+
+// statusOf maps a status of the wire; what is not known allows nothing to run.
+func statusOf(s peerpb.Status) journal.Status {
+	for status, wire := range wireStatus {
+		if wire == s && status != journal.Full {
+			return status
+		}
+	}
+	return journal.Unavailable
+}
--- /dev/null
+++ b/internal/peer/journal/journal_test.go
@@ -0,0 +1,163 @@
+package journal_test
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+
+	decide "wasabiworks.example/wasabiworks/internal/decide/journal"
+	"wasabiworks.example/wasabiworks/internal/peer/journal"
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+	"wasabiworks.example/wasabiworks/internal/platform/kv"
+	"wasabiworks.example/wasabiworks/internal/platform/kv/kvtest"
+)
+
+// mesh connects journals directly; cut members fail all calls.
+type mesh struct {
+	mu       sync.Mutex
+	journals map[string]*journal.Journal
+	cut      map[string]bool
+}
+
+var errCut = errors.New("unreachable")
+
+func (m *mesh) get(id string) (*journal.Journal, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cut[id] || m.journals[id] == nil {
+		return nil, errCut
+	}
+	return m.journals[id], nil
+}
+
+func (m *mesh) Reserve(ctx context.Context, id string, r *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	j, err := m.get(id)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := j.ServeReserve(ctx, r)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return reply, err
+}
+
+func (m *mesh) Complete(ctx context.Context, id string, r *peerpb.CompleteRequest) (*peerpb.CompleteReply, error) {
+	j, err := m.get(id)
+	if err != nil {
+		return nil, err
+	}
+	return j.ServeComplete(ctx, r)
+}
+
+func newMesh(t testing.TB, store kv.Store, n int, shards uint32, gap time.Duration) (*mesh, []*journal.Journal) {
+	t.Helper()
+	m := &mesh{journals: make(map[string]*journal.Journal), cut: make(map[string]bool)}
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprintf("entry-%d", i))
+	}
+	var js []*journal.Journal
+	for i, id := range ids {
+		j, err := journal.New(journal.Config{
+			Self: id, Incarnation: int64(i + 1), Store: store, Peers: m, Live: func() []string { return ids },
+			Shards: shards, Gap: gap, StoreTimeout: 100 * time.Millisecond, PeerTimeout: 50 * time.Millisecond,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(j.Close)
+		m.mu.Lock()
+		m.journals[id] = j
+		m.mu.Unlock()
+		js = append(js, j)
+	}
+	return m, js
+}
+
+func keyOf(n int) (k decide.Key) {
+	binary.BigEndian.PutUint64(k[:], xxhash.Sum64String(fmt.Sprint("key", n)))
+	return k
+}
+
+// Guards against a wrong answer to a repeated call: a second run, a lost
+// response, or another request's response.
+func TestRepeatedCall(t *testing.T) {
+	is := is.New(t)
+	_, js := newMesh(t, kvtest.New(), 3, 2, time.Millisecond)
+	ctx := t.Context()
+	response := &decide.Response{Status: 201, ContentType: "text/plain", Body: []byte("paid")}
+	for n := range 20 {
+		k := keyOf(n)
+		r, err := js[n%3].Reserve(ctx, k, fmt.Sprint("first", n), 7)
+		is.NoErr(err)
+		is.Equal(r.Status, decide.Reserved)
+		r, err = js[(n+1)%3].Reserve(ctx, k, fmt.Sprint("second", n), 7)
+		is.NoErr(err)
+		is.Equal(r.Status, decide.Pending)
+		recorded, err := js[n%3].Complete(ctx, k, fmt.Sprint("first", n), false, response)
+		is.NoErr(err)
+		is.True(recorded)
+		r, err = js[(n+2)%3].Reserve(ctx, k, fmt.Sprint("third", n), 7)
+		is.NoErr(err)
+		is.Equal(r.Status, decide.Done)
+		is.Equal(string(r.Response.Body), "paid")
+		r, err = js[n%3].Reserve(ctx, k, fmt.Sprint("fourth", n), 8)
+		is.NoErr(err)
+		is.Equal(r.Status, decide.Mismatch)
+	}
+}
+
+// Guards against a call that a backend server proved not to have run blocking
+// its key, and against a large response being lost without a trace.
+func TestNotRunFreesKeyAndLargeResponseIsNotKept(t *testing.T) {
+	is := is.New(t)
+	_, js := newMesh(t, kvtest.New(), 2, 2, time.Millisecond)
+	ctx, k := t.Context(), keyOf(1)
+	_, err := js[0].Reserve(ctx, k, "a", 7)
+	is.NoErr(err)
+	_, err = js[0].Complete(ctx, k, "a", true, nil)
+	is.NoErr(err)
+	r, err := js[1].Reserve(ctx, k, "b", 7)
+	is.NoErr(err)
+	is.Equal(r.Status, decide.Reserved)
+	_, err = js[1].Complete(ctx, k, "b", false, &decide.Response{Body: make([]byte, decide.MaxResponse+1)})
+	is.NoErr(err)
+	r, err = js[0].Reserve(ctx, k, "c", 7)
+	is.NoErr(err)
+	is.Equal(r.Status, decide.DoneWithoutResponse)
+}
+
+// Guards against a lost answer or an outage that makes an attempt run without
+// a durable reservation, or that blocks its key for good.
+func TestLostAnswerAndOutage(t *testing.T) {
+	is := is.New(t)
+	store := kvtest.New()
+	_, js := newMesh(t, store, 2, 1, time.Millisecond)
+	store.LoseAnswers(1)
+	r, err := js[0].Reserve(t.Context(), keyOf(1), "a", 7)
+	is.NoErr(err)
+	is.Equal(r.Status, decide.Reserved) // settled by reading back
+
+	store.SetOutage(true)
+	_, err = js[0].Reserve(t.Context(), keyOf(2), "b", 7)
+	is.True(err != nil)
+	store.SetOutage(false)
+	free := false
+	for i := range 300 {
+		r, err = js[1].Reserve(t.Context(), keyOf(2), fmt.Sprint("c", i), 7)
+		if err == nil && r.Status == decide.Reserved {
+			free = true
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(free) // the key is usable after the outage
+}
