Serve completions and plain services over a view of the backend servers

Cause: clients had no interface to the engines and plain services. Change: handlers for completions (streamed and whole) and for plain services, clients of engines and plain services, and the read-copy-update fleet view. Whether a byte of a request left is found by counting writes on the connection.

--- /dev/null
+++ b/internal/backend/engine/client.go
@@ -0,0 +1,318 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/backend/tcp"
+)
+
+// Config configures a Client; zero values have defaults.
+type Config struct {
+	// FirstFrame bounds the wait for the first frame, 15 s by default.
+	FirstFrame time.Duration
+	// Stall bounds the wait for each further frame, 3 s by default.
+	Stall time.Duration
+	// CommandTimeout bounds a cancellation or a load report, 500 ms by
+	// default.
+	CommandTimeout time.Duration
+	// Transport is replaced in benchmarks only.
+	Transport http.RoundTripper
+}
+
+// Dropped counts frames that were received and not delivered.
+type Dropped struct{ Foreign, Misplaced, Malformed uint64 }
+
+// Client speaks to model engines. It is safe for concurrent use.
+type Client struct {
+	firstFrame, stall, command time.Duration
+	http                       *http.Client
+	foreign, misplaced, broken atomic.Uint64
+}
+
+const (
+	// maxFrame bounds a line of a response.
+	maxFrame = 64 << 10
+	// MaxCache bounds a KV cache that is moved between engines.
+	MaxCache = 256 << 20
+	// reorderWindow is the number of frames held back while an earlier one
+	// is missing.
+	reorderWindow = 16
+)
+
+// New returns a Client.
+func New(c Config) *Client {
+	if c.FirstFrame == 0 {
+		c.FirstFrame = 15 * time.Second
+	}
+	if c.Stall == 0 {
+		c.Stall = 3 * time.Second
+	}
+	if c.CommandTimeout == 0 {
+		c.CommandTimeout = 500 * time.Millisecond
+	}
+	if c.Transport == nil {
+		c.Transport = tcp.NewTransport(tcp.Config{})
+	}
+	return &Client{firstFrame: c.FirstFrame, stall: c.Stall, command: c.CommandTimeout, http: &http.Client{Transport: c.Transport, CheckRedirect: noRedirect}}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Dropped returns the counts of dropped frames since the start.
+func (c *Client) Dropped() Dropped {
+	return Dropped{c.foreign.Load(), c.misplaced.Load(), c.broken.Load()}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Generate runs an attempt and calls yield with each of its frames, in order
+// and without gaps. It returns nil after the last frame, an error of type
+// NotRun, Lost or Failed, or the error of yield or of ctx.
+func (c *Client) Generate(ctx context.Context, a *Attempt, yield func(Frame) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := time.AfterFunc(c.firstFrame, func() { cancel(errStalled) })
+	defer watch.Stop()
+	var sent tcp.Sent
+	res, err := c.post(sent.Context(ctx), a)
+	if err != nil {
+		return c.sendError(ctx, &sent, a, err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return statusError(res, a)
+	}
+	r := reader{client: c, attempt: a, next: a.From, yield: yield, watch: watch}
+	if err = r.run(res.Body); err != nil && r.yieldErr == nil {
+		return lostError(ctx, a, r.next, err)
+	}
+	return err
+}
+
+func (c *Client) post(ctx context.Context, a *Attempt) (*http.Response, error) {
+	prefix := a.Prefix
+	if prefix == nil {
+		prefix = []string{}
+	}
+	body, err := json.Marshal(struct {
+		Request   string   `json:"request"`
+		Entry     string   `json:"entry"`
+		Version   string   `json:"version"`
+		Prompt    string   `json:"prompt"`
+		MaxTokens int      `json:"max-tokens"`
+		From      int      `json:"from"`
+		Prefix    []string `json:"prefix-tokens"`
+		Import    string   `json:"import"`
+	}{a.Request, a.Entry, a.Version, a.Prompt, a.MaxTokens, a.From, prefix, a.Import})
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Address+"/generate", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header["Content-Type"] = []string{"application/json"}
+	req.Header["Attempt"] = []string{a.ID}
+	req.Header["Priority"] = []string{a.Priority}
+	req.Header["X-Request-Id"] = []string{a.Request}
+	return c.http.Do(req)
+}
+
+// sendError tells whether a request that got no response may have arrived.
+func (c *Client) sendError(ctx context.Context, sent *tcp.Sent, a *Attempt, err error) error {
+	if sent.Nothing() {
+		return notRun(ReasonDial, "no byte was sent to %s: %v", a.Address, err)
+	}
+	return lostError(ctx, a, a.From, err)
+}
+
+func lostError(ctx context.Context, a *Attempt, next int, err error) error {
+	if context.Cause(ctx) == errStalled {
+		return Stalled.New("engine %s stalled at token %d", a.Address, next)
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return Lost.New("engine %s was lost at token %d: %v", a.Address, next, err)
+}
+
+func statusError(res *http.Response, a *Attempt) error {
+	io.Copy(io.Discard, io.LimitReader(res.Body, 4<<10))
+	if reason := res.Header.Get("Not-Run"); reason != "" && (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests) {
+		return notRun(reason, "engine %s rejected the attempt: %s", a.Address, reason)
+	}
+	return Failed.New("engine %s responded with status %d", a.Address, res.StatusCode)
+}
+
+// reader delivers the frames of one attempt.
+type reader struct {
+	client   *Client
+	attempt  *Attempt
+	next     int
+	yield    func(Frame) error
+	yieldErr error
+	watch    *time.Timer
+	ahead    []Frame
+}
+
+func (r *reader) run(body io.Reader) error {
+	br := bufio.NewReaderSize(body, maxFrame)
+	var f Frame
+	for {
+		line, err := br.ReadSlice('\n')
+		if err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return err
+		}
+		if err := parseFrame(line, r.attempt.ID, &f); err != nil {
+			r.client.broken.Add(1)
+			return err
+		}
+		f.More = buffered(br)
+		done, err := r.accept(f)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+// buffered reports whether a whole line can be read without waiting.
+func buffered(br *bufio.Reader) bool {
+	n := br.Buffered()
+	if n == 0 {
+		return false
+	}
+	p, _ := br.Peek(n)
+	return bytes.IndexByte(p, '\n') >= 0
+}
+
+func (r *reader) accept(f Frame) (done bool, err error) {
+	if f.Attempt != r.attempt.ID {
+		r.client.foreign.Add(1)
+		return false, nil
+	}
+	if f.Index < r.next || f.Index > r.next+reorderWindow {
+		r.client.misplaced.Add(1)
+		return false, nil
+	}
+	if f.Index > r.next {
+		return false, r.hold(f)
+	}
+	if done, err = r.deliver(f); done || err != nil || len(r.ahead) == 0 {
+		return done, err
+	}
+	return r.release()
+}
+
+// hold keeps a frame that arrived before an earlier one.
+func (r *reader) hold(f Frame) error {
+	for i := range r.ahead {
+		if r.ahead[i].Index == f.Index {
+			r.client.misplaced.Add(1)
+			return nil
+		}
+	}
+	r.ahead = append(r.ahead, f)
+	return nil
+}
+
+func (r *reader) release() (done bool, err error) {
+	for i := 0; i < len(r.ahead); i++ {
+		if r.ahead[i].Index != r.next {
+			continue
+		}
+		f := r.ahead[i]
+		r.ahead = append(r.ahead[:i], r.ahead[i+1:]...)
+		if done, err = r.deliver(f); done || err != nil {
+			return done, err
+		}
+		i = -1
+	}
+	return false, nil
+}
+
+// deliver passes f on. The time that yield takes does not count as a stall of
+// the engine.
+func (r *reader) deliver(f Frame) (done bool, err error) {
+	r.watch.Stop()
+	r.next++
+	if r.yieldErr = r.yield(f); r.yieldErr != nil {
+		return false, r.yieldErr
+	}
+	r.watch.Reset(r.client.stall)
+	return f.Finish != "", nil
+}
+
+func (c *Client) do(ctx context.Context, method, address, path string, body io.Reader) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return nil, err
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode/100 != 2 {
+		res.Body.Close()
+		return nil, Failed.New("%s %s%s: status %d", method, address, path, res.StatusCode)
+	}
+	return res, nil
+}
+
+// Cancel stops an attempt.
+func (c *Client) Cancel(ctx context.Context, address, attempt string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.command)
+	defer cancel()
+	res, err := c.do(ctx, http.MethodDelete, address, "/generate/"+url.PathEscape(attempt), nil)
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
+}
+
+// Load returns the load report of the engine at address.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.command)
+	defer cancel()
+	res, err := c.do(ctx, http.MethodGet, address, "/load", nil)
+	if err != nil {
+		return Load{}, err
+	}
+	defer res.Body.Close()
+	var l Load
+	if err := json.NewDecoder(io.LimitReader(res.Body, 64<<10)).Decode(&l); err != nil {
+		return Load{}, fmt.Errorf("load report of %s: %w", address, err)
+	}
+	return l, nil
+}
+
+// MoveCache copies the KV cache of an attempt from one engine to another,
+// bounded by ctx.
+func (c *Client) MoveCache(ctx context.Context, from, to, attempt string) error {
+	path := "/kv-cache/" + url.PathEscape(attempt)
+	res, err := c.do(ctx, http.MethodGet, from, path, nil)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.ContentLength > MaxCache {
+		return Failed.New("KV cache of %d bytes is larger than %d", res.ContentLength, MaxCache)
+	}
+	put, err := c.do(ctx, http.MethodPut, to, path, http.MaxBytesReader(nil, res.Body, MaxCache))
+	if err != nil {
+		return err
+	}
+	return put.Body.Close()
+}
--- a/internal/backend/engine/frame.go
+++ b/internal/backend/engine/frame.go
@@ -1,5 +1,7 @@
 package engine
 
+import "time"
+
 // Usage is what an attempt cost, in tokens.
 type Usage struct {
 	Prompt     int `json:"prompt"`
@@ -15,4 +17,34 @@
 	// Finish is set on the last frame: "stop" or "length".
 	Finish string `json:"finish,omitempty"`
 	Usage  *Usage `json:"usage,omitempty"`
+	// More is true if the next frame has already been received, so that a
+	// reader can put off flushing.
+	More bool `json:"-"`
+}
+
+// Attempt is one run of a request on one engine.
+type Attempt struct {
+	ID, Address string
+	// Request is the request ID, passed on for the engine's logs.
+	Request, Entry, Version, Prompt string
+	Priority                        string
+	// MaxTokens is the length of the whole response, counted from token 0.
+	MaxTokens int
+	// From is the index of the first token wanted; Prefix holds the tokens
+	// before it.
+	From   int
+	Prefix []string
+	// Import names the attempt whose KV cache was imported, or is empty.
+	Import string
+}
+
+// Load is an engine's load report.
+type Load struct {
+	Running  int       `json:"running"`
+	Queued   int       `json:"queued"`
+	Capacity int       `json:"capacity"`
+	Versions []string  `json:"versions"`
+	State    string    `json:"state"`
+	Crashes  int       `json:"crashes"`
+	At       time.Time `json:"at"`
 }
--- /dev/null
+++ b/internal/backend/fleet/server.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/decide/route"
+)
+
+// server is what the node knows about one backend server.
+type server struct {
+	instance Instance
+	joined   time.Time
+	inFlight *atomic.Int64 // shared by the incarnations of the server
+	entry    atomic.Pointer[entry]
+	leaving  chan struct{}
+	left     sync.Once
+	deadline atomic.Int64 // nanoseconds since the Unix epoch, or 0
+
+	mu     sync.Mutex
+	report Report
+	// counted is inFlight when the report arrived.
+	counted    int64
+	failures   int
+	missed     int // polls in a row without a report
+	avoidUntil time.Time
+	failedAt   time.Time
+	// without lists versions that the server rejected since its last report.
+	without []string
+}
+
+// mark records that a server is leaving.
+type mark struct {
+	// incarnation is the one that is leaving; a different one is a new
+	// process, which may get work.
+	incarnation string
+	// until is when the mark is dropped, deadline when the server goes.
+	until, deadline time.Time
+}
+
+func (m mark) active(now time.Time) bool { return now.Before(m.until) }
+
+func newServer(in Instance, now time.Time) *server {
+	return &server{instance: in, joined: now, inFlight: new(atomic.Int64), leaving: make(chan struct{})}
+}
+
+func sortServers(ss []*server) {
+	slices.SortFunc(ss, func(a, b *server) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
+}
+
+func (s *server) touch() {
+	if e := s.entry.Load(); e != nil {
+		e.stale.Store(true)
+	}
+}
+
+// leave tells the running attempts. A later call can only bring the deadline
+// forward.
+func (s *server) leave(deadline time.Time) {
+	if !deadline.IsZero() {
+		if have := s.deadline.Load(); have == 0 || deadline.UnixNano() < have {
+			s.deadline.Store(deadline.UnixNano())
+		}
+	}
+	s.left.Do(func() { close(s.leaving) })
+}
+
+// backend returns the server as the routing policies see it. The report lags,
+// so the node's own requests since the report are added to it, and the sum is
+// never below the node's own requests in flight.
+func (s *server) backend() route.Backend {
+	own := s.inFlight.Load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return route.Backend{
+		ID: s.instance.ID, Address: s.instance.Address, FailureDomain: s.instance.FailureDomain,
+		Class: s.instance.Class, Price: s.instance.Price, Versions: s.versions(),
+		Running: max(s.report.Running+int(own-s.counted), int(own)), Queued: s.report.Queued, Capacity: s.report.Capacity,
+		Reported: s.report.At, Joined: s.joined, Incarnation: s.report.Incarnation,
+	}
+}
+
+// versions returns the reported versions without the rejected ones.
+func (s *server) versions() []string {
+	if len(s.without) == 0 {
+		return s.report.Versions
+	}
+	vs := make([]string, 0, len(s.report.Versions)+1)
+	for _, v := range s.report.Versions {
+		if !slices.Contains(s.without, v) {
+			vs = append(vs, v)
+		}
+	}
+	if len(vs) == 0 {
+		return []string{""} // an empty list would mean any version
+	}
+	return vs
+}
+
+// take stores a report unless a newer one of the same process is known.
+func (s *server) take(r Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Incarnation == s.report.Incarnation && r.At.Before(s.report.At) {
+		return
+	}
+	s.report = r
+	s.counted = s.inFlight.Load()
+	s.without = nil
+	s.missed = 0
+	if r.At.After(s.failedAt) {
+		s.failures, s.avoidUntil = 0, time.Time{}
+	}
+}
+
+// fail avoids the server for a time that doubles with each failure in a row.
+func (s *server) fail(now time.Time, backoff time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures++
+	s.failedAt = now
+	s.avoidUntil = now.Add(min(backoff<<min(s.failures-1, 5), 30*backoff))
+}
+
+// miss counts a poll without a report; two in a row are a failure.
+func (s *server) miss(now time.Time, backoff time.Duration) {
+	s.mu.Lock()
+	s.missed++
+	failed := s.missed >= 2
+	s.mu.Unlock()
+	if failed {
+		s.fail(now, backoff)
+	}
+}
--- /dev/null
+++ b/internal/backend/service/client.go
@@ -0,0 +1,149 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"wasabiworks.example/wasabiworks/internal/backend/tcp"
+)
+
+var namespace = errorx.NewNamespace("service").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// Errors of a call.
+var (
+	// NotRun means that the service provably did not run the call.
+	NotRun = namespace.NewType("not_run")
+	// Lost means that there is no response though bytes were sent.
+	Lost = namespace.NewType("lost")
+)
+
+var reasonProperty = errorx.RegisterProperty("reason")
+
+// ReasonDial is the reason of NotRun when no byte was sent. Other reasons are
+// the value of the Not-Run header.
+const ReasonDial = "dial"
+
+// Reason returns why a call was not run, or an empty string.
+func Reason(err error) string {
+	if v, ok := errorx.ExtractProperty(err, reasonProperty); ok {
+		if s, ok := v.(string); ok {
+			return s
+		}
+	}
+	return ""
+}
+
+// IsNotRun reports whether err proves that the call was not run.
+func IsNotRun(err error) bool { return errorx.IsOfType(err, NotRun) }
+
+// Call is one attempt at a call of a plain service.
+type Call struct {
+	Address, Method string
+	// Target is the escaped path, with the query if there is one.
+	Target string
+	// Header is sent without its hop-by-hop fields.
+	Header  http.Header
+	Body    []byte
+	Attempt string
+	// Repeatable calls may use a connection on which net/http repeats them.
+	Repeatable bool
+}
+
+// Config configures a Client; zero values have defaults.
+type Config struct {
+	// ResponseTimeout bounds the wait for response headers, 30 s by default.
+	ResponseTimeout time.Duration
+}
+
+// Client speaks to plain services. It is safe for concurrent use.
+type Client struct{ reused, fresh *http.Transport }
+
+// New returns a Client.
+func New(c Config) *Client {
+	if c.ResponseTimeout == 0 {
+		c.ResponseTimeout = 30 * time.Second
+	}
+	return &Client{
+		reused: tcp.NewTransport(tcp.Config{ResponseTimeout: c.ResponseTimeout}),
+		fresh:  tcp.NewTransport(tcp.Config{ResponseTimeout: c.ResponseTimeout, Fresh: true}),
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.reused.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Do makes the call and returns the response with its body open and its
+// hop-by-hop headers removed. An error is of type NotRun or Lost.
+func (c *Client) Do(ctx context.Context, call *Call) (*http.Response, error) {
+	var sent tcp.Sent
+	req, err := http.NewRequestWithContext(sent.Context(ctx), call.Method, "http://"+call.Address+call.Target, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, notRun(ReasonDial, "call cannot be made: %v", err)
+	}
+	req.Header = call.Header.Clone()
+	if req.Header == nil {
+		req.Header = make(http.Header)
+	}
+	RemoveHopByHop(req.Header)
+	req.Header.Set("Attempt", call.Attempt)
+	if req.Header.Get("User-Agent") == "" {
+		req.Header.Set("User-Agent", "") // keeps net/http from adding its own
+	}
+	transport := c.fresh
+	if call.Repeatable {
+		transport = c.reused
+	}
+	res, err := transport.RoundTrip(req)
+	if err != nil {
+		if sent.Nothing() {
+			return nil, notRun(ReasonDial, "no byte was sent to %s: %v", call.Address, err)
+		}
+		return nil, Lost.New("no response from %s: %v", call.Address, err)
+	}
+	if reason := res.Header.Get("Not-Run"); reason != "" && res.StatusCode == http.StatusServiceUnavailable {
+		io.Copy(io.Discard, io.LimitReader(res.Body, 4<<10))
+		res.Body.Close()
+		return nil, notRun(reason, "service %s rejected the call: %s", call.Address, reason)
+	}
+	if res.StatusCode < 200 || res.StatusCode > 599 {
+		res.Body.Close()
+		return nil, Lost.New("service %s responded with status %d", call.Address, res.StatusCode)
+	}
+	RemoveHopByHop(res.Header)
+	return res, nil
+}
+
+func notRun(reason, format string, args ...any) error {
+	return NotRun.New(format, args...).WithProperty(reasonProperty, reason)
+}
+
+// hopByHop are the fields that concern one connection only. The override
+// fields would let a repeatable method stand for another one.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect",
+	"X-Http-Method-Override", "X-Http-Method", "X-Method-Override",
+}
+
+// RemoveHopByHop removes the fields that concern one connection only.
+func RemoveHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/caller/openai/request.go
@@ -0,0 +1,259 @@
+package openai
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"wasabiworks.example/wasabiworks/internal/caller/reply"
+)
+
+// Routes, as evidence names them.
+const (
+	RouteChat        = "chat"
+	RouteCompletions = "completions"
+)
+
+// completion is a decoded request for a completion.
+type completion struct {
+	id, route, model, key, resume string
+	prompt                        string
+	// conversation is the hash of what all requests of a conversation share.
+	conversation uint64
+	// digest is the hash of route and body, for requests with the same key.
+	digest       uint64
+	size         int
+	maxTokens    int
+	stream       bool
+	includeUsage bool
+	// http is the request, for its bearer token.
+	http *http.Request
+}
+
+// wireRequest has the parameters that matter here. Others, such as
+// temperature, change neither the form nor the length of a response and are
+// ignored.
+type wireRequest struct {
+	Model         string          `json:"model"`
+	Messages      []wireMessage   `json:"messages"`
+	Prompt        json.RawMessage `json:"prompt"`
+	Stream        bool            `json:"stream"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	N                   *int            `json:"n"`
+	BestOf              *int            `json:"best_of"`
+	Echo                bool            `json:"echo"`
+	Suffix              string          `json:"suffix"`
+	Stop                json.RawMessage `json:"stop"`
+	Logprobs            json.RawMessage `json:"logprobs"`
+	Tools               json.RawMessage `json:"tools"`
+	Functions           json.RawMessage `json:"functions"`
+	ResponseFormat      struct {
+		Type string `json:"type"`
+	} `json:"response_format"`
+}
+
+type wireMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+const (
+	maxModel    = 256
+	maxMessages = 4096
+)
+
+// decode returns a decoder for requests on a route.
+func (s *Server) decode(route string) func(*http.Request) (*completion, error) {
+	return func(r *http.Request) (*completion, error) {
+		key, err := reply.Key(r)
+		if err != nil {
+			return nil, err
+		}
+		body, err := reply.ReadBody(r)
+		if err != nil {
+			return nil, err
+		}
+		var q wireRequest
+		if err := json.Unmarshal(body, &q); err != nil {
+			return nil, reply.Invalid("", "invalid_json", "the request body is not valid: "+err.Error())
+		}
+		c := &completion{id: r.Header.Get(reply.RequestIDHeader), route: route, model: q.Model, key: key,
+			resume: r.Header.Get("Last-Event-ID"), digest: digest(route, body), size: len(body),
+			stream: q.Stream, includeUsage: q.StreamOptions.IncludeUsage, http: r}
+		if err := q.unsupported(); err != nil {
+			return nil, err
+		}
+		if c.maxTokens, err = s.maxTokens(&q); err != nil {
+			return nil, err
+		}
+		return c, c.setPrompt(&q)
+	}
+}
+
+func digest(route string, body []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(route)
+	d.Write([]byte{0})
+	d.Write(body)
+	return d.Sum64()
+}
+
+// unsupported rejects parameters that cannot be ignored without changing the
+// form or the end of the response.
+func (q *wireRequest) unsupported() error {
+	given := func(m json.RawMessage, empty ...string) bool {
+		v := string(bytes.TrimSpace(m))
+		for _, e := range append(empty, "", "null") {
+			if v == e {
+				return false
+			}
+		}
+		return true
+	}
+	for _, p := range []struct {
+		name string
+		bad  bool
+	}{
+		{"n", q.N != nil && *q.N != 1},
+		{"best_of", q.BestOf != nil && *q.BestOf != 1},
+		{"echo", q.Echo},
+		{"suffix", q.Suffix != ""},
+		{"stop", given(q.Stop, "[]", `""`)},
+		{"logprobs", given(q.Logprobs, "false")},
+		{"tools", given(q.Tools, "[]")},
+		{"functions", given(q.Functions, "[]")},
+		{"response_format", q.ResponseFormat.Type != "" && q.ResponseFormat.Type != "text"},
+	} {
+		if p.bad {
+			return reply.Invalid(p.name, "unsupported_parameter", "this value of parameter "+p.name+" is not supported")
+		}
+	}
+	return nil
+}
+
+func (s *Server) maxTokens(q *wireRequest) (int, error) {
+	limit, name := q.MaxCompletionTokens, "max_completion_tokens"
+	if limit == nil {
+		limit, name = q.MaxTokens, "max_tokens"
+	}
+	if limit == nil {
+		return s.c.DefaultTokens, nil
+	}
+	if *limit < 1 || *limit > s.c.MaxTokens {
+		return 0, reply.Invalid(name, "invalid_value", name+" must be from 1 to "+strconv.Itoa(s.c.MaxTokens))
+	}
+	return *limit, nil
+}
+
+func (c *completion) setPrompt(q *wireRequest) error {
+	if q.Model == "" || len(q.Model) > maxModel {
+		return reply.Invalid("model", "invalid_value", "model must name an entry of the catalogue")
+	}
+	if c.route == RouteChat {
+		return c.setChat(q.Messages)
+	}
+	if err := json.Unmarshal(q.Prompt, &c.prompt); err != nil {
+		var list []string
+		if err := json.Unmarshal(q.Prompt, &list); err != nil || len(list) != 1 {
+			return reply.Invalid("prompt", "invalid_value", "prompt must be a string or a list of one string")
+		}
+		c.prompt = list[0]
+	}
+	if c.prompt == "" {
+		return reply.Invalid("prompt", "invalid_value", "prompt must not be empty")
+	}
+	// A completion has no turns; its beginning stands for the conversation.
+	c.conversation = hashConversation(c.prompt[:min(len(c.prompt), 256)])
+	return nil
+}
+
+func (c *completion) setChat(messages []wireMessage) error {
+	if len(messages) == 0 || len(messages) > maxMessages {
+		return reply.Invalid("messages", "invalid_value", "messages must hold 1 to "+strconv.Itoa(maxMessages)+" messages")
+	}
+	var b strings.Builder
+	b.Grow(c.size)
+	opening := 0
+	for i, m := range messages {
+		text, ok := messageText(m.Content)
+		if !ok || !validRole(m.Role) {
+			return reply.Invalid("messages["+strconv.Itoa(i)+"]", "invalid_value", "a message must have a known role and text content")
+		}
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(text)
+		b.WriteByte('\n')
+		if opening == 0 && m.Role == "user" {
+			opening = b.Len()
+		}
+	}
+	c.prompt = b.String()
+	if opening == 0 {
+		opening = b.Len()
+	}
+	// The messages up to the first of the user stay the same in all turns.
+	c.conversation = hashConversation(c.prompt[:opening])
+	return nil
+}
+
+func hashConversation(s string) uint64 {
+	if h := xxhash.Sum64String(s); h != 0 {
+		return h
+	}
+	return 1 // 0 means no prefix to the routing policies
+}
+
+func validRole(role string) bool {
+	switch role {
+	case "system", "developer", "user", "assistant", "tool", "function":
+		return true
+	}
+	return false
+}
+
+// messageText returns the text of a message's content: a string, a list of
+// text parts or null.
+func messageText(content json.RawMessage) (string, bool) {
+	if len(content) == 0 || string(content) == "null" {
+		return "", true
+	}
+	var text string
+	if json.Unmarshal(content, &text) == nil {
+		return text, true
+	}
+	var parts []struct {
+		Type string  `json:"type"`
+		Text *string `json:"text"`
+	}
+	if json.Unmarshal(content, &parts) != nil {
+		return "", false
+	}
+	var b strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" || p.Text == nil {
+			return "", false
+		}
+		b.WriteString(*p.Text)
+	}
+	return b.String(), true
+}
+
+// fingerprint identifies a request for the search for poison.
+func fingerprint(workspace, entry, prompt string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(workspace)
+	d.Write([]byte{0})
+	d.WriteString(entry)
+	d.Write([]byte{0})
+	d.WriteString(prompt)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/caller/openai/whole.go
@@ -0,0 +1,104 @@
+package openai
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/caller/reply"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+)
+
+// writeWhole writes a response that is not streamed.
+func writeWhole(w http.ResponseWriter, g *generation, st *state, timeout time.Duration) error {
+	size := 512
+	for _, t := range st.tokens {
+		size += len(t) + 4
+	}
+	text := make([]byte, 0, size)
+	for _, t := range st.tokens {
+		text = append(text, t...)
+	}
+	b := make([]byte, 0, size)
+	b = append(b, `{"id":`...)
+	b = appendQuoted(b, g.id)
+	if g.route == RouteChat {
+		b = append(b, `,"object":"chat.completion","created":`...)
+	} else {
+		b = append(b, `,"object":"text_completion","created":`...)
+	}
+	b = strconv.AppendInt(b, g.created, 10)
+	b = append(b, `,"model":`...)
+	b = appendQuoted(b, g.entry)
+	if g.route == RouteChat {
+		b = append(b, `,"choices":[{"index":0,"message":{"role":"assistant","content":`...)
+		b = appendQuoted(b, string(text))
+		b = append(b, `,"refusal":null},"logprobs":null,"finish_reason":`...)
+	} else {
+		b = append(b, `,"choices":[{"index":0,"text":`...)
+		b = appendQuoted(b, string(text))
+		b = append(b, `,"logprobs":null,"finish_reason":`...)
+	}
+	b = appendQuoted(b, st.finish)
+	b = append(b, `}],"usage":`...)
+	b = appendUsage(b, len(st.tokens), st.usage)
+	b = append(b, '}')
+	err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil // the client is gone
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.Write(b)
+	return nil
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+// models lists the language entries of the catalogue.
+func (s *Server) models(_ context.Context, r *http.Request) (modelList, error) {
+	snapshot := s.c.Snapshots.Snapshot()
+	if _, err := reply.Authenticate(snapshot, r); err != nil {
+		return modelList{}, err
+	}
+	list := modelList{Object: "list", Data: []model{}}
+	for i := range snapshot.Catalogue.Entries {
+		if e := &snapshot.Catalogue.Entries[i]; e.Kind == catalogue.KindLanguage {
+			list.Data = append(list.Data, modelOf(snapshot, e))
+		}
+	}
+	return list, nil
+}
+
+func (s *Server) model(_ context.Context, r *http.Request) (model, error) {
+	snapshot := s.c.Snapshots.Snapshot()
+	if _, err := reply.Authenticate(snapshot, r); err != nil {
+		return model{}, err
+	}
+	name := r.PathValue("model")
+	e, ok := snapshot.Entry(name)
+	if !ok || e.Kind != catalogue.KindLanguage {
+		return model{}, modelNotFound(name)
+	}
+	return modelOf(snapshot, e), nil
+}
+
+func modelOf(s *catalogue.Snapshot, e *catalogue.Entry) model {
+	return model{ID: e.Name, Object: "model", Created: max(s.Catalogue.Changed.Unix(), 0), OwnedBy: e.Owner}
+}
+
+func modelNotFound(name string) *reply.Error {
+	return &reply.Error{Status: http.StatusNotFound, Outcome: reply.NotRun, Type: "invalid_request_error", Param: "model", Code: "model_not_found", Message: "the model " + strconv.Quote(name) + " does not exist"}
+}
--- /dev/null
+++ b/internal/caller/services/request.go
@@ -0,0 +1,103 @@
+package services
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"wasabiworks.example/wasabiworks/internal/caller/reply"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+)
+
+const prefix = "/v1/services/"
+
+// call is a decoded request.
+type call struct {
+	id, entry, key string
+	method         string
+	// path is decoded; target is escaped and has the query.
+	path, target string
+	body         []byte
+	header       http.Header
+	fingerprint  uint64
+	http         *http.Request
+}
+
+// decode reads a request for a plain service.
+func decode(r *http.Request) (*call, error) {
+	key, err := reply.Key(r)
+	if err != nil {
+		return nil, err
+	}
+	rest, ok := strings.CutPrefix(r.URL.EscapedPath(), prefix)
+	name, path, _ := strings.Cut(rest, "/")
+	if !ok || name == "" {
+		return nil, reply.Rejected(http.StatusNotFound, "entry_not_found", "the path must be "+prefix+"{entry}/{path}")
+	}
+	path = "/" + path
+	decoded, err := decodePath(path)
+	if err != nil {
+		return nil, err
+	}
+	body, err := reply.ReadBody(r)
+	if err != nil {
+		return nil, err
+	}
+	c := &call{id: r.Header.Get(reply.RequestIDHeader), entry: name, key: key, method: r.Method, path: decoded, target: path, body: body, header: r.Header.Clone(), http: r}
+	if r.URL.RawQuery != "" {
+		c.target += "?" + r.URL.RawQuery
+	}
+	c.header.Del("Authorization") // the token is meant for this system only
+	c.header.Del("Content-Length")
+	c.fingerprint = c.digest()
+	return c, nil
+}
+
+// decodePath rejects segments that a service may resolve to another path than
+// the one that the catalogue's list of repeatable calls is compared with.
+func decodePath(path string) (string, error) {
+	segments := strings.Split(path[1:], "/")
+	for i, s := range segments {
+		d, err := url.PathUnescape(s)
+		if err != nil || d == "." || d == ".." || strings.ContainsAny(d, "/\\\x00;") || d == "" && i < len(segments)-1 {
+			return "", reply.Invalid("", "invalid_path", "the path must have no empty, dot or escaped-slash segments")
+		}
+		segments[i] = d
+	}
+	return "/" + strings.Join(segments, "/"), nil
+}
+
+func (c *call) digest() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{c.method, c.target} {
+		d.WriteString(part)
+		d.Write([]byte{0})
+	}
+	d.Write(c.body)
+	return d.Sum64()
+}
+
+// journalKey identifies the call in the journal.
+func journalKey(workspace, entry, key string) Key {
+	sum := sha256.Sum256([]byte(workspace + "\x00" + entry + "\x00" + key))
+	return Key(sum[:16])
+}
+
+// repeatable reports whether a call may run more than once.
+func repeatable(e *catalogue.Entry, method, path string) bool {
+	if method == http.MethodGet || method == http.MethodHead {
+		return true
+	}
+	return slices.ContainsFunc(e.Repeatable, func(rule string) bool {
+		m, p, ok := strings.Cut(rule, " ")
+		if !ok || m != method {
+			return false
+		}
+		rest, ok := strings.CutPrefix(path, strings.TrimSpace(p))
+		return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(p, "/"))
+	})
+}
