Compose the entry instance

Cause: a request needs a process that carries it from the client to a backend server. Change: internal/entry/instance joins the request path, exchange, catalogue,

reclaim deadline of leaving servers and the origin of demand.

--- a/internal/backend/engine/frame.go
+++ b/internal/backend/engine/frame.go
@@ -40,11 +40,13 @@
 
 // Load is an engine's load report.
 type Load struct {
-	Running  int       `json:"running"`
-	Queued   int       `json:"queued"`
-	Capacity int       `json:"capacity"`
-	Versions []string  `json:"versions"`
-	State    string    `json:"state"`
-	Crashes  int       `json:"crashes"`
-	At       time.Time `json:"at"`
+	Running  int      `json:"running"`
+	Queued   int      `json:"queued"`
+	Capacity int      `json:"capacity"`
+	Versions []string `json:"versions"`
+	State    string   `json:"state"`
+	Crashes  int      `json:"crashes"`
+	// Incarnation changes when the engine's process restarts.
+	Incarnation string    `json:"incarnation"`
+	At          time.Time `json:"at"`
 }
--- a/internal/entry/instance/adapters.go
+++ b/internal/entry/instance/adapters.go
@@ -110,5 +110,8 @@
 	if err != nil {
 		return fleet.Report{}, err
 	}
-	return report(l), nil
+	return fleet.Report{
+		Incarnation: l.Incarnation, Running: l.Running, Queued: l.Queued, Capacity: l.Capacity,
+		Versions: l.Versions, At: l.At, Leaving: l.State == "leaving",
+	}, nil
 }
--- /dev/null
+++ b/internal/entry/instance/instance.go
@@ -0,0 +1,400 @@
+package instance
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"wasabiworks.example/wasabiworks/internal/backend/engine"
+	"wasabiworks.example/wasabiworks/internal/backend/fleet"
+	"wasabiworks.example/wasabiworks/internal/backend/service"
+	"wasabiworks.example/wasabiworks/internal/caller/openai"
+	"wasabiworks.example/wasabiworks/internal/caller/services"
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
+	"wasabiworks.example/wasabiworks/internal/decide/membership"
+	"wasabiworks.example/wasabiworks/internal/decide/move"
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
+	"wasabiworks.example/wasabiworks/internal/decide/route"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+	"wasabiworks.example/wasabiworks/internal/peer/config"
+	"wasabiworks.example/wasabiworks/internal/peer/exchange"
+	"wasabiworks.example/wasabiworks/internal/peer/journal"
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+	"wasabiworks.example/wasabiworks/internal/platform/cloud"
+	"wasabiworks.example/wasabiworks/internal/platform/instances"
+	"wasabiworks.example/wasabiworks/internal/platform/kv"
+)
+
+const (
+	// headerTimeout bounds the wait for a request's headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds the life of an idle client connection.
+	idleTimeout = 2 * time.Minute
+	// maxHeader bounds the headers of a request in bytes.
+	maxHeader = 32 << 10
+	// balancerDelay is how long an instance that reports not ready still gets
+	// requests from the platform's load balancer.
+	balancerDelay = 1500 * time.Millisecond
+)
+
+// Config configures an Instance. The listeners are closed by Run.
+type Config struct {
+	ID, Region, FailureDomain, Class string
+	// Price is per hour.
+	Price       float64
+	Reclaimable bool
+	// Platform is the address of the platform API.
+	Platform                 string
+	Client, Peer, Operations net.Listener
+	ClientTLS, PeerTLS       *tls.Config
+	// DrainNotice is how long requests in progress have at a planned shutdown.
+	DrainNotice time.Duration
+	Log         *zap.Logger
+	// Move and Route are the policies; default move.Sequential and
+	// route.Affinity.
+	Move  move.Policy
+	Route route.Policy
+}
+
+// Instance is an entry instance.
+type Instance struct {
+	config   Config
+	now      func() time.Time
+	registry *prometheus.Registry
+	draining atomic.Bool
+
+	members    *membership.Table
+	exchange   *exchange.Node
+	propagator *config.Propagator[*catalogue.Snapshot]
+	journal    *journal.Journal
+	fleet      *fleet.Fleet
+	mover      *mover
+	limiter    *limiter
+	recorder   *recorder
+	platform   *platform
+	engine     *engine.Client
+	service    *service.Client
+	poison     *poison.Set
+	leavings   *exchange.Set[string, leaving]
+	reports    *exchange.Set[string, fleet.Report]
+	openai     *openai.Server
+	services   *services.Server
+}
+
+// New returns an instance; Run starts it.
+func New(c Config) (*Instance, error) {
+	if c.Move == nil {
+		c.Move = move.Sequential{}
+	}
+	if c.Route == nil {
+		c.Route = route.Affinity{}
+	}
+	c.Log = c.Log.With(zap.String("instance", c.ID), zap.String("failure-domain", c.FailureDomain))
+	i := &Instance{config: c, now: time.Now, registry: prometheus.NewRegistry(), poison: new(poison.Set)}
+	i.members = membership.NewTable(membership.Member{
+		ID: c.ID, Incarnation: i.now().UnixNano(), FailureDomain: c.FailureDomain,
+		PeerAddress: c.Peer.Addr().String(), OperationsAddress: c.Operations.Addr().String(),
+	})
+	store := kv.New(kv.Config{Address: c.Platform})
+	table := new(evidence.Table)
+	node := fmt.Sprintf("%s/%d", c.ID, i.members.Self().Incarnation)
+	i.recorder = &recorder{node: node, evidence: table}
+	i.newMover(store, table)
+	i.newFleet()
+	if err := i.newPeers(store, table); err != nil {
+		return nil, err
+	}
+	i.newPlatform()
+	i.newRequestPath()
+	return i, nil
+}
+
+func (i *Instance) newMover(store kv.Store, table *evidence.Table) {
+	shares := prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "wasabiworks_move_share",
+		Help: "Share of an entry's requests on the new version, from 0 to 1.",
+	}, []string{"entry", "version"})
+	i.registry.MustRegister(shares)
+	i.mover = &mover{
+		policy: i.config.Move, evidence: table, isolated: i.members.Isolated, store: store, now: i.now,
+		log: i.config.Log, shares: shares, wake: make(chan struct{}, 1), stored: make(map[string]bool),
+	}
+	i.mover.vetoes = newVetoes(i.mover.vetoed)
+}
+
+func (i *Instance) newFleet() {
+	i.engine = engine.New(engine.Config{})
+	i.service = service.New(service.Config{})
+	i.leavings = newLeavings(func(l leaving) {
+		if l.reclaim.IsZero() {
+			i.fleet.PeerLeaving(l.backend, l.until)
+			return
+		}
+		i.fleet.Notice(l.backend, l.reclaim)
+	}, i.now)
+	i.reports = newReports(i.config.FailureDomain, i.servers, func(r fleet.Report) { i.fleet.Report(r) }, i.now)
+	i.fleet = fleet.New(fleet.Config{
+		Poller: poller{i.engine},
+		Share:  i.polls,
+		OnLeaving: func(m fleet.Mark) {
+			if i.leavings.Put(leaving{backend: m.Backend, until: m.Deadline}) {
+				i.exchange.Notify()
+			}
+		},
+		OnReport: func(r fleet.Report) { i.reports.Put(r) },
+	})
+}
+
+// polls reports whether this instance polls a backend server: each server is
+// polled by one live instance of its failure domain.
+func (i *Instance) polls(id string) bool {
+	domain, ok := i.platform.domains.Load(id)
+	if !ok || domain.(string) != i.config.FailureDomain {
+		return false
+	}
+	return membership.Owner(xxhash.Sum64String(id), i.members.Live(i.config.FailureDomain, i.now())) == i.config.ID
+}
+
+// servers returns the number of backend servers that take work.
+func (i *Instance) servers() int {
+	n := 0
+	if s := i.mover.Snapshot(); s != nil {
+		for j := range s.Catalogue.Entries {
+			n += len(i.fleet.View(s.Catalogue.Entries[j].Name))
+		}
+	}
+	return n
+}
+
+func (i *Instance) newPeers(store kv.Store, table *evidence.Table) error {
+	demands := newDemands(i.now)
+	i.limiter = &limiter{
+		node: i.config.ID, fleet: i.fleet, demands: demands, snapshot: i.mover.Snapshot,
+		nodes: func() int { return len(i.members.Live("", i.now())) },
+	}
+	evidenceExchange := exchange.Evidence{Table: table, Known: i.mover.known}
+	records := crashes{i.poison}
+	var err error
+	i.exchange, err = exchange.New(exchange.Config{
+		Members: i.members,
+		Sources: []exchange.Source{i.mover.vetoes, i.leavings, records, evidenceExchange, i.reports, demands},
+		Sinks:   []exchange.Sink{i.mover.vetoes, i.leavings, records, evidenceExchange, i.reports, demands},
+		Services: exchange.Services{
+			Pull: func(ctx context.Context, r *peerpb.PullRequest) (*peerpb.Snapshot, error) {
+				return i.propagator.ServePull(ctx, r)
+			},
+			Reserve: func(ctx context.Context, r *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+				return i.journal.ServeReserve(ctx, r)
+			},
+			Complete: func(ctx context.Context, r *peerpb.CompleteRequest) (*peerpb.CompleteReply, error) {
+				return i.journal.ServeComplete(ctx, r)
+			},
+		},
+		Revision: func() int64 { return i.propagator.Revision() },
+		Watching: func() bool { return i.propagator.Watching() },
+		Heard: func(from membership.Member, revision int64, watching bool) {
+			i.propagator.Heard(from.ID, from.FailureDomain, revision, watching)
+		},
+		Registerer: i.registry,
+		Logger:     i.config.Log,
+	})
+	if err != nil {
+		return err
+	}
+	if err := i.newPropagator(store); err != nil {
+		return err
+	}
+	i.journal, err = journal.New(journal.Config{
+		Self: i.config.ID, Incarnation: i.members.Self().Incarnation, Store: store, Peers: i.exchange,
+		Live:       func() []string { return i.members.Live("", i.now()) },
+		Registerer: i.registry, Logger: i.config.Log,
+	})
+	return err
+}
+
+func (i *Instance) newPropagator(store kv.Store) (err error) {
+	i.propagator, err = config.New(config.Config[*catalogue.Snapshot]{
+		Self: i.config.ID, FailureDomain: i.config.FailureDomain, Store: store,
+		Decode: func(revision int64, data []byte) (*catalogue.Snapshot, error) {
+			c, err := catalogue.Decode(data)
+			if err != nil {
+				return nil, err
+			}
+			return catalogue.NewSnapshot(revision, c), nil
+		},
+		Changed: func(revision int64, s *catalogue.Snapshot) {
+			i.mover.accept(s)
+			i.config.Log.Info("catalogue is in effect", zap.Int64("revision", revision), zap.String("operation", s.Catalogue.Operation))
+		},
+		Holder: func() string { return i.members.Holder(i.now()) },
+		Peers:  func() []string { return i.members.Live("", i.now()) },
+		Pull:   i.exchange.Pull, Notify: i.exchange.Notify,
+		Registerer: i.registry, Logger: i.config.Log,
+	})
+	return err
+}
+
+func (i *Instance) newPlatform() {
+	i.platform = &platform{
+		list:    instances.New(instances.Config{Address: i.config.Platform}),
+		cloud:   cloud.New(cloud.Config{Address: i.config.Platform}),
+		self:    i.listed,
+		members: i.members,
+		fleet:   i.fleet,
+		reclaimed: func(id string, deadline time.Time) {
+			if i.leavings.Put(leaving{backend: id, until: i.now().Add(markKept), reclaim: deadline}) {
+				i.exchange.Notify()
+			}
+		},
+		prices: i.recorder.setPrice,
+		now:    i.now,
+		log:    i.config.Log,
+	}
+}
+
+// listed is this instance as the instance list has it.
+func (i *Instance) listed() instances.Instance {
+	state := instances.StateLive
+	if i.draining.Load() {
+		state = instances.StateLeaving
+	}
+	return instances.Instance{
+		ID: i.config.ID, Role: instances.RoleEntry, Region: i.config.Region, FailureDomain: i.config.FailureDomain,
+		Address: i.config.Client.Addr().String(), PeerAddress: i.config.Peer.Addr().String(),
+		OperationsAddress: i.config.Operations.Addr().String(), State: state,
+		Class: i.config.Class, Reclaimable: i.config.Reclaimable, Price: i.config.Price,
+	}
+}
+
+func (i *Instance) newRequestPath() {
+	node := i.recorder.node
+	budget := new(budgets)
+	i.openai = openai.New(openai.Config{
+		Node: node, FailureDomain: i.config.FailureDomain, Snapshots: i.mover, Limiter: i.limiter, Versions: i.mover,
+		Router: i.config.Route, Fleet: i.fleet, Engine: i.engine, Budget: budget,
+		Poison:   poisons{i.poison, func() { i.exchange.Notify() }, i.now},
+		Recorder: i.recorder,
+	})
+	i.services = services.New(services.Config{
+		Node: node, FailureDomain: i.config.FailureDomain, Snapshots: i.mover, Limiter: i.limiter, Versions: i.mover,
+		Router: i.config.Route, Fleet: i.fleet, Client: i.service, Budget: budget, Journal: calls{i.journal}, Recorder: i.recorder,
+	})
+}
+
+func (i *Instance) clients() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/v1/services/", i.services)
+	mux.Handle("/", i.openai)
+	return mux
+}
+
+// Run serves until ctx ends, then shuts down gracefully: it leaves the load
+// balancer, completes the requests in progress and only then stops the rest.
+func (i *Instance) Run(ctx context.Context) error {
+	clients := &http.Server{
+		Handler: i.clients(), TLSConfig: i.config.ClientTLS,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+	operations := &http.Server{Handler: i.operations(), ReadHeaderTimeout: headerTimeout, WriteTimeout: headerTimeout}
+	peers := i.peerServer()
+
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var g errgroup.Group
+	g.Go(func() error { return serveHTTP(clients, i.config.Client) })
+	g.Go(func() error { return serveHTTP(operations, i.config.Operations) })
+	g.Go(func() error { return peers.Serve(i.config.Peer) })
+	for _, run := range []func(context.Context) error{
+		i.exchange.Run, i.propagator.Run, i.mover.run, i.mover.keep,
+		i.platform.listen, i.platform.notices, i.share,
+		func(ctx context.Context) error { i.fleet.Run(ctx); return nil },
+	} {
+		g.Go(func() error { return run(background) })
+	}
+	i.config.Log.Info("instance started", zap.Stringer("client-address", i.config.Client.Addr()))
+	<-ctx.Done()
+	err := i.drain(clients)
+	stop()
+	i.journal.Close()
+	peers.Stop()
+	err = errors.Join(err, operations.Close(), g.Wait())
+	i.engine.Close()
+	i.service.Close()
+	return err
+}
+
+func (i *Instance) peerServer() *grpc.Server {
+	options := exchange.ServerOptions()
+	if i.config.PeerTLS != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(i.config.PeerTLS)))
+	}
+	s := grpc.NewServer(options...)
+	i.exchange.Register(s)
+	return s
+}
+
+func serveHTTP(s *http.Server, l net.Listener) error {
+	err := errors.New("no listener")
+	if s.TLSConfig != nil {
+		err = s.ServeTLS(l, "", "")
+	} else {
+		err = s.Serve(l)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// drain completes the requests in progress. Requests that the load balancer
+// still sends in the first moments are served.
+func (i *Instance) drain(clients *http.Server) error {
+	i.draining.Store(true)
+	i.config.Log.Info("planned shutdown started", zap.Int64("revision", i.propagator.Revision()))
+	i.exchange.Leave()
+	i.platform.register(context.Background())
+	time.Sleep(balancerDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), i.config.DrainNotice)
+	defer cancel()
+	if err := clients.Shutdown(ctx); err != nil {
+		return fmt.Errorf("requests in progress at the end of the drain notice: %w", err)
+	}
+	i.openai.Close()
+	return i.remove(ctx)
+}
+
+// remove takes the instance off the instance list. A failure is no fault of the
+// shutdown: the platform removes the instance later by itself.
+func (i *Instance) remove(ctx context.Context) error {
+	if err := i.platform.list.Remove(ctx, i.config.ID); err != nil {
+		i.config.Log.Warn("instance could not be removed from the instance list", zap.Error(err))
+	}
+	i.config.Log.Info("planned shutdown completed")
+	return nil
+}
+
+// share computes the shares of the limits until ctx ends.
+func (i *Instance) share(ctx context.Context) error {
+	t := time.NewTicker(sharePeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			i.limiter.share(i.mover.Snapshot(), i.now())
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/instance/operations.go
@@ -0,0 +1,104 @@
+package instance
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"wasabiworks.example/wasabiworks/internal/operator/admin"
+)
+
+// operations serves /healthz, /readyz, /metrics and /status.
+func (i *Instance) operations() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if reason := i.notReady(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(i.status()) // the client is gone if this fails
+	})
+	return mux
+}
+
+// notReady returns why the load balancer must not send requests, or "".
+func (i *Instance) notReady() string {
+	switch {
+	case i.draining.Load():
+		return "instance is shutting down"
+	case !i.propagator.Ready():
+		return "instance has no catalogue yet"
+	}
+	return ""
+}
+
+// status returns the state that operators read.
+func (i *Instance) status() admin.Status {
+	now := i.now()
+	self := i.members.Self()
+	reason := i.notReady()
+	s := admin.Status{
+		Instance:          self.ID,
+		Incarnation:       self.Incarnation,
+		FailureDomain:     self.FailureDomain,
+		Region:            i.config.Region,
+		Ready:             reason == "",
+		NotReady:          reason,
+		Leaving:           i.draining.Load(),
+		CatalogueRevision: i.propagator.Revision(),
+		Members:           i.memberStatus(),
+		GeneratedTokens:   i.recorder.generated.Load(),
+		CachedTokens:      i.recorder.cached.Load(),
+		RecomputedTokens:  i.recorder.recomputed.Load(),
+		PricePerHour:      i.config.Price,
+		Cost:              i.recorder.total(),
+	}
+	p := i.mover.current.Load()
+	if p == nil {
+		return s
+	}
+	for name, m := range p.moves {
+		s.Moves = append(s.Moves, admin.Move{
+			ID: m.record.ID, Entry: name, From: m.record.From, To: m.record.To,
+			Share: m.decision.Share, Phase: m.decision.Phase.String(), Reason: m.decision.Reason, Deadline: m.record.Deadline,
+		})
+	}
+	for _, e := range p.snapshot.Catalogue.Entries {
+		for _, b := range i.fleet.View(e.Name) {
+			state := "live"
+			if now.Before(b.Joined) {
+				state = "joining"
+			}
+			s.Backends = append(s.Backends, admin.Backend{
+				ID: b.ID, Entry: e.Name, State: state, Running: b.Running, Capacity: b.Capacity,
+			})
+		}
+	}
+	return s
+}
+
+func (i *Instance) memberStatus() []admin.Member {
+	live := make(map[string]bool)
+	for _, id := range i.members.Live("", i.now()) {
+		live[id] = true
+	}
+	var ms []admin.Member
+	for _, m := range i.members.Members() {
+		state := "suspect"
+		switch {
+		case m.Leaving:
+			state = "leaving"
+		case live[m.ID]:
+			state = "live"
+		}
+		ms = append(ms, admin.Member{ID: m.ID, FailureDomain: m.FailureDomain, State: state})
+	}
+	return ms
+}
--- a/internal/entry/instance/platform.go
+++ b/internal/entry/instance/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,6 +40,9 @@
 	prices func(id string, price float64)
 	now    func() time.Time
 	log    *zap.Logger
+
+	// domains maps each backend server's ID to its failure domain.
+	domains sync.Map
 }
 
 // listen reads the instance list and registers the instance until ctx ends.
@@ -96,6 +100,7 @@
 				Polled: in.Kind == instances.KindLanguage, Leaving: in.State == instances.StateLeaving, Price: in.Price,
 			})
 			p.prices(in.ID, in.Price)
+			p.domains.Store(in.ID, in.FailureDomain)
 		}
 	}
 	p.members.List(entries, p.now())
--- /dev/null
+++ b/internal/entry/instance/recorder.go
@@ -0,0 +1,86 @@
+package instance
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/caller/openai"
+	"wasabiworks.example/wasabiworks/internal/caller/services"
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
+)
+
+// recorder takes the outcomes of the request path and adds them to the
+// evidence and to the counters.
+type recorder struct {
+	// node is the instance ID, a slash and the incarnation.
+	node     string
+	evidence *evidence.Table
+
+	generated, cached, recomputed atomic.Uint64
+
+	prices sync.Map // backend server ID to price per hour
+	mu     sync.Mutex
+	cost   float64 // of the time that attempts took on backend servers
+}
+
+// Attempt records an attempt that an engine ran.
+func (r *recorder) Attempt(a *openai.Attempt) {
+	r.charge(a.Backend, a.FirstToken+time.Duration(max(0, a.Tokens-1))*a.Between)
+	if a.Excused != "" {
+		return
+	}
+	r.evidenceOf(a.Move, a.Version, a.Route, a.Load, a.Failed, a.Slow)
+}
+
+// Request records a request of a language entry.
+func (r *recorder) Request(q *openai.Request) {
+	r.generated.Add(uint64(q.Generated))
+	r.cached.Add(uint64(q.Cached))
+	r.recomputed.Add(uint64(q.Recomputed))
+}
+
+// Call records a call of a plain service.
+func (r *recorder) Call(c *services.Call) {
+	if !c.Ran || c.Excused != "" || c.Canceled {
+		return
+	}
+	r.charge(c.Backend, c.Duration)
+	r.evidenceOf(c.Move, c.Version, c.Route, c.Load, c.Failed, c.Slow)
+}
+
+func (r *recorder) evidenceOf(moveID, version, route string, load uint8, failed, slow bool) {
+	if moveID == "" {
+		return
+	}
+	var c evidence.Count
+	switch {
+	case failed:
+		c.Failed = 1
+	case slow:
+		c.Answered, c.Slow = 1, 1
+	default:
+		c.Answered = 1
+	}
+	r.evidence.Add(r.node, evidence.Key{Move: moveID, Version: version, Route: route, Load: load}, c)
+}
+
+// setPrice sets the price per hour of a backend server.
+func (r *recorder) setPrice(backend string, price float64) { r.prices.Store(backend, price) }
+
+// charge adds the price of d on a backend server to the cost.
+func (r *recorder) charge(backend string, d time.Duration) {
+	price, ok := r.prices.Load(backend)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cost += price.(float64) * d.Hours()
+}
+
+func (r *recorder) total() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cost
+}
