Read, check, encode and plan catalogues

Operators had types for a catalogue but no way to write one, and nothing turned a version change into a move.

Parse walks the YAML nodes, so each error has file, line, field and what is allowed, and all are reported together; file size, depth and the values reached through aliases are bounded. Succeed adds history (100 changes with their summary and the revision replaced) and counts of ended moves.

--- a/internal/operator/catalogue/catalogue.go
+++ b/internal/operator/catalogue/catalogue.go
@@ -24,8 +24,20 @@
 	Changed    time.Time   `json:"changed"`
 	Workspaces []Workspace `json:"workspaces"`
 	Entries    []Entry     `json:"entries"`
-	Moves      []Move      `json:"moves"`
-	History    []Change    `json:"history"`
+	// Moves holds the latest move of each entry that has had one. A move
+	// stays after its end: it carries the veto that keeps a bad version away.
+	Moves []Move `json:"moves"`
+	// Ended counts the moves that are no longer in Moves.
+	Ended   Ended    `json:"ended"`
+	History []Change `json:"history"`
+}
+
+// Ended counts moves by how they ended.
+type Ended struct {
+	Done       int `json:"done"`
+	RolledBack int `json:"rolled-back"`
+	// Replaced counts moves that another change replaced before the deadline.
+	Replaced int `json:"replaced"`
 }
 
 // Change is one line of the catalogue's history.
@@ -34,6 +46,10 @@
 	Author    string    `json:"author"`
 	Comment   string    `json:"comment"`
 	Changed   time.Time `json:"changed"`
+	// BasedOn is the revision that the change replaced.
+	BasedOn int64 `json:"based-on"`
+	// Summary holds the first lines of the difference that it made.
+	Summary []string `json:"summary,omitempty"`
 }
 
 // Workspace is a customer of the serving system.
--- /dev/null
+++ b/internal/operator/catalogue/node.go
@@ -0,0 +1,218 @@
+package catalogue
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// enter resolves an alias, records the line of path and counts the node. It
+// returns nil once the file has expanded to too many nodes.
+func (r *reader) enter(n *yaml.Node, path string) *yaml.Node {
+	if path != "" {
+		r.lines[path] = n.Line
+	}
+	if n.Kind == yaml.AliasNode {
+		n = n.Alias
+	}
+	if r.nodes >= maxNodes || n == nil {
+		return nil
+	}
+	r.nodes++
+	if r.nodes == maxNodes {
+		r.report(n.Line, path, "file expands to too many values", fmt.Sprintf("at most %d", maxNodes))
+		return nil
+	}
+	return n
+}
+
+// fail reports a value that cannot be read.
+func (r *reader) fail(n *yaml.Node, path, allowed string) {
+	r.failed[path] = true
+	got := map[yaml.Kind]string{yaml.MappingNode: "a mapping", yaml.SequenceNode: "a list"}[n.Kind]
+	if got == "" {
+		got = shorten(n.Value) + " is not valid"
+		if n.Value == "" {
+			got = "value is empty"
+		}
+	}
+	r.report(r.line(path), path, got, allowed)
+}
+
+// shorten quotes a value for an error message.
+func shorten(s string) string {
+	const most = 60
+	if len(s) > most {
+		s = strings.ToValidUTF8(s[:most], "") + "…"
+	}
+	return strconv.Quote(s)
+}
+
+func isNull(n *yaml.Node) bool { return n.Kind == yaml.ScalarNode && n.Tag == "!!null" }
+
+// mapping reads each field of a mapping; unknown and repeated fields are
+// problems. A null is an empty mapping.
+func (r *reader) mapping(n *yaml.Node, path string, fields []field) {
+	n = r.enter(n, path)
+	if n == nil || isNull(n) {
+		return
+	}
+	names := make([]string, len(fields))
+	for i, f := range fields {
+		names[i] = f.name
+	}
+	if n.Kind != yaml.MappingNode {
+		r.fail(n, path, "a mapping with "+strings.Join(names, ", "))
+		return
+	}
+	seen := make(map[string]int)
+	for i := 0; r.nodes < maxNodes && i+1 < len(n.Content); i += 2 {
+		key, value := n.Content[i], n.Content[i+1]
+		at := join(path, keyName(key))
+		k := slices.Index(names, key.Value)
+		switch {
+		case key.Kind != yaml.ScalarNode || k < 0:
+			r.report(key.Line, at, "unknown field", strings.Join(names, ", "))
+		case seen[key.Value] > 0:
+			r.report(key.Line, at, fmt.Sprintf("duplicate field, first on line %d", seen[key.Value]), "each field once")
+		default:
+			seen[key.Value] = key.Line
+			fields[k].read(value, at)
+		}
+	}
+}
+
+func keyName(key *yaml.Node) string {
+	if key.Kind != yaml.ScalarNode {
+		return "?"
+	}
+	if strings.IndexFunc(key.Value, func(c rune) bool { return c < ' ' || c == 0x7f }) >= 0 || len(key.Value) > 60 {
+		return shorten(key.Value)
+	}
+	return key.Value
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// list reads a sequence. A null is an empty list.
+func list[T any](r *reader, n *yaml.Node, path string, read func(*yaml.Node, string) T) []T {
+	n = r.enter(n, path)
+	if n == nil || isNull(n) {
+		return nil
+	}
+	if n.Kind != yaml.SequenceNode {
+		r.fail(n, path, "a list")
+		return nil
+	}
+	var values []T
+	for i, c := range n.Content {
+		if r.nodes >= maxNodes {
+			return nil
+		}
+		values = append(values, read(c, fmt.Sprintf("%s[%d]", path, i)))
+	}
+	return values
+}
+
+// scalar returns the text of a scalar with one of the tags.
+func (r *reader) scalar(n *yaml.Node, path, allowed string, tags ...string) (string, bool) {
+	n = r.enter(n, path)
+	if n == nil {
+		return "", false
+	}
+	if n.Kind != yaml.ScalarNode || !slices.Contains(tags, n.ShortTag()) {
+		r.fail(n, path, allowed)
+		return "", false
+	}
+	return n.Value, true
+}
+
+// text accepts unquoted numbers and dates too: a version may be written 1.10 or
+// 2026-11-30.
+func (r *reader) text(n *yaml.Node, path string) string {
+	s, _ := r.scalar(n, path, "text", "!!str", "!!int", "!!float", "!!timestamp")
+	return s
+}
+
+func (r *reader) boolean(n *yaml.Node, path string) bool {
+	s, _ := r.scalar(n, path, "true or false", "!!bool")
+	return strings.EqualFold(s, "true")
+}
+
+func (r *reader) integer(n *yaml.Node, path string) int {
+	return int(r.whole(n, path, "a whole number", math.MinInt32, math.MaxInt32))
+}
+
+func (r *reader) revision(n *yaml.Node, path string) int64 {
+	return r.whole(n, path, "a revision as printed by catalogue show, or 0", 0, math.MaxInt64)
+}
+
+func (r *reader) whole(n *yaml.Node, path, allowed string, low, high int64) int64 {
+	s, ok := r.scalar(n, path, allowed, "!!int")
+	if !ok {
+		return 0
+	}
+	v, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || v < low || v > high {
+		r.refuse(path, s, allowed)
+		return 0
+	}
+	return v
+}
+
+func (r *reader) number(n *yaml.Node, path string) float64 {
+	const allowed = "a number"
+	s, ok := r.scalar(n, path, allowed, "!!int", "!!float")
+	if !ok {
+		return 0
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsInf(v, 0) || math.IsNaN(v) {
+		r.refuse(path, s, allowed)
+		return 0
+	}
+	return v
+}
+
+func (r *reader) duration(n *yaml.Node, path string) time.Duration {
+	const allowed = "a duration with its unit, such as 1.2s or 41ms"
+	s, ok := r.scalar(n, path, allowed, "!!str")
+	if !ok {
+		return 0
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		r.refuse(path, s, allowed)
+		return 0
+	}
+	return v
+}
+
+func (r *reader) time(n *yaml.Node, path string) time.Time {
+	const allowed = "a time with its zone, such as 2026-12-04T09:30:00Z"
+	s, ok := r.scalar(n, path, allowed, "!!str", "!!timestamp")
+	if !ok {
+		return time.Time{}
+	}
+	v, err := time.Parse(time.RFC3339, s)
+	if err != nil {
+		r.refuse(path, s, allowed)
+		return time.Time{}
+	}
+	return v.UTC()
+}
+
+func (r *reader) refuse(path, value, allowed string) {
+	r.failed[path] = true
+	r.report(r.line(path), path, shorten(value)+" is not valid", allowed)
+}
--- /dev/null
+++ b/internal/operator/catalogue/validate.go
@@ -0,0 +1,300 @@
+package catalogue
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+)
+
+// Bounds on a catalogue. With all lists at their bounds it would not fit the
+// store; Encode checks the size as a whole.
+const (
+	maxWorkspaces = 2000
+	maxEntries    = 1000
+	maxLimits     = maxWorkspaces
+	maxTokens     = 16
+	maxRepeatable = 64
+	maxObjective  = 10 * time.Minute
+	maxRate       = 1e6
+	maxConcurrent = 1_000_000
+	maxText       = 200
+	// maxHistory bounds the history, the part of the value that would
+	// otherwise grow with every apply.
+	maxHistory = 100
+)
+
+const (
+	nameRule    = "1 to 63 of a-z, 0-9 and -, starting and ending with a letter or digit"
+	versionRule = "1 to 64 of A-Z, a-z, 0-9, . _ and -"
+	hashRule    = "64 lower-case hexadecimal digits, as printed by catalogue hash-token"
+	pathRule    = "METHOD /path-prefix, such as POST /quotes"
+)
+
+var (
+	nameForm    = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	versionForm = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+	hashForm    = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	pathForm    = regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS) /[!-~]{0,200}$`)
+)
+
+// checker collects the problems of a catalogue.
+type checker struct{ problems Problems }
+
+// validate returns the problems of c without file and line.
+func validate(c *Catalogue) Problems {
+	var k checker
+	if !k.count("workspaces", len(c.Workspaces), maxWorkspaces) || !k.count("entries", len(c.Entries), maxEntries) {
+		return k.problems
+	}
+	workspaces := k.workspaces(c.Workspaces)
+	entries := make(map[string]string)
+	for i := range c.Entries {
+		path := fmt.Sprintf("entries[%d]", i)
+		k.unique(entries, path+".name", c.Entries[i].Name)
+		k.entry(path, &c.Entries[i], workspaces)
+	}
+	k.moves(c)
+	k.history(c)
+	return k.problems
+}
+
+func (k *checker) add(path, message, allowed string) {
+	k.problems = append(k.problems, Problem{Field: path, Message: message, Allowed: allowed})
+}
+
+// count reports whether a list is within its bound; a longer one is not
+// checked further.
+func (k *checker) count(path string, got, most int) bool {
+	if got > most {
+		k.add(path, fmt.Sprintf("%d items", got), fmt.Sprintf("at most %d", most))
+	}
+	return got <= most
+}
+
+// form checks a required text against a regular expression.
+func (k *checker) form(path, value string, form *regexp.Regexp, allowed string) {
+	if value == "" {
+		k.add(path, "missing", allowed)
+	} else if !form.MatchString(value) {
+		k.add(path, shorten(value)+" is not valid", allowed)
+	}
+}
+
+// unique reports a value that an earlier path holds already.
+func (k *checker) unique(seen map[string]string, path, value string) {
+	if first, ok := seen[value]; ok && value != "" {
+		k.add(path, fmt.Sprintf("%s is a duplicate of %s", shorten(value), first), "each value once")
+		return
+	}
+	seen[value] = path
+}
+
+// line checks text that people read: one line without control characters.
+func (k *checker) line(path, value string, required bool, most int) {
+	allowed := fmt.Sprintf("one line of at most %d characters", most)
+	switch {
+	case value == "" && required:
+		k.add(path, "missing", allowed)
+	case !printable(value) || utf8.RuneCountInString(value) > most:
+		k.add(path, shorten(value)+" is not valid", allowed)
+	}
+}
+
+func printable(s string) bool {
+	return utf8.ValidString(s) && strings.IndexFunc(s, func(c rune) bool { return !unicode.IsPrint(c) }) < 0
+}
+
+func oneOf[T comparable](k *checker, path string, value T, allowed ...T) {
+	if !slices.Contains(allowed, value) {
+		list := make([]string, len(allowed))
+		for i, a := range allowed {
+			list[i] = fmt.Sprint(a)
+		}
+		got := shorten(fmt.Sprint(value)) + " is not valid"
+		var zero T
+		if value == zero {
+			got = "missing"
+		}
+		k.add(path, got, strings.Join(list, " or "))
+	}
+}
+
+func (k *checker) workspaces(ws []Workspace) (names map[string]string) {
+	names = make(map[string]string)
+	hashes := make(map[string]string)
+	for i, w := range ws {
+		path := fmt.Sprintf("workspaces[%d]", i)
+		k.form(path+".name", w.Name, nameForm, nameRule)
+		k.unique(names, path+".name", w.Name)
+		k.line(path+".owner", w.Owner, true, maxText)
+		if !k.count(path+".token-hashes", len(w.TokenHashes), maxTokens) {
+			continue
+		}
+		for j, h := range w.TokenHashes {
+			at := fmt.Sprintf("%s.token-hashes[%d]", path, j)
+			k.form(at, h, hashForm, hashRule)
+			k.unique(hashes, at, h)
+		}
+	}
+	return names
+}
+
+func (k *checker) entry(path string, e *Entry, workspaces map[string]string) {
+	k.form(path+".name", e.Name, nameForm, nameRule)
+	k.line(path+".owner", e.Owner, true, maxText)
+	oneOf(k, path+".kind", e.Kind, KindLanguage, KindService)
+	oneOf(k, path+".class", e.Class, ClassInteractive, ClassBatch)
+	k.form(path+".version", e.Version, versionForm, versionRule)
+	if !e.MoveBy.IsZero() {
+		k.time(path+".move-by", e.MoveBy)
+	}
+	k.objective(path+".objective", e)
+	k.limits(path+".limits", e.Limits, workspaces)
+	k.repeatable(path+".repeatable", e)
+}
+
+// time checks that a time has a form in RFC 3339.
+func (k *checker) time(path string, t time.Time) {
+	if y := t.UTC().Year(); y < 2000 || y > 9998 {
+		k.add(path, fmt.Sprintf("year %d is out of range", y), "a year from 2000 to 9998")
+	}
+}
+
+func (k *checker) objective(path string, e *Entry) {
+	k.duration(path+".first-token", e.Objective.FirstToken)
+	switch {
+	case e.Kind == KindLanguage:
+		k.duration(path+".between-tokens", e.Objective.BetweenTokens)
+	case e.Kind == KindService && e.Objective.BetweenTokens != 0:
+		k.add(path+".between-tokens", "not for an entry of kind service", "absent")
+	}
+	const allowed = "from 0.5 to 0.99999"
+	switch s := e.Objective.Success; {
+	case s == 0:
+		k.add(path+".success", "missing", allowed)
+	case !(s >= 0.5 && s <= 0.99999):
+		k.add(path+".success", fmt.Sprintf("%v is out of range", s), allowed)
+	}
+}
+
+func (k *checker) duration(path string, d time.Duration) {
+	allowed := "more than 0 and at most " + maxObjective.String()
+	switch {
+	case d == 0:
+		k.add(path, "missing", allowed)
+	case d < 0 || d > maxObjective:
+		k.add(path, fmt.Sprintf("%v is out of range", d), allowed)
+	}
+}
+
+func (k *checker) limits(path string, ls []Limit, workspaces map[string]string) {
+	if !k.count(path, len(ls), maxLimits) {
+		return
+	}
+	seen := make(map[string]string)
+	for i, l := range ls {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		k.unique(seen, at+".workspace", l.Workspace)
+		k.limit(at, l, workspaces)
+	}
+}
+
+func (k *checker) limit(path string, l Limit, workspaces map[string]string) {
+	if _, ok := workspaces[l.Workspace]; !ok && l.Workspace != "" {
+		k.add(path+".workspace", shorten(l.Workspace)+" is not a workspace", "a name under workspaces")
+	} else if l.Workspace == "" {
+		k.add(path+".workspace", "missing", "a name under workspaces")
+	}
+	allowed := fmt.Sprintf("more than 0 and at most %v", maxRate)
+	switch v := l.RequestsPerSecond; {
+	case v == 0:
+		k.add(path+".requests-per-second", "missing or 0", allowed)
+	case !(v > 0 && v <= maxRate):
+		k.add(path+".requests-per-second", fmt.Sprintf("%v is out of range", v), allowed)
+	}
+	allowed = fmt.Sprintf("1 to %d", maxConcurrent)
+	switch v := l.Concurrent; {
+	case v == 0:
+		k.add(path+".concurrent", "missing or 0", allowed)
+	case v < 0 || v > maxConcurrent:
+		k.add(path+".concurrent", fmt.Sprintf("%d is out of range", v), allowed)
+	}
+}
+
+func (k *checker) repeatable(path string, e *Entry) {
+	if !k.count(path, len(e.Repeatable), maxRepeatable) {
+		return
+	}
+	if e.Kind == KindLanguage && len(e.Repeatable) > 0 {
+		k.add(path, "not for an entry of kind language", "absent")
+		return
+	}
+	seen := make(map[string]string)
+	for i, s := range e.Repeatable {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		k.form(at, s, pathForm, pathRule)
+		k.unique(seen, at, s)
+	}
+}
+
+func (k *checker) moves(c *Catalogue) {
+	versions := make(map[string]string)
+	for _, e := range c.Entries {
+		versions[e.Name] = e.Version
+	}
+	if !k.count("moves", len(c.Moves), maxEntries) {
+		return
+	}
+	ids, entries := make(map[string]string), make(map[string]string)
+	for i, m := range c.Moves {
+		path := fmt.Sprintf("moves[%d]", i)
+		k.form(path+".id", m.ID, moveIDForm, "letters, digits, . _ and -")
+		k.unique(ids, path+".id", m.ID)
+		k.unique(entries, path+".entry", m.Entry)
+		if v, ok := versions[m.Entry]; !ok || v != m.To {
+			k.add(path+".to", "the entry's version is "+shorten(v), "the version of the entry")
+		}
+		k.form(path+".from", m.From, versionForm, versionRule)
+		if m.From == m.To {
+			k.add(path+".from", "equal to the version moved to", "another version")
+		}
+		k.time(path+".start", m.Start)
+		k.time(path+".deadline", m.Deadline)
+		k.time(path+".keep-until", m.KeepUntil)
+		if m.Start.After(m.Deadline) || m.Deadline.After(m.KeepUntil) {
+			k.add(path+".deadline", "out of order", "start, deadline and keep-until in this order")
+		}
+	}
+}
+
+// moveIDForm is the form of move IDs, which are part of keys in the store.
+var moveIDForm = regexp.MustCompile(`^[A-Za-z0-9._-]{1,160}$`)
+
+func (k *checker) history(c *Catalogue) {
+	if !k.count("history", len(c.History), maxHistory) {
+		return
+	}
+	k.change("", Change{Operation: c.Operation, Author: c.Author, Comment: c.Comment, Changed: c.Changed})
+	for i, h := range c.History {
+		k.change(fmt.Sprintf("history[%d].", i), h)
+	}
+}
+
+func (k *checker) change(path string, h Change) {
+	k.line(path+"operation", h.Operation, false, maxText)
+	k.line(path+"author", h.Author, false, maxText)
+	k.line(path+"comment", h.Comment, false, maxText)
+	if !h.Changed.IsZero() {
+		k.time(path+"changed", h.Changed)
+	}
+	if !k.count(path+"summary", len(h.Summary), maxSummary) {
+		return
+	}
+	for i, s := range h.Summary {
+		k.line(fmt.Sprintf("%ssummary[%d]", path, i), s, true, maxSummaryLine)
+	}
+}
