Add the catalogue commands, the status format and the settings of serve

Operators could not put a catalogue into the store, and instances had no defined status or settings.

admin.Client applies a file with one compare-and-swap at the revision that the file names. A conflict lists the changes made since, from the history. A lost answer is settled by reading back the operation ID for up to 5 s and never by a second write.

Nothing was measured.

--- /dev/null
+++ b/cmd/wasabiworks/catalogue.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"strings"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/operator/admin"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+	"wasabiworks.example/wasabiworks/internal/platform/kv"
+)
+
+type catalogueCommand struct {
+	Check     checkCommand     `command:"check" description:"check a file without the store"`
+	Diff      diffCommand      `command:"diff" description:"show what an apply of a file would change"`
+	Apply     applyCommand     `command:"apply" description:"replace the catalogue by a file"`
+	Show      showCommand      `command:"show" description:"print the catalogue as a file to edit"`
+	History   historyCommand   `command:"history" description:"list the latest changes"`
+	HashToken hashTokenCommand `command:"hash-token" description:"read a token from standard input and print its hash"`
+}
+
+// fileArgument is the catalogue file of a command.
+type fileArgument struct {
+	Arguments struct {
+		File string `positional-arg-name:"FILE" description:"catalogue file, or - for standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// maxInput is above the size that the parser accepts, so that it reports the
+// size.
+const maxInput = 2 << 20
+
+func (f *fileArgument) parse(a *app) (*catalogue.File, error) {
+	name, r := f.Arguments.File, a.in
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		defer file.Close()
+		r = file
+	} else {
+		name = "stdin"
+	}
+	data, err := io.ReadAll(io.LimitReader(r, maxInput))
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", name, err)
+	}
+	return catalogue.ParseFile(name, data)
+}
+
+type checkCommand struct {
+	fileArgument
+	app *app
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	f, err := c.parse(c.app)
+	if err != nil {
+		return err
+	}
+	data, err := catalogue.Encode(f.Catalogue)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.app.out, "%s is valid: %d workspaces, %d entries, %d of %d bytes\n",
+		c.Arguments.File, len(f.Catalogue.Workspaces), len(f.Catalogue.Entries), len(data), catalogue.MaxEncoded)
+	return nil
+}
+
+// storeOptions are the options of the commands that call the store.
+type storeOptions struct {
+	platformOptions
+	app *app
+}
+
+func (o *storeOptions) client() *admin.Client {
+	return admin.New(admin.Config{Store: kv.New(kv.Config{Address: o.Platform}), Now: o.app.now})
+}
+
+// propose parses a file and checks it against the store.
+func (o *storeOptions) propose(ctx context.Context, f *fileArgument, author, comment string) (*admin.Client, *admin.Proposal, error) {
+	file, err := f.parse(o.app)
+	if err != nil {
+		return nil, nil, err
+	}
+	client := o.client()
+	p, err := client.Propose(ctx, file, author, comment)
+	return client, p, err
+}
+
+type diffCommand struct {
+	storeOptions
+	fileArgument
+}
+
+// Execute implements flags.Commander.
+func (c *diffCommand) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	_, p, err := c.propose(ctx, &c.fileArgument, "", "")
+	if err != nil {
+		return err
+	}
+	c.app.diff(p)
+	return nil
+}
+
+func (a *app) diff(p *admin.Proposal) {
+	if len(p.Diff) == 0 {
+		fmt.Fprintf(a.out, "no change against revision %d\n", p.Base.Revision)
+		return
+	}
+	for _, line := range p.Diff {
+		fmt.Fprintln(a.out, line)
+	}
+}
+
+type applyCommand struct {
+	storeOptions
+	fileArgument
+	Author   string        `long:"author" env:"WASABIWORKS_AUTHOR" value-name:"NAME" description:"who makes the change; the default is the name of the user"`
+	Comment  string        `long:"comment" env:"WASABIWORKS_COMMENT" value-name:"TEXT" description:"why the change is made"`
+	Wait     bool          `long:"wait" env:"WASABIWORKS_WAIT" description:"return once the change is in effect on every live entry instance"`
+	WaitTime time.Duration `long:"wait-time" env:"WASABIWORKS_WAIT_TIME" value-name:"DURATION" default:"30s" description:"time that --wait may take"`
+}
+
+// Execute implements flags.Commander.
+func (c *applyCommand) Execute([]string) error {
+	author := c.Author
+	if author == "" {
+		if u, err := user.Current(); err == nil {
+			author = u.Username
+		}
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	client, p, err := c.propose(ctx, &c.fileArgument, author, c.Comment)
+	if err != nil {
+		return err
+	}
+	c.app.diff(p)
+	revision := p.Base.Revision
+	if len(p.Diff) > 0 {
+		if revision, err = client.Apply(ctx, p); err != nil {
+			return err
+		}
+		fmt.Fprintf(c.app.out, "applied at revision %d, operation %s\n", revision, p.Next.Operation)
+	}
+	if !c.Wait {
+		return nil
+	}
+	return c.wait(revision)
+}
+
+func (c *applyCommand) wait(revision int64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.WaitTime)
+	defer cancel()
+	behind, err := admin.NewFleet(admin.FleetConfig{Platform: c.Platform}).Wait(ctx, revision)
+	if err != nil {
+		return fmt.Errorf("revision %d is applied; whether it is in effect is unknown: %w", revision, err)
+	}
+	if len(behind) == 0 {
+		fmt.Fprintf(c.app.out, "revision %d is in effect on every live entry instance\n", revision)
+		return nil
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "revision %d is applied; after %v it is not known to be in effect on:", revision, c.WaitTime)
+	for _, a := range behind {
+		fmt.Fprintf(&b, "\n  %s: ", a.Instance.ID)
+		if a.Err != nil {
+			fmt.Fprintf(&b, "not reached: %v", a.Err)
+		} else {
+			fmt.Fprintf(&b, "has revision %d", a.Status.CatalogueRevision)
+		}
+	}
+	return errors.New(b.String())
+}
+
+type showCommand struct{ storeOptions }
+
+// Execute implements flags.Commander.
+func (c *showCommand) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	s, err := c.client().Load(ctx)
+	if err != nil {
+		return err
+	}
+	text, err := catalogue.Format(s)
+	if err != nil {
+		return err
+	}
+	_, err = c.app.out.Write(text)
+	return err
+}
+
+type historyCommand struct{ storeOptions }
+
+// Execute implements flags.Commander.
+func (c *historyCommand) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	s, err := c.client().Load(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.app.out, "catalogue at revision %d, latest change first\n", s.Revision)
+	for i := len(s.Catalogue.History) - 1; i >= 0; i-- {
+		h := s.Catalogue.History[i]
+		fmt.Fprintf(c.app.out, "%s %s, from revision %d, operation %s: %s\n", h.Changed.Format(time.RFC3339), h.Author, h.BasedOn, h.Operation, h.Comment)
+		for _, line := range h.Summary {
+			fmt.Fprintf(c.app.out, "  %s\n", line)
+		}
+	}
+	return nil
+}
+
+type hashTokenCommand struct{ app *app }
+
+// Execute implements flags.Commander.
+func (c *hashTokenCommand) Execute([]string) error {
+	line, err := bufio.NewReader(io.LimitReader(c.app.in, 4096)).ReadString('\n')
+	if err != nil && !errors.Is(err, io.EOF) {
+		return fmt.Errorf("read standard input: %w", err)
+	}
+	hash, err := catalogue.HashToken(strings.TrimRight(line, "\r\n"))
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(c.app.out, hash)
+	return nil
+}
--- /dev/null
+++ b/cmd/wasabiworks/fleet.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/operator/admin"
+)
+
+// ask returns the answers of all live entry instances.
+func (o *platformOptions) ask(ctx context.Context) ([]admin.Answer, error) {
+	fleet := admin.NewFleet(admin.FleetConfig{Platform: o.Platform})
+	entries, err := fleet.Entries(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return fleet.Statuses(ctx, entries), nil
+}
+
+// silent lists the instances that did not answer and returns their number.
+func (a *app) silent(answers []admin.Answer) (n int) {
+	for _, x := range answers {
+		if x.Err != nil {
+			fmt.Fprintf(a.out, "%s (%s) did not answer: %v\n", x.Instance.ID, x.Instance.FailureDomain, x.Err)
+			n++
+		}
+	}
+	return n
+}
+
+type movesCommand struct{ storeOptions }
+
+// Execute implements flags.Commander.
+func (c *movesCommand) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	s, err := c.client().Load(ctx)
+	if err != nil {
+		return err
+	}
+	answers, err := c.ask(ctx)
+	if err != nil {
+		return err
+	}
+	states := admin.MoveStates(s.Catalogue, answers)
+	for _, m := range states {
+		fmt.Fprintln(c.app.out, m.Sentence(c.app.now()))
+	}
+	if len(states) == 0 {
+		fmt.Fprintln(c.app.out, "no version moves")
+	}
+	c.app.silent(answers)
+	return nil
+}
+
+type statusCommand struct {
+	platformOptions
+	app *app
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+	answers, err := c.ask(ctx)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(c.app.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "INSTANCE\tFAILURE DOMAIN\tREVISION\tSTATE\tSTARTED")
+	for _, a := range answers {
+		if a.Err == nil {
+			s := &a.Status
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", s.Instance, s.FailureDomain, s.CatalogueRevision, readiness(s), time.Unix(0, s.Incarnation).UTC().Format(time.RFC3339))
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	silent := c.app.silent(answers)
+	fmt.Fprintf(c.app.out, "%d of %d live entry instances answered\n", len(answers)-silent, len(answers))
+	return nil
+}
+
+func readiness(s *admin.Status) string {
+	switch {
+	case s.Leaving:
+		return "leaving"
+	case s.Ready:
+		return "ready"
+	case s.NotReady != "":
+		return "not ready: " + s.NotReady
+	}
+	return "not ready"
+}
--- a/cmd/wasabiworks/main.go
+++ b/cmd/wasabiworks/main.go
@@ -1,4 +1,89 @@
 // Command wasabiworks runs an entry instance and serves its operators.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+func main() {
+	os.Exit(run(&app{in: os.Stdin, out: os.Stdout, errs: os.Stderr, now: time.Now}, os.Args[1:]))
+}
+
+// app is what the commands share with the process.
+type app struct {
+	in        io.Reader
+	out, errs io.Writer
+	now       func() time.Time
+}
+
+// commands is the command line.
+type commands struct {
+	Serve     serveCommand     `command:"serve" description:"run an entry instance"`
+	Catalogue catalogueCommand `command:"catalogue" description:"check, compare and apply the catalogue"`
+	Moves     movesCommand     `command:"moves" description:"show the version moves"`
+	Status    statusCommand    `command:"status" description:"show the live entry instances"`
+	Report    reportCommand    `command:"report" description:"print a report"`
+}
+
+// newParser returns the parser of the command line; execute runs the chosen
+// command.
+func newParser(a *app, execute bool) *flags.Parser {
+	var c commands
+	c.Serve.app = a
+	c.Catalogue.Check.app, c.Catalogue.Diff.app, c.Catalogue.Apply.app = a, a, a
+	c.Catalogue.Show.app, c.Catalogue.History.app, c.Catalogue.HashToken.app = a, a, a
+	c.Moves.app, c.Status.app, c.Report.Burn.app = a, a, a
+	p := flags.NewNamedParser("wasabiworks", flags.HelpFlag|flags.PassDoubleDash)
+	p.CommandHandler = func(c flags.Commander, args []string) error {
+		if c == nil || !execute {
+			return nil
+		}
+		if len(args) > 0 {
+			return fmt.Errorf("unexpected argument %q; allowed: none", args[0])
+		}
+		return c.Execute(args)
+	}
+	if _, err := p.AddGroup("commands", "", &c); err != nil {
+		panic(err) // the tags of commands are wrong
+	}
+	return p
+}
+
+// run executes a command line and returns the exit status.
+func run(a *app, args []string) int {
+	_, err := newParser(a, true).ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(a.out, err)
+		return 0
+	case errors.As(err, &usage):
+		fmt.Fprintln(a.errs, oneLine(err))
+		return 2
+	}
+	fmt.Fprintln(a.errs, err)
+	return 1
+}
+
+// oneLine joins the lines of a usage error.
+func oneLine(err error) string { return strings.Join(strings.Fields(err.Error()), " ") }
+
+// platformOptions are the options of all commands that call the platform.
+type platformOptions struct {
+	Platform string        `long:"platform" env:"WASABIWORKS_PLATFORM" value-name:"IP:PORT" description:"address of the platform API" required:"yes"`
+	Timeout  time.Duration `long:"timeout" env:"WASABIWORKS_TIMEOUT" value-name:"DURATION" default:"30s" description:"time that the command may take, without --wait"`
+}
+
+func (o *platformOptions) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), o.Timeout)
+}
--- /dev/null
+++ b/cmd/wasabiworks/main_test.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/bench/platform"
+	"wasabiworks.example/wasabiworks/internal/operator/admin"
+	"wasabiworks.example/wasabiworks/internal/platform/instances"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// shell runs command lines against a fake platform.
+type shell struct {
+	t         *testing.T
+	directory string
+	platform  string
+}
+
+func newShell(t *testing.T) *shell {
+	fake := platform.New(platform.Config{})
+	server := httptest.NewServer(fake)
+	t.Cleanup(server.Close)
+	t.Cleanup(fake.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	t.Setenv("WASABIWORKS_PLATFORM", address)
+	t.Setenv("WASABIWORKS_AUTHOR", "Asha")
+	directory := t.TempDir()
+	t.Chdir(directory)
+	return &shell{t, directory, address}
+}
+
+func (s *shell) run(in string, args ...string) (status int, out, errs string) {
+	s.t.Helper()
+	var o, e bytes.Buffer
+	status = run(&app{in: strings.NewReader(in), out: &o, errs: &e, now: func() time.Time { return start }}, args)
+	return status, o.String(), e.String()
+}
+
+// must runs a command that succeeds and returns its output.
+func (s *shell) must(in string, args ...string) string {
+	s.t.Helper()
+	status, out, errs := s.run(in, args...)
+	if status != 0 {
+		s.t.Fatalf("%q: exit status %d, stderr %q, want 0", args, status, errs)
+	}
+	return out
+}
+
+func (s *shell) write(name, text string) {
+	s.t.Helper()
+	if err := os.WriteFile(filepath.Join(s.directory, name), []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// instance registers an entry instance that serves body on /status.
+func (s *shell) instance(id string, status admin.Status) {
+	s.t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(status)
+	}))
+	s.t.Cleanup(server.Close)
+	s.register(id, strings.TrimPrefix(server.URL, "http://"))
+}
+
+func (s *shell) register(id, address string) {
+	s.t.Helper()
+	err := instances.New(instances.Config{Address: s.platform}).Register(s.t.Context(), instances.Instance{
+		ID: id, Role: instances.RoleEntry, Region: "morava", FailureDomain: "brno-a", State: instances.StateLive,
+		Address: address, PeerAddress: address, OperationsAddress: address,
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+const example = `
+workspaces: [{name: mills, owner: Asha}]
+entries:
+  - {name: sack-assist, owner: Asha, kind: language, class: batch, version: v1,
+     objective: {first-token: 1s, between-tokens: 41ms, success: 0.99}}
+`
+
+// Guards against an apply that loses another operator's change, against shown
+// files that cannot be applied, and against bad input that changes anything.
+func TestCatalogueCommands(t *testing.T) {
+	s := newShell(t)
+	s.write("first.yaml", example)
+	s.must("", "catalogue", "check", "first.yaml")
+	s.must("", "catalogue", "apply", "--comment", "first", "first.yaml")
+	shown := s.must("", "catalogue", "show")
+	if out := s.must(shown, "catalogue", "apply", "-"); out != "no change against revision 1\n" {
+		t.Errorf("apply of the shown file printed %q, want no change", out)
+	}
+	edited := strings.Replace(shown, "version: v1", "version: v2\n    move-by: 2026-12-04T09:00:00Z", 1)
+	if out := s.must(edited, "catalogue", "diff", "-"); !strings.Contains(out, "version: v1 -> v2") {
+		t.Errorf("diff printed %q, want the version", out)
+	}
+	s.must(edited, "catalogue", "apply", "--author", "Jana", "-")
+
+	for _, tt := range []struct {
+		name, in, want string
+		lines          int
+	}{
+		{"conflict", strings.Replace(shown, "owner: Asha", "owner: Petr", 1), "Jana at 2026-12-04T08:00:00Z", 0},
+		{"no move-by", strings.Replace(strings.Replace(s.must("", "catalogue", "show"), "version: v2", "version: v3", 1), "2026-12-04T09", "2026-12-04T07", 1), "stdin:", 1},
+		{"two errors", "colour: red\nworkspaces: [{name: x}]\n", "stdin:1: colour: unknown field", 2},
+	} {
+		before := s.must("", "catalogue", "show")
+		status, out, errs := s.run(tt.in, "catalogue", "apply", "-")
+		if status == 0 || out != "" || !strings.Contains(errs, tt.want) || tt.lines > 0 && strings.Count(errs, "\n") != tt.lines {
+			t.Errorf("%s: exit status %d, stdout %q, stderr %q, want an error with %q", tt.name, status, out, errs, tt.want)
+		}
+		if after := s.must("", "catalogue", "show"); after != before {
+			t.Errorf("%s: the catalogue changed to %s", tt.name, after)
+		}
+	}
+	if out := s.must("", "catalogue", "history"); !strings.Contains(out, "from revision 1") || !strings.Contains(out, ": first\n") {
+		t.Errorf("history printed %q, want both changes", out)
+	}
+}
+
+// Guards against a token in the output or a hash that the catalogue rejects.
+func TestHashToken(t *testing.T) {
+	s := newShell(t)
+	hash := s.must("0123456789abcdef\n", "catalogue", "hash-token")
+	s.write("f.yaml", "workspaces: [{name: mills, owner: Asha, token-hashes: ["+strings.TrimSpace(hash)+"]}]\n")
+	s.must("", "catalogue", "check", "f.yaml")
+	if status, out, errs := s.run("secret\n", "catalogue", "hash-token"); status == 0 || strings.Contains(out+errs, "secret") {
+		t.Errorf("hash-token of a short token: exit status %d, output %q, want an error without the token", status, out+errs)
+	}
+}
+
+// Guards against an apply --wait that succeeds without every instance.
+func TestApplyWaits(t *testing.T) {
+	s := newShell(t)
+	s.instance("entry-1", admin.Status{Instance: "entry-1", CatalogueRevision: 1 << 40})
+	if out := s.must(example, "catalogue", "apply", "--wait", "-"); !strings.Contains(out, "in effect on every live entry instance") {
+		t.Errorf("apply --wait printed %q", out)
+	}
+	s.instance("entry-2", admin.Status{Instance: "entry-2"})
+	s.register("entry-3", "127.0.0.1:1")
+	status, _, errs := s.run(s.must("", "catalogue", "show"), "catalogue", "apply", "--wait", "--wait-time", "100ms", "-")
+	if status != 1 || strings.Contains(errs, "entry-1") || !strings.Contains(errs, "entry-2: has revision 0") || !strings.Contains(errs, "entry-3: not reached") {
+		t.Errorf("apply --wait: exit status %d, stderr %q, want entry-2 and entry-3 named", status, errs)
+	}
+}
+
+// Guards against instances that are left out because they do not answer.
+func TestFleetCommands(t *testing.T) {
+	s := newShell(t)
+	s.must(example, "catalogue", "apply", "-")
+	edited := strings.Replace(s.must("", "catalogue", "show"), "version: v1", "version: v2\n    move-by: 2026-12-04T09:00:00Z", 1)
+	var id string
+	for _, line := range strings.Split(s.must(edited, "catalogue", "apply", "-"), "\n") {
+		if strings.HasPrefix(line, "+ move ") {
+			id = strings.Split(strings.TrimPrefix(line, "+ move "), ":")[0]
+		}
+	}
+	s.instance("entry-1", admin.Status{
+		Instance: "entry-1", FailureDomain: "brno-a", Ready: true, CatalogueRevision: 2,
+		Moves: []admin.Move{{ID: id, Share: 0.02, Phase: admin.PhaseRunning}},
+	})
+	s.register("entry-2", "127.0.0.1:1")
+	moves, status := s.must("", "moves"), s.must("", "status")
+	for _, want := range []string{"sack-assist from v1 to v2 is moving; 2%", "entry-2 (brno-a) did not answer"} {
+		if !strings.Contains(moves, want) {
+			t.Errorf("moves printed %q, want %q", moves, want)
+		}
+	}
+	for _, want := range []string{"entry-1   brno-a          2         ready", "entry-2 (brno-a) did not answer", "1 of 2 live"} {
+		if !strings.Contains(status, want) {
+			t.Errorf("status printed %q, want %q", status, want)
+		}
+	}
+}
+
+// Guards against usage errors that take several lines or exit with status 0.
+func TestUsageErrors(t *testing.T) {
+	s := newShell(t)
+	for _, args := range [][]string{{}, {"unknown\ncommand"}, {"catalogue", "check"}, {"catalogue", "apply", "--wait-time", "soon", "x"}, {"moves", "extra"}, {"catalogue", "check", "absent.yaml"}} {
+		status, out, errs := s.run("", args...)
+		if status == 0 || out != "" || strings.Count(errs, "\n") != 1 {
+			t.Errorf("%q: exit status %d, stdout %q, stderr %q, want one line and a status other than 0", args, status, out, errs)
+		}
+	}
+	if status, out, _ := s.run("", "--help"); status != 0 || !strings.Contains(out, "catalogue") {
+		t.Errorf("--help: exit status %d, stdout %q", status, out)
+	}
+}
--- /dev/null
+++ b/internal/operator/admin/errors.go
@@ -0,0 +1,78 @@
+package admin
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+	"wasabiworks.example/wasabiworks/internal/platform/kv"
+)
+
+var namespace = errorx.NewNamespace("admin")
+
+// Types of errors that operators act on in different ways.
+var (
+	// ErrStore means that the store could not be read or written and that
+	// nothing was changed.
+	ErrStore = namespace.NewType("store")
+	// ErrUnsettled means that a write may yet take effect.
+	ErrUnsettled = namespace.NewType("unsettled")
+	// ErrInvalid means that the stored catalogue cannot be read.
+	ErrInvalid = namespace.NewType("invalid")
+)
+
+// storeError translates an error of the store.
+func storeError(action string, err error) error {
+	switch {
+	case errors.Is(err, kv.ErrTooLarge):
+		return ErrStore.Wrap(err, "%s: the catalogue is too large; nothing was changed", action)
+	default:
+		return ErrStore.Wrap(err, "%s: the store did not answer; nothing was changed", action)
+	}
+}
+
+// Conflict means that the catalogue is not at the revision that a file was
+// made from. Nothing was changed.
+type Conflict struct {
+	BasedOn, Current int64
+	// Changes are the other operators' changes since, oldest first.
+	Changes []catalogue.Change
+	// Incomplete is true if the history no longer reaches back to BasedOn.
+	Incomplete bool
+}
+
+func newConflict(basedOn int64, s *catalogue.Snapshot) *Conflict {
+	c := &Conflict{BasedOn: basedOn, Current: s.Revision, Incomplete: true}
+	for _, h := range s.Catalogue.History {
+		if h.BasedOn >= basedOn {
+			c.Changes = append(c.Changes, h)
+			c.Incomplete = c.Incomplete && h.BasedOn != basedOn
+		}
+	}
+	return c
+}
+
+// Error names each change since and says how to go on.
+func (c *Conflict) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "conflict: the file is based on revision %d, the catalogue is at %d; nothing was changed\n", c.BasedOn, c.Current)
+	if c.Current < c.BasedOn {
+		b.WriteString("the file comes from another catalogue\n")
+	} else if c.Incomplete {
+		b.WriteString("changes since, of which the first are no longer in the history:\n")
+	} else {
+		b.WriteString("changes since:\n")
+	}
+	for _, h := range c.Changes {
+		fmt.Fprintf(&b, "  %s at %s, operation %s: %s\n", h.Author, h.Changed.Format(time.RFC3339), h.Operation, h.Comment)
+		for _, line := range h.Summary {
+			fmt.Fprintf(&b, "    %s\n", line)
+		}
+	}
+	b.WriteString("to go on, run wasabiworks catalogue show, repeat the edit in its output and apply that")
+	return b.String()
+}
--- /dev/null
+++ b/internal/operator/admin/store.go
@@ -0,0 +1,197 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+	"wasabiworks.example/wasabiworks/internal/platform/kv"
+)
+
+// Keys of the store that operators read and write.
+const (
+	// CatalogueKey holds the catalogue.
+	CatalogueKey = "catalogue"
+	// VetoPrefix, followed by the ID of a move, is present once the move has
+	// been rolled back.
+	VetoPrefix = "vetoes/"
+)
+
+// A lost answer is read back for up to settleReads times settlePause, which
+// exceeds the time that a client waits for a slow write.
+const (
+	settleReads = 10
+	settlePause = 500 * time.Millisecond
+)
+
+// Config configures a Client.
+type Config struct {
+	Store kv.Store
+	// Now is the clock for changes and moves; the default is time.Now.
+	Now func() time.Time
+	// Pause waits between two reads of the store; the default uses a timer.
+	Pause func(ctx context.Context, d time.Duration) error
+	// Operation returns a new operation ID; the default is a random UUID.
+	Operation func() string
+}
+
+// Client reads and replaces the catalogue in the store.
+type Client struct{ config Config }
+
+// New returns a client. It makes no call.
+func New(config Config) *Client {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.Pause == nil {
+		config.Pause = pause
+	}
+	if config.Operation == nil {
+		config.Operation = uuid.NewString
+	}
+	return &Client{config}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// Load returns the catalogue in the store; it is empty at revision 0 before
+// the first apply.
+func (c *Client) Load(ctx context.Context) (*catalogue.Snapshot, error) {
+	v, err := c.config.Store.Get(ctx, CatalogueKey)
+	if errors.Is(err, kv.ErrAbsent) {
+		return catalogue.NewSnapshot(0, &catalogue.Catalogue{}), nil
+	}
+	if err != nil {
+		return nil, storeError("read the catalogue", err)
+	}
+	got, err := catalogue.Decode(v.Data)
+	if err != nil {
+		return nil, ErrInvalid.Wrap(err, "the catalogue in the store at revision %d cannot be read", v.Revision)
+	}
+	return catalogue.NewSnapshot(v.Revision, got), nil
+}
+
+// Proposal is a change that has passed all checks and is not written yet.
+type Proposal struct {
+	Base *catalogue.Snapshot
+	Next *catalogue.Catalogue
+	// Diff is empty if the file changes nothing.
+	Diff []string
+
+	data []byte
+}
+
+// Propose checks the file against the catalogue in the store. Errors are
+// *Conflict, catalogue.Problems and those of the store.
+func (c *Client) Propose(ctx context.Context, f *catalogue.File, author, comment string) (*Proposal, error) {
+	base, err := c.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if base.Revision != f.BasedOn {
+		return nil, newConflict(f.BasedOn, base)
+	}
+	vetoed, err := c.vetoed(ctx, base, f.Catalogue)
+	if err != nil {
+		return nil, err
+	}
+	now := c.config.Now()
+	if err := f.CheckChange(base.Catalogue, now, vetoed); err != nil {
+		return nil, err
+	}
+	change := catalogue.Change{Operation: c.config.Operation(), Author: author, Comment: comment, Changed: now}
+	next, data, err := catalogue.Succeed(base.Catalogue, base.Revision, f.Catalogue, change, vetoed)
+	if err != nil {
+		return nil, err
+	}
+	return &Proposal{Base: base, Next: next, Diff: catalogue.Diff(base.Catalogue, next), data: data}, nil
+}
+
+// vetoed reads the vetoes of the moves that next could end or alter.
+func (c *Client) vetoed(ctx context.Context, base *catalogue.Snapshot, next *catalogue.Catalogue) (catalogue.Vetoed, error) {
+	declared := catalogue.NewSnapshot(0, next)
+	vetoes := make(map[string]bool)
+	for _, m := range base.Catalogue.Moves {
+		e, ok := declared.Entry(m.Entry)
+		if ok && e.Version == m.To && (e.MoveBy.IsZero() || e.MoveBy.Equal(m.Deadline)) {
+			continue
+		}
+		_, err := c.config.Store.Get(ctx, VetoPrefix+m.ID)
+		if err != nil && !errors.Is(err, kv.ErrAbsent) {
+			return nil, storeError("read the veto of move "+m.ID, err)
+		}
+		vetoes[m.ID] = err == nil
+	}
+	return func(move string) bool { return vetoes[move] }, nil
+}
+
+// Apply writes the proposal with one compare-and-swap and returns the
+// revision at which it is in the store. Errors are *Conflict, ErrStore and
+// ErrUnsettled.
+func (c *Client) Apply(ctx context.Context, p *Proposal) (revision int64, err error) {
+	revision, err = c.config.Store.Put(ctx, CatalogueKey, p.data, p.Base.Revision)
+	switch {
+	case err == nil:
+		return revision, nil
+	case errors.Is(err, kv.ErrUnknown), errors.Is(err, kv.ErrConflict):
+		return c.settle(ctx, p)
+	default:
+		return 0, storeError("write the catalogue", err)
+	}
+}
+
+// settle finds out whether a write took effect by reading back its operation
+// ID. It never writes again: a second write could undo another operator's
+// change that was based on the first.
+func (c *Client) settle(ctx context.Context, p *Proposal) (int64, error) {
+	var last error
+	for range settleReads {
+		s, err := c.Load(ctx)
+		switch {
+		case err != nil:
+			last = err
+		case applied(s.Catalogue, p.Next.Operation):
+			return s.Revision, nil
+		case s.Revision != p.Base.Revision:
+			return 0, newConflict(p.Base.Revision, s)
+		default:
+			last = nil
+		}
+		if err := c.config.Pause(ctx, settlePause); err != nil {
+			last = err
+			break
+		}
+	}
+	const message = "the answer to the write was lost and the catalogue does not show operation %s, which may yet take effect; " +
+		"look for it with wasabiworks catalogue history before you apply again"
+	if last != nil {
+		return 0, ErrUnsettled.Wrap(last, message, p.Next.Operation)
+	}
+	return 0, ErrUnsettled.New(message, p.Next.Operation)
+}
+
+// applied reports whether the catalogue contains the operation, which other
+// changes may have followed.
+func applied(c *catalogue.Catalogue, operation string) bool {
+	if c.Operation == operation {
+		return true
+	}
+	for _, h := range c.History {
+		if h.Operation == operation {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/operator/settings/check.go
@@ -0,0 +1,172 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds on settings. The longest notice that the platform gives is a few
+// minutes.
+const (
+	minDrainNotice = time.Second
+	maxDrainNotice = 10 * time.Minute
+	maxPrice       = 1e6
+)
+
+const nameRule = "1 to 63 of a-z, 0-9, . and -, starting and ending with a letter or digit"
+
+var (
+	nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+	levels   = []string{"debug", "info", "warn", "error"}
+)
+
+// Problem is an error in one setting.
+type Problem struct {
+	// Flag is the name of the setting without dashes.
+	Flag    string
+	Message string
+	Allowed string
+}
+
+// Error returns the problem as one line that names flag and variable.
+func (p Problem) Error() string {
+	return fmt.Sprintf("--%s (%s): %s; allowed: %s", p.Flag, variable(p.Flag), p.Message, p.Allowed)
+}
+
+// Problems are all errors in the settings.
+type Problems []Problem
+
+// Error returns one line for each problem.
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// variable returns the environment variable of a flag.
+func variable(flag string) string {
+	for _, f := range reflect.VisibleFields(reflect.TypeFor[Settings]()) {
+		if f.Tag.Get("long") == flag {
+			return f.Tag.Get("env")
+		}
+	}
+	return ""
+}
+
+// checker collects problems.
+type checker struct{ problems Problems }
+
+func (c *checker) add(flag, message, allowed string) {
+	c.problems = append(c.problems, Problem{flag, message, allowed})
+}
+
+// Check returns all errors in the settings as Problems.
+func (s *Settings) Check() error {
+	var c checker
+	c.name("instance", s.Instance)
+	c.name("region", s.Region)
+	c.name("failure-domain", s.FailureDomain)
+	c.addresses(s)
+	if s.DrainNotice < minDrainNotice || s.DrainNotice > maxDrainNotice {
+		c.add("drain-notice", fmt.Sprintf("%v is out of range", s.DrainNotice), fmt.Sprintf("%v to %v", minDrainNotice, maxDrainNotice))
+	}
+	c.name("class", s.Class)
+	if !(s.Price >= 0 && s.Price <= maxPrice) || math.Signbit(s.Price) {
+		c.add("price", fmt.Sprintf("%v is out of range", s.Price), fmt.Sprintf("0 to %v", maxPrice))
+	}
+	c.files(s)
+	if !slices.Contains(levels, s.LogLevel) {
+		c.add("log-level", fmt.Sprintf("%q is not valid", s.LogLevel), strings.Join(levels, ", "))
+	}
+	if len(c.problems) > 0 {
+		return c.problems
+	}
+	return nil
+}
+
+func (c *checker) name(flag, value string) {
+	if value == "" {
+		c.add(flag, "missing", nameRule)
+	} else if !nameForm.MatchString(value) {
+		c.add(flag, fmt.Sprintf("%.80q is not valid", value), nameRule)
+	}
+}
+
+func (c *checker) addresses(s *Settings) {
+	used := make(map[string]string)
+	for _, a := range []struct {
+		flag, value string
+		anyPort     bool
+	}{
+		{"client-address", s.ClientAddress, true},
+		{"peer-address", s.PeerAddress, true},
+		{"operations-address", s.OperationsAddress, true},
+		{"platform", s.Platform, false},
+	} {
+		if !c.address(a.flag, a.value, a.anyPort) || strings.HasSuffix(a.value, ":0") {
+			continue
+		}
+		if first, ok := used[a.value]; ok {
+			c.add(a.flag, fmt.Sprintf("%q is the value of --%s too", a.value, first), "an address of its own")
+		}
+		used[a.value] = a.flag
+	}
+}
+
+// address accepts IP addresses that others can connect to.
+func (c *checker) address(flag, value string, anyPort bool) bool {
+	allowed := "IP:PORT with a port from 1 to 65535"
+	if anyPort {
+		allowed = "IP:PORT with a specific IP address and a port from 0 to 65535"
+	}
+	if value == "" {
+		c.add(flag, "missing", allowed)
+		return false
+	}
+	a, err := netip.ParseAddrPort(value)
+	if err != nil || a.Addr().IsUnspecified() || a.Port() == 0 && !anyPort {
+		c.add(flag, fmt.Sprintf("%.80q is not valid", value), allowed)
+		return false
+	}
+	return true
+}
+
+func (c *checker) files(s *Settings) {
+	if (s.Certificate == "") != (s.Key == "") {
+		missing := "key"
+		if s.Certificate == "" {
+			missing = "certificate"
+		}
+		c.add(missing, "missing", "certificate and key together, or neither")
+	}
+	if s.PeerCA != "" && s.Certificate == "" {
+		c.add("peer-ca", "set without a certificate", "together with --certificate and --key")
+	}
+	if s.PeerCA == "" && s.Certificate != "" {
+		c.add("peer-ca", "missing", "a file, because --certificate is set")
+	}
+	ok := true
+	for _, f := range []struct{ flag, path string }{{"certificate", s.Certificate}, {"key", s.Key}, {"peer-ca", s.PeerCA}} {
+		if f.path == "" {
+			continue
+		}
+		if _, err := os.ReadFile(f.path); err != nil {
+			c.add(f.flag, err.Error(), "a readable file")
+			ok = false
+		}
+	}
+	if ok && s.Certificate != "" && s.Key != "" && s.PeerCA != "" {
+		if _, _, err := s.TLS(); err != nil {
+			c.add("certificate", err.Error(), "PEM files of a certificate, its key and the peers' authorities")
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/settings/settings_test.go
@@ -0,0 +1,106 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/matryer/is"
+)
+
+func valid() Settings {
+	return Settings{
+		Instance: "entry-1", Region: "morava", FailureDomain: "brno-a",
+		ClientAddress: "127.0.0.1:8080", PeerAddress: "127.0.0.1:0", OperationsAddress: "127.0.0.1:0",
+		Platform: "127.0.0.1:9000", DrainNotice: 25 * time.Second, Class: "small", LogLevel: "info",
+	}
+}
+
+// Guards against a process that starts with a setting out of range, and
+// against errors that are reported one at a time.
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Settings)
+		want   []string // flags with a problem
+	}{
+		{"valid", func(*Settings) {}, nil},
+		{"empty", func(s *Settings) { *s = Settings{} }, []string{"instance", "region", "failure-domain", "client-address", "peer-address", "operations-address", "platform", "drain-notice", "class", "log-level"}},
+		{"name", func(s *Settings) { s.Instance = "a b" }, []string{"instance"}},
+		{"address without a port", func(s *Settings) { s.ClientAddress = "127.0.0.1" }, []string{"client-address"}},
+		{"address that peers cannot reach", func(s *Settings) { s.PeerAddress = "0.0.0.0:80" }, []string{"peer-address"}},
+		{"platform without a port", func(s *Settings) { s.Platform = "127.0.0.1:0" }, []string{"platform"}},
+		{"address used twice", func(s *Settings) { s.PeerAddress = s.ClientAddress }, []string{"peer-address"}},
+		{"drain notice", func(s *Settings) { s.DrainNotice = time.Hour }, []string{"drain-notice"}},
+		{"price", func(s *Settings) { s.Price = -1 }, []string{"price"}},
+		{"certificate alone", func(s *Settings) { s.Certificate = "check.go" }, []string{"key", "peer-ca"}},
+		{"authorities alone", func(s *Settings) { s.PeerCA = "check.go" }, []string{"peer-ca"}},
+		{"absent files", func(s *Settings) { s.Certificate, s.Key, s.PeerCA = "absent", "absent", "absent" }, []string{"certificate", "key", "peer-ca"}},
+		{"not PEM", func(s *Settings) { s.Certificate, s.Key, s.PeerCA = "check.go", "check.go", "check.go" }, []string{"certificate"}},
+		{"log level", func(s *Settings) { s.LogLevel = "loud" }, []string{"log-level"}},
+	}
+	for _, tt := range tests {
+		s := valid()
+		tt.change(&s)
+		var got []string
+		if err := s.Check(); err != nil {
+			for _, p := range err.(Problems) {
+				got = append(got, p.Flag)
+			}
+		}
+		if !slices.Equal(got, tt.want) {
+			t.Errorf("%s: Check reports %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against a flag without an environment variable, and against a flag
+// that does not take precedence over it.
+func TestFlagsAndVariables(t *testing.T) {
+	is := is.New(t)
+	for _, f := range reflect.VisibleFields(reflect.TypeFor[Settings]()) {
+		want := "WASABIWORKS_" + strings.ToUpper(strings.ReplaceAll(f.Tag.Get("long"), "-", "_"))
+		is.Equal(f.Tag.Get("env"), want)
+	}
+	t.Setenv("WASABIWORKS_DRAIN_NOTICE", "30s")
+	t.Setenv("WASABIWORKS_PRICE", "0.5")
+	t.Setenv("WASABIWORKS_RECLAIMABLE", "true")
+	var s Settings
+	_, err := flags.NewParser(&s, flags.None).ParseArgs([]string{"--price", "0.25"})
+	is.NoErr(err)
+	is.Equal(s.DrainNotice, 30*time.Second)
+	is.Equal(s.Price, 0.25)
+	is.Equal(s.Reclaimable, true)
+}
+
+// Guards against a page for operators that differs from the program.
+func TestPageListsSettings(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operate/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got, want []string
+	for _, line := range strings.Split(string(page), "\n") {
+		if strings.HasPrefix(line, "| `--") {
+			got = append(got, line)
+		}
+	}
+	for _, f := range reflect.VisibleFields(reflect.TypeFor[Settings]()) {
+		unit, value := f.Tag.Get("value-name"), "none"
+		if f.Type.Kind() == reflect.Bool {
+			unit, value = "switch", "off"
+		}
+		if d := f.Tag.Get("default"); d != "" {
+			value = "`" + d + "`"
+		}
+		want = append(want, fmt.Sprintf("| `--%s` | `%s` | %s | %s | %s |", f.Tag.Get("long"), f.Tag.Get("env"), value, unit, f.Tag.Get("description")))
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("settings.md has\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
