Serve a request end to end as separate processes

Cause: the parts were not yet connected to processes that start. Change: wasabiworks serve, the demo's catalogue and readiness, and a count of recomputed tokens that leaves out the first attempt of a request, whose prompt had never been computed before.

--- a/cmd/wasabiworks/serve.go
+++ b/cmd/wasabiworks/serve.go
@@ -1,8 +1,16 @@
 package main
 
 import (
+	"context"
 	"errors"
+	"fmt"
+	"net"
+	"os/signal"
+	"syscall"
 
+	"go.uber.org/zap"
+
+	"wasabiworks.example/wasabiworks/internal/entry/instance"
 	"wasabiworks.example/wasabiworks/internal/operator/settings"
 )
 
@@ -16,5 +24,55 @@
 	if err := c.Check(); err != nil {
 		return err
 	}
-	return errors.New("serve is not implemented yet")
+	// Further signals do nothing: a second SIGTERM does not speed up a planned
+	// shutdown.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	i, err := c.instance()
+	if err != nil {
+		return err
+	}
+	return i.Run(ctx)
+}
+
+// instance opens the listeners and composes the instance.
+func (c *serveCommand) instance() (*instance.Instance, error) {
+	log, err := c.logger()
+	if err != nil {
+		return nil, err
+	}
+	clientTLS, peerTLS, err := c.TLS()
+	if err != nil {
+		return nil, err
+	}
+	addresses := []string{c.ClientAddress, c.PeerAddress, c.OperationsAddress}
+	listeners := make([]net.Listener, len(addresses))
+	for i, address := range addresses {
+		if listeners[i], err = net.Listen("tcp", address); err != nil {
+			return nil, errors.Join(fmt.Errorf("listen on %s: %w", address, err), closeAll(listeners[:i]))
+		}
+	}
+	return instance.New(instance.Config{
+		ID: c.Instance, Region: c.Region, FailureDomain: c.FailureDomain, Class: c.Class,
+		Price: c.Price, Reclaimable: c.Reclaimable, Platform: c.Platform,
+		Client: listeners[0], Peer: listeners[1], Operations: listeners[2],
+		ClientTLS: clientTLS, PeerTLS: peerTLS, DrainNotice: c.DrainNotice, Log: log,
+	})
+}
+
+func closeAll(ls []net.Listener) (err error) {
+	for _, l := range ls {
+		err = errors.Join(err, l.Close())
+	}
+	return err
+}
+
+func (c *serveCommand) logger() (*zap.Logger, error) {
+	level, err := zap.ParseAtomicLevel(c.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	config := zap.NewProductionConfig()
+	config.Level = level
+	return config.Build()
 }
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -26,6 +26,9 @@
 // moveTime is how long the demo's version move may take.
 const moveTime = 12 * time.Second
 
+// maxFaults is the number of failed requests that are printed.
+const maxFaults = 10
+
 // Run starts the system, drives it and stops it. It returns an error if any
 // response was wrong, incomplete or doubled, or if a process failed.
 func Run(ctx context.Context, c Config) error {
@@ -38,7 +41,11 @@
 	d.progress("stopping all processes")
 	faults := d.topology.stop()
 	d.report(time.Since(started))
-	for _, f := range d.tally.faults {
+	for i, f := range d.tally.faults {
+		if i == maxFaults {
+			faults = append(faults, fmt.Errorf("and %d more", len(d.tally.faults)-i))
+			break
+		}
 		faults = append(faults, errors.New(f))
 	}
 	return errors.Join(append([]error{err}, faults...)...)
@@ -242,22 +249,11 @@
 	Phase string  `json:"phase"`
 }
 
-func (d *demo) status(ctx context.Context, e entryInstance, into any) error {
-	data, err := fetch(ctx, "http://"+e.operations+"/status")
-	if err != nil {
-		return err
-	}
-	if err := json.Unmarshal(data, into); err != nil {
-		return fmt.Errorf("status of %s: %w", e.id, err)
-	}
-	return nil
-}
-
 func (d *demo) revision(ctx context.Context) (int64, error) {
 	var s struct {
 		Revision int64 `json:"catalogue-revision"`
 	}
-	err := d.status(ctx, d.topology.entries[0], &s)
+	err := d.topology.entries[0].status(ctx, &s)
 	return s.Revision, err
 }
 
@@ -265,7 +261,7 @@
 	var s struct {
 		Moves []moveStatus `json:"moves"`
 	}
-	if err := d.status(ctx, d.topology.entries[0], &s); err != nil {
+	if err := d.topology.entries[0].status(ctx, &s); err != nil {
 		return moveStatus{}, err
 	}
 	for _, m := range s.Moves {
@@ -283,7 +279,7 @@
 			Recomputed int64   `json:"recomputed-tokens"`
 			Cost       float64 `json:"cost"`
 		}
-		if err := d.status(ctx, e, &s); err != nil {
+		if err := e.status(ctx, &s); err != nil {
 			return err
 		}
 		d.totals.generated += s.Generated
--- a/internal/bench/demo/process.go
+++ b/internal/bench/demo/process.go
@@ -81,11 +81,19 @@
 
 // waitFor polls url until it answers with status 200 or ctx ends.
 func waitFor(ctx context.Context, url string) error {
+	return poll(ctx, func() error {
+		_, err := fetch(ctx, url)
+		return err
+	})
+}
+
+// poll calls check until it succeeds or ctx ends.
+func poll(ctx context.Context, check func() error) error {
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
 	last := errors.New("no response yet")
 	for {
-		_, err := fetch(ctx, url)
+		err := check()
 		if err == nil {
 			return nil
 		}
@@ -94,7 +102,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("wait for %s: %w", url, last)
+			return fmt.Errorf("timed out: %w", last)
 		case <-tick.C:
 		}
 	}
--- a/internal/bench/demo/topology.go
+++ b/internal/bench/demo/topology.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -50,7 +51,7 @@
 		return err
 	}
 	t.platform = address
-	p, err := startProcess(t.config.Binaries, t.config.Logs, "platform", "standin", "platform", "--address", address)
+	p, err := startProcess(t.config.Binaries, t.config.Logs, "platform", "standin", "platform", "--listen", address)
 	if err != nil {
 		return err
 	}
@@ -83,8 +84,8 @@
 	}
 	id := fmt.Sprintf("engine-%s-%d", domain, i)
 	p, err := startProcess(t.config.Binaries, t.config.Logs, id, "standin", "engine",
-		"--id", id, "--address", address, "--platform", t.platform, "--entry", languageEntry,
-		"--region", region, "--failure-domain", domain, "--versions", oldVersion, "--versions", newVersion)
+		"--id", id, "--listen", address, "--platform", t.platform, "--entry", languageEntry,
+		"--region", region, "--failure-domain", domain, "--version", oldVersion, "--version", newVersion)
 	if err != nil {
 		return err
 	}
@@ -99,7 +100,7 @@
 	}
 	id := "service-" + domain
 	p, err := startProcess(t.config.Binaries, t.config.Logs, id, "standin", "service",
-		"--id", id, "--address", address, "--platform", t.platform, "--entry", serviceEntry,
+		"--id", id, "--listen", address, "--platform", t.platform, "--entry", serviceEntry,
 		"--region", region, "--failure-domain", domain)
 	if err != nil {
 		return err
@@ -139,12 +140,43 @@
 		"--author", "demo", "--wait", file)
 }
 
-// ready waits until every entry instance accepts requests.
+// ready waits until every entry instance accepts requests and knows all
+// backend servers, which the instance list names with a lag.
 func (t *topology) ready(ctx context.Context) error {
 	for _, e := range t.entries {
 		if err := waitFor(ctx, "http://"+e.operations+"/readyz"); err != nil {
 			return err
 		}
+		if err := t.knowsBackends(ctx, e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *topology) knowsBackends(ctx context.Context, e entryInstance) error {
+	return poll(ctx, func() error {
+		var s struct {
+			Backends []json.RawMessage `json:"backends"`
+		}
+		if err := e.status(ctx, &s); err != nil {
+			return err
+		}
+		if got, want := len(s.Backends), len(t.engines)+len(t.services); got != want {
+			return fmt.Errorf("%s knows %d backend servers, want %d", e.id, got, want)
+		}
+		return nil
+	})
+}
+
+// status reads the status of an entry instance.
+func (e entryInstance) status(ctx context.Context, into any) error {
+	data, err := fetch(ctx, "http://"+e.operations+"/status")
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("status of %s: %w", e.id, err)
 	}
 	return nil
 }
--- a/internal/caller/openai/attempt.go
+++ b/internal/caller/openai/attempt.go
@@ -31,6 +31,9 @@
 	// free is true if the next attempt is not charged to the retry budget:
 	// an announced reclaim must not fail a request.
 	free bool
+	// interrupted is true once an attempt ended before its last frame, though
+	// the server had begun it.
+	interrupted bool
 
 	// These belong to the attempt under way.
 	backend  route.Backend
@@ -269,7 +272,11 @@
 		u = *f.Usage
 	}
 	r.record.Prompt, r.record.Cached = u.Prompt, r.record.Cached+u.Cached
-	r.record.Recomputed += u.Recomputed
+	if r.interrupted {
+		// The engine reports every token that it computed for the prompt; only
+		// after an interrupted attempt were they computed before.
+		r.record.Recomputed += u.Recomputed
+	}
 	r.finished = true
 	r.g.mu.Lock()
 	r.g.usage = u
@@ -283,6 +290,7 @@
 	switch {
 	case errors.Is(err, errMoved):
 		s.cancel(a)
+		r.interrupted = true
 		r.free = true
 		r.exclude = append(r.exclude, r.backend.ID)
 		r.report(false, "")
@@ -309,6 +317,7 @@
 // lost notes an attempt that failed after bytes were sent.
 func (r *run) lost(a *engine.Attempt, err error) {
 	s := r.s
+	r.interrupted = true
 	r.exclude = append(r.exclude, r.backend.ID)
 	if a.From > 0 && a.Import == "" && errorx.IsOfType(err, engine.Lost) {
 		r.record.Recomputed += a.From // its own count is lost with it
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -285,11 +286,12 @@
 		Node: node, FailureDomain: i.config.FailureDomain, Snapshots: i.mover, Limiter: i.limiter, Versions: i.mover,
 		Router: i.config.Route, Fleet: i.fleet, Engine: i.engine, Budget: budget,
 		Poison:   poisons{i.poison, func() { i.exchange.Notify() }, i.now},
-		Recorder: i.recorder,
+		Recorder: i.recorder, Now: i.now, Random: rand.Uint64,
 	})
 	i.services = services.New(services.Config{
 		Node: node, FailureDomain: i.config.FailureDomain, Snapshots: i.mover, Limiter: i.limiter, Versions: i.mover,
 		Router: i.config.Route, Fleet: i.fleet, Client: i.service, Budget: budget, Journal: calls{i.journal}, Recorder: i.recorder,
+		Now: i.now, Random: rand.Uint64,
 	})
 }
 
@@ -346,16 +348,13 @@
 }
 
 func serveHTTP(s *http.Server, l net.Listener) error {
-	err := errors.New("no listener")
 	if s.TLSConfig != nil {
-		err = s.ServeTLS(l, "", "")
-	} else {
-		err = s.Serve(l)
+		l = tls.NewListener(l, s.TLSConfig)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
 	}
-	return err
+	return nil
 }
 
 // drain completes the requests in progress. Requests that the load balancer
--- a/internal/operator/admin/status.go
+++ b/internal/operator/admin/status.go
@@ -32,6 +32,8 @@
 	RecomputedTokens uint64 `json:"recomputed-tokens"`
 	// PricePerHour is the price of the instance itself.
 	PricePerHour float64 `json:"price-per-hour"`
+	// Cost is what the attempts of this incarnation cost on backend servers.
+	Cost float64 `json:"cost"`
 }
 
 // Member is an entry instance as another one sees it.
