Add the load tool

Changes to the serving system have to be compared on the workloads of both users, and every response has to be checked.

Package load sends seeded Poisson arrivals of a mix without waiting for earlier responses, checks contents against package answer, resumes broken streams with Last-Event-ID and compares the calls of plain services with the runs that the fakes counted. cmd/load writes reports as JSON and compares two of them. As net/http repeats a lost request that has an Idempotency-Key header, the tool sends the header under a name that the transport does not recognise.

--- /dev/null
+++ b/internal/bench/load/compare.go
@@ -0,0 +1,94 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"text/tabwriter"
+)
+
+// Difference is one figure of two reports.
+type Difference struct {
+	Name string
+	A, B float64
+}
+
+// Change returns the relative change from A to B in percent; it is not a
+// number if A is 0.
+func (d Difference) Change() float64 {
+	if d.A == 0 {
+		return math.NaN()
+	}
+	return (d.B - d.A) / d.A * 100
+}
+
+// Compare returns the figures of two reports, those of all classes first.
+func Compare(a, b *Report) []Difference {
+	ds := []Difference{
+		{"start-lag p99-ms", a.StartLag.P99, b.StartLag.P99},
+		{"recomputed prompt tokens", recomputed(a), recomputed(b)},
+		{"resumed", float64(a.Resumed), float64(b.Resumed)},
+		{"failovers", float64(a.Failovers), float64(b.Failovers)},
+	}
+	ds = append(ds, compareClass("total", &a.Total, &b.Total)...)
+	for _, name := range slices.Sorted(maps.Keys(a.Classes)) {
+		if other := b.Classes[name]; other != nil {
+			ds = append(ds, compareClass(name, a.Classes[name], other)...)
+		}
+	}
+	return ds
+}
+
+// recomputed is the number of prompt tokens that engines had to compute again
+// or for the first time.
+func recomputed(r *Report) float64 {
+	return float64(r.Tokens.Prompt - r.Tokens.Cached)
+}
+
+func compareClass(name string, a, b *ClassReport) []Difference {
+	ds := []Difference{{name + " sent", float64(a.Sent), float64(b.Sent)}}
+	for _, o := range []Outcome{Answered, NotRun, Unknown, Wrong, CutOff, Doubled, Unsent} {
+		if a.Outcomes[o]+b.Outcomes[o] > 0 {
+			ds = append(ds, Difference{name + " " + string(o), float64(a.Outcomes[o]), float64(b.Outcomes[o])})
+		}
+	}
+	ds = append(ds, compareSummary(name+" first-token", a.FirstToken, b.FirstToken)...)
+	ds = append(ds, compareSummary(name+" between-tokens", a.BetweenTokens, b.BetweenTokens)...)
+	return append(ds, compareSummary(name+" duration", a.Duration, b.Duration)...)
+}
+
+func compareSummary(name string, a, b Summary) []Difference {
+	if a.Count+b.Count == 0 {
+		return nil
+	}
+	return []Difference{
+		{name + " p50-ms", a.P50, b.P50},
+		{name + " p95-ms", a.P95, b.P95},
+		{name + " p99-ms", a.P99, b.P99},
+	}
+}
+
+// WriteComparison writes a table of two reports. It warns if they are not runs
+// of the same workload.
+func WriteComparison(w io.Writer, a, b *Report) error {
+	if a.Mix != b.Mix || a.Seed != b.Seed || a.Rate != b.Rate || a.TokenScale != b.TokenScale {
+		if _, err := fmt.Fprintln(w, "warning: mix, seed, rate or token scale differ"); err != nil {
+			return fmt.Errorf("write comparison: %w", err)
+		}
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "figure\tA\tB\tchange\t")
+	for _, d := range Compare(a, b) {
+		change := "-"
+		if c := d.Change(); !math.IsNaN(c) {
+			change = fmt.Sprintf("%+.1f%%", c)
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%.6g\t%.6g\t%s\t\n", d.Name, d.A, d.B, change)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write comparison: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/load/recorder.go
@@ -0,0 +1,139 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// maxMicroseconds is the largest time that is recorded; longer ones are
+	// recorded as this.
+	maxMicroseconds = int64(5 * time.Minute / time.Microsecond)
+	// digits is the precision of histograms in significant decimal digits.
+	digits = 3
+	// maxDetails bounds the explanations in a report.
+	maxDetails = 20
+)
+
+// recorder collects the results of a run and is safe for concurrent use.
+type recorder struct {
+	mu       sync.Mutex
+	report   *Report
+	startLag *hdrhistogram.Histogram
+	total    *histograms
+	classes  map[string]*histograms
+}
+
+type histograms struct {
+	firstToken, betweenTokens, duration *hdrhistogram.Histogram
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxMicroseconds, digits)
+}
+
+func newHistograms() *histograms {
+	return &histograms{newHistogram(), newHistogram(), newHistogram()}
+}
+
+func newRecorder(c Config, started time.Time) *recorder {
+	r := &recorder{
+		report: &Report{
+			Mix: c.Mix.Name, Seed: c.Seed, Run: c.Run, Rate: c.Rate, TokenScale: c.TokenScale, Started: started,
+			Total:   ClassReport{Outcomes: make(map[Outcome]int)},
+			Classes: make(map[string]*ClassReport),
+			Codes:   make(map[string]int),
+		},
+		startLag: newHistogram(),
+		total:    newHistograms(),
+		classes:  make(map[string]*histograms),
+	}
+	for _, class := range c.Mix.Classes {
+		r.report.Classes[class.Name] = &ClassReport{Outcomes: make(map[Outcome]int)}
+		r.classes[class.Name] = newHistograms()
+	}
+	return r
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// The value is within the histogram's range, so there is no error.
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxMicroseconds))
+}
+
+// lag records how late a request was sent.
+func (r *recorder) lag(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record(r.startLag, d)
+}
+
+// result records a call that was planned for a time and ended at another.
+func (r *recorder) result(class string, planned, ended time.Time, out result, resent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.report.Classes[class]
+	for _, k := range []*ClassReport{&r.report.Total, c} {
+		k.Sent++
+		k.Outcomes[out.outcome]++
+	}
+	if resent {
+		r.report.Resent++
+	}
+	r.report.Resumed += out.resumed
+	r.report.Failovers += out.failovers
+	r.report.Tokens.add(out.usage)
+	if out.code != "" {
+		r.report.Codes[out.code]++
+	}
+	r.detail(class, out)
+	if out.outcome != Answered {
+		return
+	}
+	for _, h := range []*histograms{r.total, r.classes[class]} {
+		record(h.firstToken, out.first.Sub(planned))
+		record(h.duration, ended.Sub(planned))
+		for _, d := range out.between {
+			record(h.betweenTokens, d)
+		}
+	}
+}
+
+func (r *recorder) detail(class string, out result) {
+	if out.detail != "" && len(r.report.Details) < maxDetails {
+		r.report.Details = append(r.report.Details, class+": "+string(out.outcome)+": "+out.detail)
+	}
+}
+
+// finish returns the report.
+func (r *recorder) finish(now time.Time) *Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.report
+	p.Seconds = now.Sub(p.Started).Seconds()
+	p.StartLag = summarise(r.startLag)
+	r.total.summarise(&p.Total)
+	for name, h := range r.classes {
+		h.summarise(p.Classes[name])
+	}
+	return p
+}
+
+func (h *histograms) summarise(c *ClassReport) {
+	c.FirstToken = summarise(h.firstToken)
+	c.BetweenTokens = summarise(h.betweenTokens)
+	c.Duration = summarise(h.duration)
+}
+
+func summarise(h *hdrhistogram.Histogram) Summary {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Summary{
+		Count: h.TotalCount(),
+		P50:   at(50),
+		P95:   at(95),
+		P99:   at(99),
+		P999:  at(99.9),
+		Max:   float64(h.Max()) / 1000,
+	}
+}
--- /dev/null
+++ b/internal/bench/load/run.go
@@ -0,0 +1,147 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// readyTimeout bounds the wait for the first ready entry instance.
+	readyTimeout = 15 * time.Second
+	readyPause   = 50 * time.Millisecond
+)
+
+// ErrInvalid means that a configuration is invalid.
+var ErrInvalid = errors.New("invalid load configuration")
+
+var errNotReady = errors.New("no entry instance became ready")
+
+// runner is a run in progress.
+type runner struct {
+	config   Config
+	client   *client
+	recorder *recorder
+	services serviceCalls
+	// slots holds one element per concurrent request.
+	slots chan struct{}
+	calls sync.WaitGroup
+}
+
+// Run sends the requests of a mix until the bounds are reached or ctx ends,
+// waits for the responses and returns the report. Errors are ErrInvalid and
+// that no entry instance is ready.
+func Run(ctx context.Context, config Config) (*Report, error) {
+	if err := config.validate(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	config = config.withDefaults(time.Now())
+	b := newBalancer(config)
+	// Responses are awaited after ctx has ended, so the balancer goes on.
+	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var g errgroup.Group
+	g.Go(func() error { b.watch(watching); return nil })
+	defer func() {
+		stop()
+		_ = g.Wait()
+	}()
+	if err := b.await(ctx); err != nil {
+		return nil, err
+	}
+	r := &runner{
+		config:   config,
+		client:   newClient(b),
+		recorder: newRecorder(config, time.Now()),
+		slots:    make(chan struct{}, config.Outstanding),
+	}
+	r.arrivals(ctx)
+	r.calls.Wait()
+	r.checkRuns(watching)
+	return r.recorder.finish(time.Now()), nil
+}
+
+// await waits until an entry instance is ready.
+func (b *balancer) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for len(b.next()) == 0 {
+		select {
+		case <-ctx.Done():
+			return errNotReady
+		case <-time.After(readyPause):
+		}
+	}
+	return nil
+}
+
+// arrivals starts each request at its time, whether or not earlier ones have
+// been answered.
+func (r *runner) arrivals(ctx context.Context) {
+	g := newGenerator(r.config)
+	start := time.Now()
+	for {
+		q := g.next()
+		if q.At > r.config.Duration || (r.config.Count > 0 && q.Index >= r.config.Count) {
+			return
+		}
+		planned := start.Add(q.At)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(planned)):
+		}
+		r.recorder.lag(time.Since(planned))
+		r.start(ctx, q, planned, false)
+		if q.Resend > 0 {
+			r.calls.Go(func() {
+				time.Sleep(q.Resend)
+				r.start(ctx, q, planned.Add(q.Resend), true)
+			})
+		}
+	}
+}
+
+// start makes a call in the background, unless too many are running.
+func (r *runner) start(ctx context.Context, q Request, planned time.Time, resent bool) {
+	select {
+	case r.slots <- struct{}{}:
+	default:
+		r.recorder.result(q.Class.Name, planned, planned, result{outcome: Unsent}, resent)
+		return
+	}
+	r.calls.Go(func() {
+		defer func() { <-r.slots }()
+		// A run that is stopped still waits for its responses.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.config.Timeout)
+		defer cancel()
+		out := r.client.call(ctx, q)
+		ended := time.Now()
+		if q.Class.Kind == Service {
+			r.services.add(serviceCall{q.Class.Name, q.Key, planned, ended, out, resent})
+			return
+		}
+		r.recorder.result(q.Class.Name, planned, ended, out, resent)
+	})
+}
+
+// checkRuns judges and records the calls of plain services.
+func (r *runner) checkRuns(ctx context.Context) {
+	addresses := r.client.balancer.services(r.config.Services)
+	check := "none"
+	if len(addresses) > 0 {
+		runs, complete := fetchRuns(ctx, addresses)
+		r.services.judge(runs, complete)
+		check = "partial"
+		if complete {
+			check = "complete"
+		}
+	}
+	for _, c := range r.services.list {
+		r.recorder.result(c.class, c.planned, c.ended, c.out, c.resent)
+	}
+	r.recorder.report.RunCheck = check
+}
--- /dev/null
+++ b/internal/bench/load/run_test.go
@@ -0,0 +1,246 @@
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+
+	"wasabiworks.example/wasabiworks/internal/bench/answer"
+	"wasabiworks.example/wasabiworks/internal/bench/service"
+)
+
+// entry answers like an entry instance, with a fault.
+type entry struct {
+	fault   string
+	service *service.Server
+}
+
+func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch e.fault {
+	case "not-run", "unknown":
+		w.Header().Set("Wasabiworks-Outcome", e.fault)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"error":{"message":"m","code":"c"}}`)
+		return
+	case "no outcome":
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case "no response":
+		panic(http.ErrAbortHandler)
+	}
+	if path, ok := strings.CutPrefix(r.URL.Path, "/v1/services/kalendar-app"); ok {
+		e.serveService(w, r, path)
+		return
+	}
+	var body struct {
+		Prompt   string
+		Messages []answer.Message
+		Max      int `json:"max_tokens"`
+		Stream   bool
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if body.Messages != nil {
+		body.Prompt = answer.ChatPrompt(body.Messages)
+	}
+	a := answer.For(body.Prompt)
+	if !body.Stream {
+		text := a.Text(body.Max)
+		choice := fmt.Sprintf(`"text":%q`, text)
+		if body.Messages != nil {
+			choice = fmt.Sprintf(`"message":{"content":%q}`, text)
+		}
+		_, _ = fmt.Fprintf(w, `{"choices":[{%s,"finish_reason":%q}]}`, choice, a.Finish(body.Max))
+		return
+	}
+	e.stream(w, r, a, body.Max)
+}
+
+func (e *entry) serveService(w http.ResponseWriter, r *http.Request, path string) {
+	r.URL.Path = path
+	if e.fault == "doubled" {
+		body, _ := io.ReadAll(r.Body)
+		for range 2 {
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			e.service.ServeHTTP(httptest.NewRecorder(), r)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	if e.fault == "rejects after the run" {
+		e.service.ServeHTTP(httptest.NewRecorder(), r)
+		w.Header().Set("Wasabiworks-Outcome", "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"error":{}}`)
+		return
+	}
+	e.service.ServeHTTP(w, r)
+}
+
+func (e *entry) stream(w http.ResponseWriter, r *http.Request, a answer.Response, limit int) {
+	from := 0
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-ID")); err == nil {
+		from = last + 1
+	}
+	for i := from; i < a.Length(limit); i++ {
+		token, finish := a.Token(i), ""
+		if e.fault == "wrong token" && i == 3 {
+			token = a.Token(4)
+		}
+		if i == 5 && from == 0 {
+			switch e.fault {
+			case "break":
+				panic(http.ErrAbortHandler)
+			case "break without ID":
+				return
+			case "failure":
+				_, _ = fmt.Fprint(w, "data: {\"error\":{\"message\":\"m\",\"code\":\"c\"},\"outcome\":\"unknown\"}\n\n")
+				return
+			}
+		}
+		if i == a.Length(limit)-1 {
+			finish = a.Finish(limit)
+		}
+		if e.fault != "break without ID" {
+			_, _ = fmt.Fprintf(w, "id: %d\n", i)
+		}
+		_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q},\"finish_reason\":%q}]}\n\n", token, finish)
+		_ = http.NewResponseController(w).Flush()
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// mixOf returns a mix with only the given class of the mix dvorak.
+func mixOf(t *testing.T, class string) Mix {
+	m, err := MixNamed("dvorak")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range m.Classes {
+		if c.Name == class {
+			m.Classes = []Class{c}
+			return m
+		}
+	}
+	t.Fatalf("no class %s", class)
+	return m
+}
+
+// Guards against a tool that counts a broken guarantee as an answer, or an
+// honest failure as a broken guarantee.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		class, fault string
+		want         Outcome
+	}{
+		{"quick-question", "", Answered},
+		{"customer-reply", "", Answered},
+		{"quick-question", "not-run", NotRun},
+		{"quick-question", "unknown", Unknown},
+		{"quick-question", "no outcome", Wrong},
+		{"quick-question", "no response", Unknown},
+		{"quick-question", "wrong token", Wrong},
+		{"quick-question", "break", Answered}, // resumed
+		{"quick-question", "break without ID", CutOff},
+		{"quick-question", "failure", Unknown},
+		{"booking", "", Answered},
+		{"booking", "not-run", NotRun},
+		{"booking", "doubled", Doubled},
+		{"booking", "rejects after the run", Wrong},
+	} {
+		t.Run(c.class+" "+c.fault, func(t *testing.T) {
+			plain := service.New(service.Config{})
+			backend := httptest.NewServer(plain)
+			defer backend.Close()
+			h := httptest.NewServer(&entry{fault: c.fault, service: plain})
+			defer h.Close()
+			mix := mixOf(t, c.class)
+			mix.Classes[0].Resent = 0
+			const n = 8
+			r, err := Run(t.Context(), Config{
+				Mix: mix, Seed: 1, Rate: 1000, Duration: time.Minute, Count: n,
+				Targets: []string{strings.TrimPrefix(h.URL, "http://")}, Services: []string{strings.TrimPrefix(backend.URL, "http://")},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(map[Outcome]int{c.want: n}, r.Total.Outcomes); diff != "" {
+				t.Errorf("outcomes with fault %q (-want +got):\n%s%s", c.fault, diff, strings.Join(r.Details, "\n"))
+			}
+			if c.fault == "break" && r.Resumed != n {
+				t.Errorf("%d of %d streams were resumed", r.Resumed, n)
+			}
+			if r.RunCheck != "complete" {
+				t.Errorf("run check is %s", r.RunCheck)
+			}
+		})
+	}
+}
+
+// Guards against a run that cannot be repeated from its seed.
+func TestGeneratorIsReproducible(t *testing.T) {
+	for _, name := range []string{"kuttanad", "dvorak"} {
+		m, err := MixNamed(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := Config{Mix: m, Seed: 7, Run: "r", Rate: 10, TokenScale: 0.5}
+		a, b := newGenerator(c), newGenerator(c)
+		c.Seed = 8
+		other := newGenerator(c)
+		var last, differ time.Duration
+		for range 200 {
+			q := a.next()
+			if r := b.next(); !reflect.DeepEqual(q, r) {
+				t.Fatalf("mix %s differs with the same seed:\n%s", name, cmp.Diff(q, r))
+			}
+			last, differ = q.At, differ+(other.next().At-q.At).Abs()
+		}
+		if rate := 200 / last.Seconds(); rate < 7 || rate > 14 {
+			t.Errorf("mix %s arrives at %.1f/s with seed 7, want about 10/s", name, rate)
+		}
+		if differ == 0 {
+			t.Errorf("mix %s is the same with another seed", name)
+		}
+	}
+}
+
+// Guards against a run without a bound or with a meaningless one.
+func TestInvalidConfigNamesAllErrors(t *testing.T) {
+	is := is.New(t)
+	_, err := Run(t.Context(), Config{Rate: -1})
+	is.True(err != nil)
+	for _, name := range []string{"mix", "rate", "duration", "targets"} {
+		if !strings.Contains(err.Error(), name) {
+			t.Errorf("error %q does not name %s", err, name)
+		}
+	}
+}
+
+// Guards against a comparison that misses a difference.
+func TestCompare(t *testing.T) {
+	is := is.New(t)
+	report := func(wrong int, p95 float64) *Report {
+		c := ClassReport{Sent: 10, Outcomes: map[Outcome]int{Wrong: wrong, Answered: 10 - wrong}, FirstToken: Summary{Count: 10, P95: p95}}
+		return &Report{Mix: "dvorak", Total: c, Classes: map[string]*ClassReport{"a": &c}}
+	}
+	var out bytes.Buffer
+	is.NoErr(WriteComparison(&out, report(0, 100), report(2, 150)))
+	for _, want := range []string{"total first-token p95-ms", "+50.0%", "a wrong"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("comparison lacks %q:\n%s", want, out.String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/load/runs.go
@@ -0,0 +1,110 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/platform/instances"
+)
+
+const (
+	runsTimeout = 5 * time.Second
+	// maxRuns bounds the run counts of a fake in bytes.
+	maxRuns = 256 << 20
+)
+
+// serviceCall is a finished call of a plain service.
+type serviceCall struct {
+	class          string
+	key            string
+	planned, ended time.Time
+	out            result
+	resent         bool
+}
+
+// serviceCalls are held back until the run counts of the fakes are known.
+type serviceCalls struct {
+	mu   sync.Mutex
+	list []serviceCall
+}
+
+func (s *serviceCalls) add(c serviceCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, c)
+}
+
+// judge compares the outcomes with the run counts. If the counts are partial,
+// only runs that were seen are judged.
+func (s *serviceCalls) judge(runs map[string]int, complete bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rejected := make(map[string]bool)
+	for _, c := range s.list {
+		all, seen := rejected[c.key]
+		rejected[c.key] = (all || !seen) && c.out.outcome == NotRun
+	}
+	for i := range s.list {
+		c := &s.list[i]
+		switch n := runs[c.key]; {
+		case n > 1:
+			c.out.fail(Doubled, "key %s ran %d times", c.key, n)
+		case n == 1 && rejected[c.key]:
+			c.out.fail(Wrong, "key %s was rejected as not run and ran", c.key)
+		case n == 0 && c.out.outcome == Answered && complete:
+			c.out.fail(Wrong, "key %s was answered and did not run", c.key)
+		}
+	}
+}
+
+// services returns the addresses of the plain services in the instance list.
+func services(all []instances.Instance) []string {
+	var out []string
+	for _, i := range all {
+		if i.Role == instances.RoleBackend && i.Kind == instances.KindService {
+			out = append(out, i.Address)
+		}
+	}
+	return out
+}
+
+// fetchRuns adds up the run counts of fakes. It reports whether all of them
+// could be read.
+func fetchRuns(ctx context.Context, addresses []string) (runs map[string]int, complete bool) {
+	runs, complete = make(map[string]int), true
+	for _, a := range addresses {
+		counts, err := fetchRunsOf(ctx, a)
+		if err != nil {
+			complete = false
+			continue
+		}
+		for key, n := range counts {
+			runs[key] += n
+		}
+	}
+	return runs, complete
+}
+
+func fetchRunsOf(ctx context.Context, address string) (map[string]int, error) {
+	ctx, cancel := context.WithTimeout(ctx, runsTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/runs", nil)
+	if err != nil {
+		return nil, fmt.Errorf("read runs of %s: %w", address, err)
+	}
+	p, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("read runs of %s: %w", address, err)
+	}
+	defer func() { _ = p.Body.Close() }()
+	var counts map[string]int
+	if err := json.NewDecoder(io.LimitReader(p.Body, maxRuns)).Decode(&counts); err != nil {
+		return nil, fmt.Errorf("read runs of %s: %w", address, err)
+	}
+	return counts, nil
+}
