Reject older revisions in watches of the key-value service

A service that lost its latest writes could make a watcher go back to an older value. Watch now takes such an answer for no change.

New tests also cover that a lost write on a reused connection is sent once and that response bodies are bounded. They pass three times in a row with -race; nothing was measured.

--- a/internal/platform/kv/client.go
+++ b/internal/platform/kv/client.go
@@ -124,7 +124,12 @@
 			return Value{}, err
 		}
 		if p.Status != http.StatusNoContent {
-			return value(p)
+			v, err := value(p)
+			// A service that lost its latest writes must not make a watcher
+			// go back.
+			if err != nil || v.Revision > after {
+				return v, err
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/platform/kv/client_test.go
+++ b/internal/platform/kv/client_test.go
@@ -5,10 +5,13 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"wasabiworks.example/wasabiworks/internal/platform/rest"
 )
 
 // Guards against a lost response being taken for a write without effect, and
@@ -42,6 +45,58 @@
 	}
 }
 
+// Guards against a transport that repeats a lost write by itself: on a reused
+// connection, net/http does so for requests that it takes to be idempotent.
+func TestLostWriteIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	var writes atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet {
+			writes.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Revision", "1")
+	}))
+	defer server.Close()
+	c := New(Config{Address: server.URL})
+	for i := range int32(20) {
+		_, err := c.Get(t.Context(), "a") // opens the connection
+		is.NoErr(err)
+		if i%2 == 0 {
+			_, err = c.Put(t.Context(), "a", []byte("1"), 0)
+		} else {
+			err = c.Delete(t.Context(), "a", 1)
+		}
+		is.True(errors.Is(err, ErrUnknown))
+		is.Equal(writes.Load(), i+1)
+	}
+}
+
+// Guards against a watcher that ends, goes back to an older revision or calls
+// an absent value a change.
+func TestWatchWaitsForANewerRevision(t *testing.T) {
+	is := is.New(t)
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		is.Equal(r.URL.String(), "/watch/a/b%20c?after=7")
+		calls++
+		switch calls {
+		case 1:
+			w.WriteHeader(http.StatusNoContent)
+		case 2:
+			w.Header().Set("Revision", "6")
+		default:
+			w.Header().Set("Revision", "8")
+			_, _ = w.Write([]byte("8"))
+		}
+	}))
+	defer server.Close()
+	v, err := New(Config{Address: server.URL}).Watch(t.Context(), "a/b c", 7)
+	is.NoErr(err)
+	is.Equal(v, Value{Data: []byte("8"), Revision: 8})
+	is.Equal(calls, 3)
+}
+
 // Guards against calling a write unknown when no server accepted a connection.
 func TestWriteWithoutConnection(t *testing.T) {
 	is := is.New(t)
@@ -84,3 +139,16 @@
 	is.NoErr(err)
 	is.Equal(l.Deadline, start.Add(13*time.Second))
 }
+
+// Guards against a response that exhausts the memory.
+func TestResponseIsBounded(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Revision", "1")
+		_, _ = w.Write(make([]byte, MaxValue+1))
+	}))
+	defer server.Close()
+	_, err := New(Config{Address: server.URL}).Get(t.Context(), "a")
+	is.True(errors.Is(err, ErrUnavailable))
+	is.True(errors.Is(err, rest.ErrBodyTooLarge))
+}
