Count tokens at engine fakes and let them restart after a crash

Experiments compare recomputed tokens, which clients cannot see when a stream is resumed, and poison requests need engines that come back as a supervised process would.

GET /totals of an engine fake sums the tokens of its attempts.

--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
+	"strconv"
+	"strings"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
 	"wasabiworks.example/wasabiworks/internal/bench/engine"
+	"wasabiworks.example/wasabiworks/internal/bench/fault"
 	"wasabiworks.example/wasabiworks/internal/bench/lifecycle"
 	"wasabiworks.example/wasabiworks/internal/bench/service"
 	"wasabiworks.example/wasabiworks/internal/platform/cloud"
@@ -18,6 +23,10 @@
 // reclaimed.
 const reclaimedStatus = 4
 
+// crashedStatus is the exit status of a process that could not restart after a
+// crash.
+const crashedStatus = 3
+
 // instanceOptions are the flags of backend servers.
 type instanceOptions struct {
 	ID            string  `long:"id" env:"WASABIWORKS_STANDIN_ID" required:"true" description:"instance ID"`
@@ -28,6 +37,20 @@
 	Class         string  `long:"class" env:"WASABIWORKS_STANDIN_CLASS" default:"standard" description:"machine class"`
 	Reclaimable   bool    `long:"reclaimable" env:"WASABIWORKS_STANDIN_RECLAIMABLE" description:"whether the instance can be reclaimed"`
 	Price         float64 `long:"price" env:"WASABIWORKS_STANDIN_PRICE" default:"0.12" description:"price per hour"`
+
+	Faults []string `long:"fault" env:"WASABIWORKS_STANDIN_FAULTS" env-delim:"," description:"fault from the start, as KIND or KIND=VALUE, can be repeated"`
+}
+
+// inject applies the faults that are given as flags. Unlike those that are
+// injected over HTTP, they outlast a restart.
+func (o instanceOptions) inject(target interface{ Inject(fault.Fault) error }) error {
+	for _, f := range o.Faults {
+		kind, value, _ := strings.Cut(f, "=")
+		if err := target.Inject(fault.Fault{Kind: kind, Value: value}); err != nil {
+			return fmt.Errorf("--fault %s: %w", f, err)
+		}
+	}
+	return nil
 }
 
 // accompany returns the registration of a backend server, or nil without a
@@ -78,6 +101,8 @@
 	EventGap       int           `long:"event-gap" env:"WASABIWORKS_STANDIN_EVENT_GAP" default:"17" description:"every so many cache events one is lost, 0 for none"`
 	VersionDelay   time.Duration `long:"version-delay" env:"WASABIWORKS_STANDIN_VERSION_DELAY" default:"500ms" description:"time to load a version"`
 	ChecksFence    bool          `long:"checks-fence" env:"WASABIWORKS_STANDIN_CHECKS_FENCE" description:"reject commands with a stale fencing token"`
+	Restart        bool          `long:"restart" env:"WASABIWORKS_STANDIN_RESTART" description:"restart the process after a poison request instead of ending it"`
+	RestartDelay   time.Duration `long:"restart-delay" env:"WASABIWORKS_STANDIN_RESTART_DELAY" default:"1s" description:"time until a restarted process listens"`
 	Crashes        int           `long:"crashes" env:"WASABIWORKS_STANDIN_CRASHES" default:"0" description:"crashes before this process"`
 }
 
@@ -90,7 +115,15 @@
 	if err != nil {
 		return err
 	}
+	var exit func()
+	if c.Restart {
+		if c.Crashes > 0 {
+			time.Sleep(c.RestartDelay)
+		}
+		exit = func() { restart(log, c.Crashes+1) }
+	}
 	s := engine.New(engine.Config{
+		Exit:           exit,
 		Entry:          c.Entry,
 		Versions:       c.Versions,
 		Slots:          c.Slots,
@@ -106,9 +139,24 @@
 		ChecksFence:    c.ChecksFence,
 		Crashes:        c.Crashes,
 	})
+	if err := c.inject(s); err != nil {
+		return err
+	}
 	return c.serve(log, server{handler: s, leave: s.Leave, accompany: c.accompany(log, instances.KindLanguage, s.Left())})
 }
 
+// restart replaces the process by a new one, which breaks all connections. It
+// appends the number of crashes, which takes precedence over an earlier flag.
+func restart(log *zap.Logger, crashes int) {
+	log.Info("restarting after a crash", zap.Int("crashes", crashes))
+	program, err := os.Executable()
+	if err == nil {
+		err = syscall.Exec(program, append(os.Args, "--crashes="+strconv.Itoa(crashes)), os.Environ())
+	}
+	log.Error("process was not restarted", zap.Error(err))
+	os.Exit(crashedStatus)
+}
+
 type serviceCommand struct {
 	serveOptions
 	instanceOptions
@@ -127,5 +175,8 @@
 		return err
 	}
 	s := service.New(service.Config{Slots: c.Slots, Delay: c.Delay})
+	if err := c.inject(s); err != nil {
+		return err
+	}
 	return c.serve(log, server{handler: s, leave: s.Leave, accompany: c.accompany(log, instances.KindService, s.Left())})
 }
--- a/internal/bench/engine/generate.go
+++ b/internal/bench/engine/generate.go
@@ -193,6 +193,8 @@
 		return
 	}
 	u := s.usage(a)
+	s.runs.began(u)
+	defer func() { s.runs.ended(int(a.next.Load()) - a.body.From) }()
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	out := newFrames(w, s, a)
 	if out.flush() != nil {
--- a/internal/bench/engine/runs.go
+++ b/internal/bench/engine/runs.go
@@ -18,11 +18,23 @@
 	Ran      int    `json:"ran"`
 }
 
+// Totals counts tokens since the start of the process.
+type Totals struct {
+	// Incarnation changes when the process restarts.
+	Incarnation string `json:"incarnation"`
+	Ran         int    `json:"ran"`
+	Prompt      int    `json:"prompt"`
+	Cached      int    `json:"cached"`
+	Recomputed  int    `json:"recomputed"`
+	Generated   int    `json:"generated"`
+}
+
 // runs is the log of attempts in order of arrival.
 type runs struct {
 	mu   sync.Mutex
 	list []*Run
 	byID map[string]*Run
+	sums Totals
 }
 
 func (l *runs) received(b body, attempt string) *Run {
@@ -57,6 +69,29 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.Ran++
+	l.sums.Ran++
+}
+
+// began counts the tokens of an attempt's prompt.
+func (l *runs) began(u usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sums.Prompt += u.Prompt
+	l.sums.Cached += u.Cached
+	l.sums.Recomputed += u.Recomputed
+}
+
+// ended counts the tokens that an attempt generated.
+func (l *runs) ended(generated int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sums.Generated += generated
+}
+
+func (l *runs) totals() Totals {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sums
 }
 
 func (l *runs) all() []Run {
--- a/internal/bench/engine/server.go
+++ b/internal/bench/engine/server.go
@@ -115,6 +115,15 @@
 	return s.runs.all()
 }
 
+// Totals returns the tokens of the attempts that ran so far.
+func (s *Server) Totals() Totals {
+	t := s.runs.totals()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.Incarnation = s.incarnation
+	return t
+}
+
 func (s *Server) routes() *http.ServeMux {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /generate", s.generate)
@@ -126,6 +135,7 @@
 	m.HandleFunc("PUT /state", s.command)
 	m.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) { respond(w, s.State()) })
 	m.HandleFunc("POST /faults", fault.Handler(s.Inject))
+	m.HandleFunc("GET /totals", func(w http.ResponseWriter, _ *http.Request) { respond(w, s.Totals()) })
 	m.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) {
 		respond(w, struct {
 			Runs []Run `json:"runs"`
