Inject faults and meter cost during load runs

Experiments need faults at fixed times, poison requests whose callers retry, and the figures that both users compare: the price of the backend servers and the tokens that engines compute.

With a platform address, the report holds the price of the listed backend servers and the engines' token counts, and it lists outcomes by workspace. Comparisons use the engines' recomputed tokens instead of those in the responses, which do not include resumptions.

The tests pass five times in a row with -race. Nothing was measured.

--- a/internal/bench/load/compare.go
+++ b/internal/bench/load/compare.go
@@ -28,7 +28,9 @@
 func Compare(a, b *Report) []Difference {
 	ds := []Difference{
 		{"start-lag p99-ms", a.StartLag.P99, b.StartLag.P99},
-		{"recomputed prompt tokens", recomputed(a), recomputed(b)},
+		{"cost", a.Cost, b.Cost},
+		{"recomputed tokens", float64(a.Engines.Recomputed), float64(b.Engines.Recomputed)},
+		{"generated tokens", float64(a.Engines.Generated), float64(b.Engines.Generated)},
 		{"resumed", float64(a.Resumed), float64(b.Resumed)},
 		{"failovers", float64(a.Failovers), float64(b.Failovers)},
 	}
@@ -41,12 +43,6 @@
 	return ds
 }
 
-// recomputed is the number of prompt tokens that engines had to compute again
-// or for the first time.
-func recomputed(r *Report) float64 {
-	return float64(r.Tokens.Prompt - r.Tokens.Cached)
-}
-
 func compareClass(name string, a, b *ClassReport) []Difference {
 	ds := []Difference{{name + " sent", float64(a.Sent), float64(b.Sent)}}
 	for _, o := range []Outcome{Answered, NotRun, Unknown, Wrong, CutOff, Doubled, Unsent} {
--- a/internal/bench/load/config.go
+++ b/internal/bench/load/config.go
@@ -38,6 +38,8 @@
 	Platform string
 	// Services are addresses of plain service fakes whose runs are checked.
 	Services []string
+	// Faults are injected during the run.
+	Faults []Fault
 }
 
 func (c Config) withDefaults(now time.Time) Config {
--- a/internal/bench/load/generator.go
+++ b/internal/bench/load/generator.go
@@ -73,6 +73,9 @@
 		shared = sharedText(class, g.random.IntN(class.Variants))
 	}
 	own := words(g.random, class.MinWords+g.random.IntN(class.MaxWords-class.MinWords+1)) + " " + strconv.Itoa(r.Index)
+	if class.Marker != "" {
+		own += " " + class.Marker
+	}
 	g.fill(&r, shared, own)
 	return r
 }
--- a/internal/bench/load/mix.go
+++ b/internal/bench/load/mix.go
@@ -36,6 +36,10 @@
 	// Resent is the share of calls that are sent a second time with the same
 	// idempotency key.
 	Resent float64
+	// Marker is a text in each prompt.
+	Marker string
+	// Retries is how often a caller repeats a request that is not answered.
+	Retries int
 }
 
 // Workspace is a caller of a mix.
@@ -91,3 +95,25 @@
 	}
 	return m, nil
 }
+
+// PoisonMarker is in the prompts of the class "poison". Engine fakes exit on it
+// if they have the fault crash-on with this value.
+const PoisonMarker = "poison-marker"
+
+// WithPoison returns the mix with a class of requests that crash engines and
+// that their callers retry. It uses the first language entry of the mix and
+// makes up the given share of arrivals.
+func (m Mix) WithPoison(share float64) Mix {
+	total, entry := 0.0, ""
+	for _, c := range m.Classes {
+		total += c.Weight
+		if entry == "" && c.Kind != Service {
+			entry = c.Entry
+		}
+	}
+	m.Classes = append(slices.Clone(m.Classes), Class{
+		Name: "poison", Entry: entry, Kind: Chat, Weight: total * share / (1 - share), Stream: true,
+		Shared: 20, Variants: 1, MinWords: 5, MaxWords: 20, MaxTokens: 32, Marker: PoisonMarker, Retries: 5,
+	})
+	return m
+}
--- a/internal/bench/load/recorder.go
+++ b/internal/bench/load/recorder.go
@@ -1,10 +1,13 @@
 package load
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"wasabiworks.example/wasabiworks/internal/bench/engine"
 )
 
 const (
@@ -45,6 +48,8 @@
 			Total:   ClassReport{Outcomes: make(map[Outcome]int)},
 			Classes: make(map[string]*ClassReport),
 			Codes:   make(map[string]int),
+
+			Workspaces: make(map[string]map[Outcome]int),
 		},
 		startLag: newHistogram(),
 		total:    newHistograms(),
@@ -54,6 +59,12 @@
 		r.report.Classes[class.Name] = &ClassReport{Outcomes: make(map[Outcome]int)}
 		r.classes[class.Name] = newHistograms()
 	}
+	for _, w := range c.Mix.Workspaces {
+		r.report.Workspaces[w.Name] = make(map[Outcome]int)
+	}
+	for _, f := range c.Faults {
+		r.report.Faults = append(r.report.Faults, f.String())
+	}
 	return r
 }
 
@@ -70,14 +81,15 @@
 }
 
 // result records a call that was planned for a time and ended at another.
-func (r *recorder) result(class string, planned, ended time.Time, out result, resent bool) {
+func (r *recorder) result(q Request, planned, ended time.Time, out result, resent bool) {
+	class := q.Class.Name
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := r.report.Classes[class]
-	for _, k := range []*ClassReport{&r.report.Total, c} {
+	for _, k := range []*ClassReport{&r.report.Total, r.report.Classes[class]} {
 		k.Sent++
 		k.Outcomes[out.outcome]++
 	}
+	r.report.Workspaces[q.Workspace.Name][out.outcome]++
 	if resent {
 		r.report.Resent++
 	}
@@ -106,6 +118,20 @@
 	}
 }
 
+// faultFailed records that a fault was not injected.
+func (r *recorder) faultFailed(f Fault, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.FaultErrors = append(r.report.FaultErrors, fmt.Sprintf("%v: %v", f, err))
+}
+
+// metered records what the run cost.
+func (r *recorder) metered(cost float64, t engine.Totals) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Cost, r.report.Engines = cost, t
+}
+
 // finish returns the report.
 func (r *recorder) finish(now time.Time) *Report {
 	r.mu.Lock()
--- a/internal/bench/load/report.go
+++ b/internal/bench/load/report.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 	"time"
+
+	"wasabiworks.example/wasabiworks/internal/bench/engine"
 )
 
 // Report is the result of a run.
@@ -19,7 +21,18 @@
 	// Total covers all classes.
 	Total   ClassReport             `json:"total"`
 	Classes map[string]*ClassReport `json:"classes"`
-	Tokens  tokens                  `json:"tokens"`
+	// Workspaces counts outcomes by workspace.
+	Workspaces map[string]map[Outcome]int `json:"workspaces"`
+	// Tokens are those that the responses report.
+	Tokens tokens `json:"tokens"`
+	// Engines are the tokens that the engine fakes of the instance list
+	// counted during the run.
+	Engines engine.Totals `json:"engines"`
+	// Cost is the price of the listed backend servers during the run.
+	Cost float64 `json:"cost"`
+	// Faults are the faults of the run, FaultErrors those that failed.
+	Faults      []string `json:"faults,omitempty"`
+	FaultErrors []string `json:"fault-errors,omitempty"`
 	// Resent counts calls that were sent again with the same key; they are
 	// counted in the outcomes, too.
 	Resent int `json:"resent"`
--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -14,6 +14,8 @@
 	// readyTimeout bounds the wait for the first ready entry instance.
 	readyTimeout = 15 * time.Second
 	readyPause   = 50 * time.Millisecond
+	// retryPause is the time until a caller repeats a failed request.
+	retryPause = 100 * time.Millisecond
 )
 
 // ErrInvalid means that a configuration is invalid.
@@ -58,12 +60,36 @@
 		recorder: newRecorder(config, time.Now()),
 		slots:    make(chan struct{}, config.Outstanding),
 	}
-	r.arrivals(ctx)
+	m := r.meter()
+	if m != nil {
+		m.begin(ctx)
+		g.Go(func() error { m.watch(watching); return nil })
+	}
+	start := time.Now()
+	injecting, stopInjecting := context.WithCancel(ctx)
+	defer stopInjecting()
+	var injected sync.WaitGroup
+	injected.Go(func() { r.injectAll(injecting, start) })
+	r.arrivals(ctx, start)
 	r.calls.Wait()
+	stopInjecting()
+	injected.Wait()
 	r.checkRuns(watching)
+	if m != nil {
+		m.read(watching)
+		r.recorder.metered(m.sum())
+	}
 	return r.recorder.finish(time.Now()), nil
 }
 
+// meter returns nil without a platform, because there is no instance list.
+func (r *runner) meter() *meter {
+	if r.client.balancer.list == nil {
+		return nil
+	}
+	return newMeter(r.client.balancer.list)
+}
+
 // await waits until an entry instance is ready.
 func (b *balancer) await(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
@@ -80,9 +106,8 @@
 
 // arrivals starts each request at its time, whether or not earlier ones have
 // been answered.
-func (r *runner) arrivals(ctx context.Context) {
+func (r *runner) arrivals(ctx context.Context, start time.Time) {
 	g := newGenerator(r.config)
-	start := time.Now()
 	for {
 		q := g.next()
 		if q.At > r.config.Duration || (r.config.Count > 0 && q.Index >= r.config.Count) {
@@ -110,24 +135,34 @@
 	select {
 	case r.slots <- struct{}{}:
 	default:
-		r.recorder.result(q.Class.Name, planned, planned, result{outcome: Unsent}, resent)
+		r.recorder.result(q, planned, planned, result{outcome: Unsent}, resent)
 		return
 	}
 	r.calls.Go(func() {
 		defer func() { <-r.slots }()
-		// A run that is stopped still waits for its responses.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.config.Timeout)
-		defer cancel()
-		out := r.client.call(ctx, q)
-		ended := time.Now()
-		if q.Class.Kind == Service {
-			r.services.add(serviceCall{q.Class.Name, q.Key, planned, ended, out, resent})
-			return
+		out := r.call(ctx, q, planned, resent)
+		for n := 0; n < q.Class.Retries && out.outcome != Answered && ctx.Err() == nil; n++ {
+			time.Sleep(retryPause)
+			out = r.call(ctx, q, time.Now(), true)
 		}
-		r.recorder.result(q.Class.Name, planned, ended, out, resent)
 	})
 }
 
+// call makes and records one call. A run that is stopped still waits for its
+// responses.
+func (r *runner) call(ctx context.Context, q Request, planned time.Time, resent bool) result {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.config.Timeout)
+	defer cancel()
+	out := r.client.call(ctx, q)
+	ended := time.Now()
+	if q.Class.Kind == Service {
+		r.services.add(serviceCall{q, planned, ended, out, resent})
+	} else {
+		r.recorder.result(q, planned, ended, out, resent)
+	}
+	return out
+}
+
 // checkRuns judges and records the calls of plain services.
 func (r *runner) checkRuns(ctx context.Context) {
 	addresses := r.client.balancer.services(r.config.Services)
@@ -141,7 +176,7 @@
 		}
 	}
 	for _, c := range r.services.list {
-		r.recorder.result(c.class, c.planned, c.ended, c.out, c.resent)
+		r.recorder.result(c.request, c.planned, c.ended, c.out, c.resent)
 	}
 	r.recorder.report.RunCheck = check
 }
--- a/internal/bench/load/runs.go
+++ b/internal/bench/load/runs.go
@@ -20,8 +20,7 @@
 
 // serviceCall is a finished call of a plain service.
 type serviceCall struct {
-	class          string
-	key            string
+	request        Request
 	planned, ended time.Time
 	out            result
 	resent         bool
@@ -46,18 +45,18 @@
 	defer s.mu.Unlock()
 	rejected := make(map[string]bool)
 	for _, c := range s.list {
-		all, seen := rejected[c.key]
-		rejected[c.key] = (all || !seen) && c.out.outcome == NotRun
+		all, seen := rejected[c.request.Key]
+		rejected[c.request.Key] = (all || !seen) && c.out.outcome == NotRun
 	}
 	for i := range s.list {
 		c := &s.list[i]
-		switch n := runs[c.key]; {
+		switch n := runs[c.request.Key]; {
 		case n > 1:
-			c.out.fail(Doubled, "key %s ran %d times", c.key, n)
-		case n == 1 && rejected[c.key]:
-			c.out.fail(Wrong, "key %s was rejected as not run and ran", c.key)
+			c.out.fail(Doubled, "key %s ran %d times", c.request.Key, n)
+		case n == 1 && rejected[c.request.Key]:
+			c.out.fail(Wrong, "key %s was rejected as not run and ran", c.request.Key)
 		case n == 0 && c.out.outcome == Answered && complete:
-			c.out.fail(Wrong, "key %s was answered and did not run", c.key)
+			c.out.fail(Wrong, "key %s was answered and did not run", c.request.Key)
 		}
 	}
 }
