--- a/internal/bench/fault/backend.go
+++ b/internal/bench/fault/backend.go
@@ -48,6 +48,9 @@
 const (
 	defaultSlowFactor = 4
 	defaultBusyShare  = 0.5
+	// maxNumber keeps delays that are multiplied by a fault in the range of
+	// time.Duration.
+	maxNumber = 1e6
 )
 
 // Backend holds the faults of a backend server.
@@ -92,14 +95,14 @@
 	return nil
 }
 
-// number returns a fault's value as a finite number that is not negative.
+// number returns a fault's value as a number from 0 to maxNumber.
 func number(f Fault, unset float64) (float64, error) {
 	if f.Value == "" {
 		return unset, nil
 	}
 	n, err := strconv.ParseFloat(f.Value, 64)
-	if err == nil && (n < 0 || math.IsNaN(n) || math.IsInf(n, 0)) {
-		err = fmt.Errorf("%s is not a finite number from 0", f.Value)
+	if err == nil && !(n >= 0 && n <= maxNumber) {
+		err = fmt.Errorf("%s is not a number from 0 to %v", f.Value, maxNumber)
 	}
 	return n, err
 }
