--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -22,30 +22,31 @@
 var errIncorrect = errors.New("responses were wrong, cut off or doubled")
 
 func main() {
-	os.Exit(run(os.Args[1:]))
+	err := run(os.Args[1:])
+	var flagsErr *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
+		fmt.Println(err)
+	default:
+		fmt.Fprintf(os.Stderr, "load: %s\n", strings.ReplaceAll(err.Error(), "\n", "; "))
+		os.Exit(1)
+	}
 }
 
-func run(args []string) int {
+// run parses the arguments and runs a command. Its error is a *flags.Error for
+// a request for help.
+func run(args []string) error {
 	var options struct {
 		Run     runCommand     `command:"run" description:"generate load and write a report"`
 		Compare compareCommand `command:"compare" description:"compare two reports"`
 	}
 	parser := flags.NewNamedParser("load", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Commands", "", &options); err != nil {
-		fmt.Fprintf(os.Stderr, "load: %v\n", err)
-		return 1
+		return err
 	}
 	_, err := parser.ParseArgs(args)
-	var flagsErr *flags.Error
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
-		fmt.Println(err)
-		return 0
-	}
-	fmt.Fprintf(os.Stderr, "load: %s\n", strings.ReplaceAll(err.Error(), "\n", "; "))
-	return 1
+	return err
 }
 
 type runCommand struct {
--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -111,6 +111,15 @@
 	if err := rejectArguments(args); err != nil {
 		return err
 	}
+	if err := (limits{
+		"slots": float64(c.Slots), "queue": float64(c.Queue), "cache-blocks": float64(c.CacheBlocks),
+		"first-token": c.FirstToken.Seconds(), "per-prompt-token": c.PerPromptToken.Seconds(),
+		"between-tokens": c.BetweenTokens.Seconds(), "load-lag": c.LoadLag.Seconds(),
+		"event-lag": c.EventLag.Seconds(), "event-gap": float64(c.EventGap),
+		"version-delay": c.VersionDelay.Seconds(), "crashes": float64(c.Crashes),
+	}).check(); err != nil {
+		return err
+	}
 	log, err := c.logger("engine")
 	if err != nil {
 		return err
@@ -170,6 +179,9 @@
 	if err := rejectArguments(args); err != nil {
 		return err
 	}
+	if err := (limits{"slots": float64(c.Slots), "delay": c.Delay.Seconds()}).check(); err != nil {
+		return err
+	}
 	log, err := c.logger("service")
 	if err != nil {
 		return err
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -5,16 +5,30 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 )
 
 func main() {
-	os.Exit(run(os.Args[1:]))
+	err := run(os.Args[1:])
+	var flagsErr *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
+		fmt.Println(err)
+	default:
+		fmt.Fprintf(os.Stderr, "standin: %s\n", strings.ReplaceAll(err.Error(), "\n", "; "))
+		os.Exit(1)
+	}
 }
 
-func run(args []string) int {
+// run parses the arguments and runs a command. Its error is a *flags.Error for
+// a request for help.
+func run(args []string) error {
 	var options struct {
 		Platform platformCommand `command:"platform" description:"run a fake of the platform API"`
 		Engine   engineCommand   `command:"engine" description:"run a fake of a model engine"`
@@ -22,20 +36,22 @@
 	}
 	parser := flags.NewNamedParser("standin", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Commands", "", &options); err != nil {
-		fmt.Fprintf(os.Stderr, "standin: %v\n", err)
-		return 1
+		return err
 	}
 	_, err := parser.ParseArgs(args)
-	var flagsErr *flags.Error
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
-		fmt.Println(err)
-		return 0
+	return err
+}
+
+// limits are numeric flags with their values, none of which may be negative.
+type limits map[string]float64
+
+func (l limits) check() error {
+	for _, name := range slices.Sorted(maps.Keys(l)) {
+		if l[name] < 0 {
+			return fmt.Errorf("--%s is %v, must be 0 or above", name, l[name])
+		}
 	}
-	fmt.Fprintf(os.Stderr, "standin: %v\n", err)
-	return 1
+	return nil
 }
 
 func rejectArguments(args []string) error {
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -22,6 +22,12 @@
 	if err := rejectArguments(args); err != nil {
 		return err
 	}
+	if err := (limits{
+		"list-lag": c.ListLag.Seconds(), "writes-per-second": c.WritesPerSecond, "reads-per-second": c.ReadsPerSecond,
+		"slow-delay": c.SlowDelay.Seconds(), "weight-bytes": float64(c.WeightBytes), "weight-rate": c.WeightRate,
+	}).check(); err != nil {
+		return err
+	}
 	log, err := newLogger("platform")
 	if err != nil {
 		return err
