Bound the evidence and sum it per failure domain

A table kept a row per node and key for ever, scanned all rows for each exchange, and accepted late records of ended moves. At 360 nodes that is hundreds of thousands of rows on every node.

Rows are linked by change, so Since visits what it returns. SinceDomains sums the own failure domain's nodes for receivers elsewhere; a sum over known nodes is a lower bound that only grows, so it merges by maximum. Forget leaves a tombstone, routes per move and rows per table are bounded, and names are shared. Key gains Step, the step of the decision that chose the version.

--- /dev/null
+++ b/internal/decide/evidence/evidence_test.go
@@ -0,0 +1,188 @@
+package evidence
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func records(t *rapid.T, label string) (rs []Record) {
+	for range rapid.IntRange(0, 12).Draw(t, label) {
+		rs = append(rs, Record{
+			Node:  rapid.SampledFrom([]string{"a/1", "a/2", "b/1", domainPrefix + "zlin"}).Draw(t, "node"),
+			Key:   Key{Move: "m", Version: rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version"), Step: rapid.Uint8Range(1, 2).Draw(t, "step")},
+			Count: Count{rapid.Uint64Range(0, 9).Draw(t, "answered"), rapid.Uint64Range(0, 9).Draw(t, "failed"), rapid.Uint64Range(0, 9).Draw(t, "slow")},
+		})
+	}
+	return rs
+}
+
+func merged(rss ...[]Record) map[rowKey]Count {
+	var t Table
+	for _, rs := range rss {
+		t.Merge(rs)
+	}
+	return content(&t)
+}
+
+func content(t *Table) map[rowKey]Count {
+	counts := make(map[rowKey]Count)
+	rs, _ := t.Since(0)
+	for _, r := range rs {
+		counts[rowKey{r.Node, r.Key}] = r.Count
+	}
+	return counts
+}
+
+// Guards against a merge that depends on the order, the grouping or the number
+// of deliveries, or that lowers a counter.
+func TestMergeLaws(t *testing.T) {
+	options := cmp.AllowUnexported(rowKey{})
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := records(t, "a"), records(t, "b"), records(t, "c")
+		want := merged(a, b, c)
+		for name, got := range map[string]map[rowKey]Count{
+			"commutative": merged(c, b, a), "idempotent": merged(a, b, b, c, a),
+		} {
+			if diff := cmp.Diff(want, got, options); diff != "" {
+				t.Fatalf("merge is not %s:\n%s", name, diff)
+			}
+		}
+		var bc, all Table
+		bc.Merge(b)
+		bc.Merge(c)
+		rs, _ := bc.Since(0)
+		all.Merge(rs)
+		all.Merge(a)
+		if diff := cmp.Diff(want, content(&all), options); diff != "" {
+			t.Fatalf("merge is not associative:\n%s", diff)
+		}
+		for rk, count := range merged(a) {
+			if got := want[rk]; got != got.max(count) {
+				t.Fatalf("merge lowered %v from %v to %v", rk, count, got)
+			}
+		}
+	})
+}
+
+// Guards against sums over a failure domain that exceed the true total, lose
+// counts that arrived or count a node twice, whatever is exchanged when.
+func TestDomainSums(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := []string{"a/1", "b/1", "c/1", "d/1"}
+		domains := []string{"brno", "brno", "zlin", "zlin"}
+		tables := make([]Table, len(nodes))
+		for i := range tables {
+			tables[i].SetDomain(domains[i])
+		}
+		k := Key{Move: "m", Version: "v1"}
+		total := uint64(0)
+		exchange := func(from, to int) {
+			rs, _ := tables[from].Since(0)
+			if domains[from] != domains[to] {
+				rs, _ = tables[from].SinceDomains(0)
+			}
+			tables[to].Merge(rs)
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			from, to := rapid.IntRange(0, 3).Draw(t, "from"), rapid.IntRange(0, 3).Draw(t, "to")
+			if from == to {
+				tables[from].Add(nodes[from], k, Count{Answered: 1})
+				total++
+			} else {
+				exchange(from, to)
+			}
+			if got := tables[to].Totals("m")[k].Answered; got > total {
+				t.Fatalf("total at %s is %d, want at most %d", nodes[to], got, total)
+			}
+		}
+		for range 3 {
+			for from := range nodes {
+				for to := range nodes {
+					exchange(from, to)
+				}
+			}
+		}
+		for i := range tables {
+			if got := tables[i].Totals("m")[k].Answered; got != total {
+				t.Fatalf("total at %s after all exchanges is %d, want %d", nodes[i], got, total)
+			}
+		}
+	})
+}
+
+// Guards against an exchange that skips a change or resends what is known.
+func TestSince(t *testing.T) {
+	is := is.New(t)
+	var a Table
+	k := Key{Move: "m", Version: "v1"}
+	a.Add("a/1", k, Count{Answered: 1})
+	a.Add("b/1", k, Count{Answered: 1})
+	rs, next := a.Since(0)
+	is.Equal(len(rs), 2)
+	a.Add("a/1", k, Count{Slow: 1})
+	rs, next = a.Since(next)
+	is.Equal(rs, []Record{{"a/1", k, Count{Answered: 1, Slow: 1}}})
+	rs, _ = a.Since(next)
+	is.Equal(len(rs), 0)
+}
+
+// Guards against memory that grows with ended moves, with the routes that
+// clients name or with what peers send.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	var a Table
+	for i := range 1000 {
+		a.Add("a/1", Key{Move: "m", Route: fmt.Sprint(i)}, Count{Answered: 1})
+	}
+	is.Equal(a.Len(), MaxRoutes+1)
+	sum := uint64(0)
+	for _, c := range a.Totals("m") {
+		sum += c.Answered
+	}
+	is.Equal(sum, uint64(1000)) // routes beyond the bound are counted together
+	rs, _ := a.Since(0)
+	a.Forget("m")
+	is.Equal(a.Len(), 0)
+	is.Equal(a.Merge(rs), 0) // late records of an ended move are rejected
+	is.Equal(a.Len(), 0)
+	for i := range maxRows + 10 {
+		a.Merge([]Record{{Node: fmt.Sprint(i), Key: Key{Move: "n"}, Count: Count{Answered: 1}}})
+	}
+	is.Equal(a.Len(), maxRows)
+	is.Equal(a.Merge([]Record{{Node: string(make([]byte, maxName+1)), Key: Key{Move: "n"}, Count: Count{Answered: 1}}}), 0)
+	var b Table
+	for i := range 2 * maxForgotten {
+		b.Forget(fmt.Sprint(i))
+	}
+	is.Equal(len(b.order), maxForgotten)
+	is.Equal(len(b.forgotten), maxForgotten)
+}
+
+// BenchmarkMerge merges the evidence of 360 nodes on four routes, three loads
+// and both versions at one step, with every counter changed since.
+func BenchmarkMerge(b *testing.B) {
+	var rs []Record
+	for node := range 360 {
+		for i := range 24 {
+			k := Key{Move: "m", Version: fmt.Sprint(i % 2), Route: fmt.Sprint(i / 6), Load: uint8(i / 2 % 3), Step: 1}
+			rs = append(rs, Record{Node: fmt.Sprintf("node-%d/1", node), Key: k})
+		}
+	}
+	var t Table
+	n := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		for i := range rs {
+			rs[i].Count.Answered = n
+		}
+		if t.Merge(rs) != len(rs) {
+			b.Fatal("some records changed nothing")
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*len(rs)), "ns/record")
+}
