Decide moves by an anytime-valid test

A fixed margin on pooled rates rolls good versions back in reclaim waves and misses versions that are bad late, on one route or under load.

Sequential compares the versions per step, route and load. Given a bad outcome, it is the new version's with a probability known from the share; the e-value averages likelihood ratios over kinds, groups, starting steps and alternatives, so rates may drift and no further correction is due. The share falls back under suspicion, is held in isolation and compared again when a version looks bad at share 1. movetest simulates moves to measure policies.

--- a/internal/decide/move/fixed.go
+++ b/internal/decide/move/fixed.go
@@ -8,9 +8,9 @@
 	// Shares are taken in equal parts of the time up to the margin; empty is
 	// 2, 10, 25, 50 and 100%.
 	Shares []float64
-	// Threshold is the rate of failed or slow requests above which the
-	// version is rolled back; 0 is 5%.
-	Threshold float64
+	// Failed and Slow are the rates of failed and of slow requests above which
+	// the version is rolled back; 0 is 5% and 20%.
+	Failed, Slow float64
 	// Least is the number of requests before the threshold applies; 0 is 50.
 	Least uint64
 }
@@ -39,19 +39,23 @@
 }
 
 func (p FixedSteps) exceeded(s State) bool {
-	threshold, least := p.Threshold, p.Least
-	if threshold == 0 {
-		threshold = 0.05
+	failed, slow, least := p.Failed, p.Slow, p.Least
+	if failed == 0 {
+		failed = 0.05
+	}
+	if slow == 0 {
+		slow = 0.2
 	}
 	if least == 0 {
 		least = 50
 	}
-	var n, bad uint64
+	var n, nFailed, nSlow uint64
 	for k, c := range s.Evidence {
 		if k.Version == s.Plan.To {
 			n += c.Answered + c.Failed
-			bad += c.Failed + c.Slow
+			nFailed += c.Failed
+			nSlow += c.Slow
 		}
 	}
-	return n >= least && float64(bad) > threshold*float64(n)
+	return n >= least && (float64(nFailed) > failed*float64(n) || float64(nSlow) > slow*float64(n))
 }
--- a/internal/decide/move/move.go
+++ b/internal/decide/move/move.go
@@ -45,6 +45,10 @@
 	// Isolated is true if fewer than half of the known failure domains are
 	// heard from.
 	Isolated bool
+	// Last is the node's previous decision on the move, or the zero value. An
+	// isolated node doesn't exceed its share; without it, the share is taken
+	// from the evidence.
+	Last Decision
 }
 
 // Decision is the share of traffic for the new version and the reason for it.
@@ -54,6 +58,12 @@
 	Phase  Phase
 	Veto   bool
 	Reason string
+	// Step is where the move stands. It goes into the key of the evidence on
+	// the requests for which this decision chose the version.
+	Step uint8
+	// LogE is the natural logarithm of the e-value against the hypothesis that
+	// the new version is no worse than the old one; a veto needs ln 1000.
+	LogE float64
 }
 
 // Policy decides on a move. Implementations are pure functions.
--- /dev/null
+++ b/internal/decide/move/sequential_test.go
@@ -0,0 +1,243 @@
+package move
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
+)
+
+type counts = map[evidence.Key]evidence.Count
+
+func key(version string, step uint8) evidence.Key {
+	return evidence.Key{Move: "m", Version: version, Route: "chat", Step: step}
+}
+
+// Guards against a move without evidence that stalls, misses the margin before
+// the deadline or jumps over steps.
+func TestDeadlineWithoutEvidence(t *testing.T) {
+	last := uint8(0)
+	for at := time.Duration(0); at < time.Hour; at += time.Second {
+		d := Sequential{}.Decide(State{Plan: plan()}, epoch.Add(at))
+		step := d.Step
+		if step >= probeStep {
+			step = probeStep
+		}
+		if step != last && step != last+1 {
+			t.Fatalf("step at %v is %d after %d, want the next", at, d.Step, last)
+		}
+		last = step
+		if done := at >= 54*time.Minute; (d.Phase == Done) != done || (d.Share == 1) != done {
+			t.Fatalf("decision at %v is %+v, want done: %v", at, d, done)
+		}
+	}
+}
+
+// Guards against an isolated node that raises its share: with time, at the
+// deadline, or on evidence it already has.
+func TestIsolated(t *testing.T) {
+	tests := []struct {
+		name     string
+		last     Decision
+		evidence counts
+		want     float64
+	}{
+		{"nothing known", Decision{}, nil, 0},
+		{"last decision", Decision{Share: 0.1, Step: 3}, nil, 0.1},
+		{"evidence only", Decision{}, counts{key("v2", 2): {Answered: 5}, key("v1", 4): {Answered: 900}}, 0.05},
+		{"last decision before evidence", Decision{Share: 0.02, Step: 1}, counts{key("v2", 3): {Answered: 5}}, 0.02},
+		{"complete", Decision{Share: 1, Step: watchStep}, nil, 1},
+	}
+	for _, test := range tests {
+		last := test.last
+		for at := 50 * time.Minute; at < 2*time.Hour; at += time.Minute {
+			s := State{Plan: plan(), Evidence: test.evidence, Isolated: true, Last: last}
+			d := Sequential{}.Decide(s, epoch.Add(at))
+			if d.Share != test.want {
+				t.Fatalf("%s: share at %v is %v, want %v", test.name, at, d.Share, test.want)
+			}
+			if last.Step != 0 {
+				last = d
+			}
+		}
+	}
+}
+
+// Guards against a veto that lapses: when the evidence improves, at the
+// deadline or after the old version is gone.
+func TestVetoSticky(t *testing.T) {
+	is := is.New(t)
+	bad := counts{key("v1", 1): {Answered: 980}, key("v2", 1): {Answered: 10, Failed: 10}}
+	d := Sequential{}.Decide(State{Plan: plan(), Evidence: bad}, epoch.Add(time.Minute))
+	is.True(d.Veto) // ten failures of twenty against none of 980
+	for at := time.Duration(0); at < 3*time.Hour; at += 10 * time.Minute {
+		for _, s := range []State{{Plan: plan(), Vetoed: true}, {Plan: plan(), Last: d}, {Plan: plan(), Last: d, Isolated: true}} {
+			got := Sequential{}.Decide(s, epoch.Add(at))
+			is.True(got.Veto)
+			is.Equal(got.Phase, TakenBack)
+			is.Equal(got.Share, 0.0)
+		}
+	}
+}
+
+// Guards against a rollback to a version that is no longer retained.
+func TestKeepUntil(t *testing.T) {
+	is := is.New(t)
+	bad := counts{key("v1", 1): {Answered: 980}, key("v2", 1): {Answered: 10, Failed: 10}}
+	is.True(Sequential{}.Decide(State{Plan: plan(), Evidence: bad}, epoch.Add(2*time.Hour-1)).Veto)
+	is.True(!Sequential{}.Decide(State{Plan: plan(), Evidence: bad}, epoch.Add(2*time.Hour)).Veto)
+}
+
+// Guards against a version that turns bad at share 1, where nothing is compared,
+// and against a wave that hits both versions then and keeps the share down.
+func TestWatch(t *testing.T) {
+	is := is.New(t)
+	e := counts{
+		key("v1", 1): {Answered: 9980, Failed: 20}, key("v2", 1): {Answered: 10000, Failed: 20},
+		key("v2", watchStep): {Answered: 100, Failed: 30},
+	}
+	decide := func() Decision {
+		return Sequential{}.Decide(State{Plan: plan(), Evidence: e}, epoch.Add(39*time.Minute))
+	}
+	is.Equal(decide().Step, uint8(watchStep+1)) // compared again
+	is.Equal(decide().Phase, Done)
+	e[key("v1", watchStep+1)] = evidence.Count{Answered: 70, Failed: 25}
+	e[key("v2", watchStep+1)] = evidence.Count{Answered: 24, Failed: 6}
+	is.Equal(decide().Step, uint8(watchStep)) // both suffer alike
+	e[key("v1", watchStep+1)] = evidence.Count{Answered: 95}
+	e[key("v2", watchStep+1)] = evidence.Count{Answered: 50, Failed: 20}
+	is.True(decide().Veto)
+}
+
+// Guards against rollbacks of good versions by a test that loses its validity
+// under peeking, drifting rates, growing shares, waves, lagging counters or many
+// routes: at most one in 20 such moves may reach an e-value of 20.
+func TestFalseAlarms(t *testing.T) {
+	const moves, seed = 140, 7
+	t.Logf("seed %d", seed)
+	alarms := 0
+	for i := range uint64(moves) {
+		if goodMove(rand.New(rand.NewPCG(seed, i))) >= math.Log(20) {
+			alarms++
+		}
+	}
+	if most := moves / 20; alarms > most {
+		t.Errorf("%d of %d good versions reach an e-value of 20, want at most %d", alarms, moves, most)
+	}
+}
+
+// goodMove returns the highest e-value in the move of a version whose failure
+// rate is the old one's, while both drift and rise tenfold in waves. Counters of
+// three nodes are seen up to three batches late.
+func goodMove(r *rand.Rand) (highest float64) {
+	highest = math.Inf(-1)
+	total := make(counts)
+	var late [4]counts
+	for batch := range 40 {
+		step := uint8(firstStep + batch/5)
+		rate := 0.01 * math.Pow(1.08, float64(batch))
+		if r.IntN(8) == 0 {
+			rate = min(10*rate, 0.5)
+		}
+		for range 3 {
+			seen := make(counts)
+			for range 40 {
+				k := key("v1", step)
+				k.Route, k.Load = string(rune('a'+r.IntN(12))), uint8(r.IntN(loads))
+				if Choose(ShareOf(step), r.Uint64()) {
+					k.Version = "v2"
+				}
+				c := seen[k]
+				if r.Float64() < rate {
+					c.Failed++
+				} else {
+					c.Answered++
+				}
+				seen[k] = c
+			}
+			i := (batch + r.IntN(4)) % 4
+			late[i] = plus(late[i], seen)
+		}
+		total = plus(total, late[batch%4])
+		late[batch%4] = nil
+		logE, _ := score(tabulate(&State{Plan: plan(), Evidence: total}))
+		highest = max(highest, logE)
+	}
+	return highest
+}
+
+func plus(a, b counts) counts {
+	if a == nil {
+		a = make(counts)
+	}
+	for k, c := range b {
+		a[k] = evidence.Count{Answered: a[k].Answered + c.Answered, Failed: a[k].Failed + c.Failed, Slow: a[k].Slow + c.Slow}
+	}
+	return a
+}
+
+// Guards against evidence from peers that breaks the decision: unknown steps,
+// loads and versions, huge or inconsistent counts.
+func TestDecideArbitrary(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := make(counts)
+		for range rapid.IntRange(0, 30).Draw(t, "keys") {
+			k := evidence.Key{
+				Version: rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version"),
+				Route:   rapid.StringN(0, 3, 9).Draw(t, "route"),
+				Load:    rapid.Uint8Range(0, 4).Draw(t, "load"),
+				Step:    rapid.Uint8Range(0, lastStep+2).Draw(t, "step"),
+			}
+			e[k] = evidence.Count{
+				Answered: rapid.Uint64().Draw(t, "answered"),
+				Failed:   rapid.Uint64().Draw(t, "failed"),
+				Slow:     rapid.Uint64().Draw(t, "slow"),
+			}
+		}
+		at := time.Duration(rapid.Int64Range(-int64(time.Hour), int64(3*time.Hour)).Draw(t, "at"))
+		s := State{Plan: plan(), Evidence: e, Isolated: rapid.Bool().Draw(t, "isolated")}
+		d := Sequential{}.Decide(s, epoch.Add(at))
+		if math.IsNaN(d.LogE) || d.Share != ShareOf(d.Step) || d.Veto != (d.Phase == TakenBack) {
+			t.Fatalf("Decide(%v) = %+v, want a share of a step", s, d)
+		}
+	})
+}
+
+// benchmarkState is a move at its last step, with four routes.
+func benchmarkState() State {
+	e := make(counts)
+	for step := uint8(firstStep); step <= lastStep; step++ {
+		for _, route := range []string{"chat", "report", "search", "export"} {
+			for load := range uint8(loads) {
+				for _, v := range []string{"v1", "v2"} {
+					e[evidence.Key{Version: v, Route: route, Load: load, Step: step}] = evidence.Count{Answered: 1000, Failed: 3, Slow: 40}
+				}
+			}
+		}
+	}
+	return State{Plan: plan(), Evidence: e}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	s := benchmarkState()
+	b.ReportAllocs()
+	for b.Loop() {
+		Sequential{}.Decide(s, epoch.Add(100*time.Minute))
+	}
+}
+
+// Guards against a version that turns bad after a long good time and is excused
+// by it.
+func TestBadLate(t *testing.T) {
+	is := is.New(t)
+	e := counts{
+		key("v1", 4): {Answered: 84000, Failed: 840}, key("v2", 4): {Answered: 14850, Failed: 150},
+		key("v1", 5): {Answered: 742, Failed: 8}, key("v2", 5): {Answered: 210, Failed: 40},
+	}
+	is.True(Sequential{}.Decide(State{Plan: plan(), Evidence: e}, epoch.Add(30*time.Minute)).Veto)
+}
--- /dev/null
+++ b/internal/decide/movetest/measure_test.go
@@ -0,0 +1,64 @@
+package movetest
+
+import (
+	"os"
+	"testing"
+
+	"wasabiworks.example/wasabiworks/internal/decide/move"
+)
+
+// Guards against a policy that misses a kind of faulty version, hurts many
+// clients before it does not, or rolls good versions back.
+func TestSequential(t *testing.T) {
+	const seed, rate = 11, 8
+	t.Logf("seed %d, %d requests/s", seed, rate)
+	// most bounds the requests hurt per move, at twice the measured mean.
+	tests := []struct {
+		defect string
+		moves  int
+		most   float64
+	}{
+		{"good", 16, 0},
+		{"fails at once", 3, 12},
+		{"fails later", 3, 115},
+		{"fails after it is done", 3, 51},
+		{"fails under load", 3, 19},
+		{"fails on one route", 3, 30},
+		{"slow at once", 3, 25},
+		{"slow later", 3, 335},
+	}
+	for _, test := range tests {
+		for _, d := range Defects {
+			if d.Name != test.defect {
+				continue
+			}
+			s := Scenario{Defect: d, Rate: rate, Waves: 3, Busier: 1.3}
+			m := Measure(move.Sequential{}, s, seed, test.moves)
+			bad := m.Moves
+			if d.Name == "good" {
+				bad = 0
+			}
+			if m.RolledBack != bad || m.Done != m.Moves-bad {
+				t.Errorf("%s: %d of %d rolled back and %d done in time, want %d and %d", d.Name, m.RolledBack, m.Moves, m.Done, bad, m.Moves-bad)
+			}
+			t.Logf("%s: %.1f requests hurt per move", d.Name, m.Hurt/float64(m.Moves))
+			if got := m.Hurt / float64(m.Moves); got > test.most {
+				t.Errorf("%s: %.1f requests hurt per move, want at most %v", d.Name, got, test.most)
+			}
+		}
+	}
+}
+
+// BenchmarkMoves prints the table of docs/decisions/move-test.md.
+func BenchmarkMoves(b *testing.B) {
+	policies := map[string]move.Policy{
+		"Sequential":         move.Sequential{},
+		"FixedSteps 5%, 20%": move.FixedSteps{},
+		"FixedSteps 2%, 10%": move.FixedSteps{Failed: 0.02, Slow: 0.1},
+	}
+	for range b.N {
+		if err := Table(os.Stdout, policies, []float64{0.5, 5, 50}, 1, 200); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
