Count requests and print the burn report

Operators could not see whether an entry meets its objective, what reclaims cost or how version moves ended.

Each test was seen to fail with its rule broken: several samples a minute, any instead of the latest sample, no hourly history, a ring that does not advance, new series dropped, series unbounded, labels that are not UTF-8, two gauges of a move, unknown reasons under a known one, reclaimed requests left out of the budget, silent instances left out, cost without its time, latencies of the last instance only, a percentile in the infinite bucket, no escaping in the page.

--- a/cmd/wasabiworks/main_test.go
+++ b/cmd/wasabiworks/main_test.go
@@ -172,6 +172,12 @@
 	})
 	s.register("entry-2", "127.0.0.1:1")
 	moves, status := s.must("", "moves"), s.must("", "status")
+	report := s.must("", "report", "burn")
+	for _, want := range []string{"0 of 2 live entry instances", "not covered: entry-1: ", "not covered: entry-2: ", "is moving; 2%"} {
+		if !strings.Contains(report, want) {
+			t.Errorf("report burn printed %q, want %q", report, want)
+		}
+	}
 	for _, want := range []string{"sack-assist from v1 to v2 is moving; 2%", "entry-2 (brno-a) did not answer"} {
 		if !strings.Contains(moves, want) {
 			t.Errorf("moves printed %q, want %q", moves, want)
--- /dev/null
+++ b/internal/operator/burn/burn_test.go
@@ -0,0 +1,239 @@
+package burn
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+	"github.com/sebdah/goldie/v2"
+
+	"wasabiworks.example/wasabiworks/internal/operator/admin"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+	"wasabiworks.example/wasabiworks/internal/platform/instances"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// Guards against windows that contain older or miss recent requests, and
+// against a history that grows without bound.
+func TestRecorderWindows(t *testing.T) {
+	r := NewRecorder(start)
+	count := func(minute int) []Counts { return []Counts{{Good: uint64(minute)}} }
+	check := func(minute int, d time.Duration, low, high uint64) {
+		t.Helper()
+		now := start.Add(time.Duration(minute) * time.Minute)
+		growth, covered := r.Window(now, d, count(minute))
+		if got := growth[0][Good]; got < low || got > high || covered != time.Duration(got)*time.Minute {
+			t.Errorf("after %d minutes, the last %v have %d in %v, want %d to %d, one a minute", minute, d, got, covered, low, high)
+		}
+	}
+	for minute := range 50*60 + 1 {
+		now := start.Add(time.Duration(minute) * time.Minute)
+		r.Sample(now, count(minute))
+		r.Sample(now.Add(30*time.Second), count(minute)) // the second of a minute
+		switch minute {
+		case 3:
+			check(minute, ShortWindow, 3, 3)
+		case 30:
+			check(minute, ShortWindow, 5, 5)
+			check(minute, LongWindow, 30, 30)
+		case 90:
+			check(minute, LongWindow, 60, 60)
+			check(minute, BudgetWindow, 90, 90)
+		case 50 * 60:
+			check(minute, ShortWindow, 5, 5)
+			check(minute, LongWindow, 60, 60)
+			check(minute, BudgetWindow, 24*60, 25*60)
+		}
+	}
+	if n, m := len(r.minutes.samples), len(r.hours.samples); n != 61 || m != 25 {
+		t.Errorf("the recorder keeps %d and %d samples, want 61 and 25", n, m)
+	}
+}
+
+// Guards against a window that goes wrong when a series begins within it.
+func TestRecorderNewSeries(t *testing.T) {
+	is := is.New(t)
+	r := NewRecorder(start)
+	r.Sample(start, []Counts{{Good: 2}})
+	growth, _ := r.Window(start.Add(5*time.Minute), ShortWindow, []Counts{{Good: 3}, {Slow: 4}})
+	is.Equal(growth, []Counts{{Good: 1}, {Slow: 4}})
+}
+
+// node is an instance's metrics with a clock.
+type node struct {
+	*Metrics
+	registry *prometheus.Registry
+	now      time.Time
+}
+
+func newNode(t testing.TB) *node {
+	n := &node{registry: prometheus.NewRegistry(), now: start}
+	var err error
+	if n.Metrics, err = New(Config{Registry: n.registry, Now: func() time.Time { return n.now }}); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func (n *node) text(t *testing.T) []byte {
+	t.Helper()
+	families, err := n.registry.Gather()
+	if err != nil {
+		t.Fatalf("Gather = %v", err)
+	}
+	var b bytes.Buffer
+	for _, f := range families {
+		if _, err := expfmt.MetricFamilyToText(&b, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return b.Bytes()
+}
+
+// Guards against labels that clients or operators choose growing the metrics
+// without bound or failing a scrape, and against requests that are not counted
+// because of their label.
+func TestMetricsAreBounded(t *testing.T) {
+	n := newNode(t)
+	n.Outcome("\xff", "\xff", Result(99))
+	for i := range 3 * maxSeries {
+		n.Outcome(fmt.Sprintf("entry-%d", i), "mills", Good)
+		n.Rejected(fmt.Sprintf("reason-%d", i))
+	}
+	n.SetMoves([]MoveShare{{"a", "m", "v2", 0.5}, {"a", "m", "v2", 0.7}, {"\xff", "\xff", "\xff", 1}})
+	text := string(n.text(t))
+	if got := strings.Count(text, "wasabiworks_requests_total{"); got != 6*maxSeries {
+		t.Errorf("got %d series of requests, want %d", got, 6*maxSeries)
+	}
+	for _, want := range []string{
+		fmt.Sprintf(`wasabiworks_requests_total{entry="other",result="good",workspace="other"} %d`, 2*maxSeries+2),
+		`wasabiworks_requests_total{entry="?",result="failed",workspace="?"} 1`,
+		fmt.Sprintf(`wasabiworks_rejections_total{reason="other"} %d`, 3*maxSeries),
+		`wasabiworks_move_share{entry="a",move="m",version="v2"} 0.5`,
+	} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("metrics lack %s", want)
+		}
+	}
+}
+
+// input is a report's input from two instances that answer and two that do
+// not.
+func input(t *testing.T) Input {
+	a, b := newNode(t), newNode(t)
+	for range 900 {
+		a.Outcome("sack-assist", "mills", Good)
+		b.Outcome("sack-assist", "mills", Good)
+		a.FirstToken(0.9)
+		a.BetweenTokens(0.0305)
+	}
+	a.Tokens(400_000, 1000, 2000)
+	a.now, b.now = start.Add(2*time.Hour), start.Add(2*time.Hour)
+	a.Sample()
+	b.Sample()
+	a.now, b.now = a.now.Add(10*time.Minute), b.now.Add(10*time.Minute)
+	for range 90 {
+		a.Outcome("sack-assist", "depots", Good)
+		a.Outcome("retired", "mills", Good)
+	}
+	for r := Slow; r <= Limited; r++ {
+		a.Outcome("sack-assist", "depots", r)
+		b.Outcome("sack-assist", "mills", r)
+	}
+	a.Tokens(100_000, 0, 500)
+	a.Rejected("overload")
+	move := catalogue.Move{ID: "m", Entry: "sack-assist", From: "v1", To: "v2", Start: start, Deadline: start.Add(4 * time.Hour), KeepUntil: start.Add(6 * time.Hour)}
+	c := &catalogue.Catalogue{
+		Entries: []catalogue.Entry{
+			{Name: "sack-assist", Objective: catalogue.Objective{FirstToken: 1200 * time.Millisecond, BetweenTokens: 41 * time.Millisecond, Success: 0.95}},
+			{Name: "ledger-desk", Objective: catalogue.Objective{FirstToken: time.Second, Success: 0.999}},
+		},
+		Moves: []catalogue.Move{move},
+		Ended: catalogue.Ended{Done: 3, RolledBack: 1},
+	}
+	return Input{
+		Snapshot:  catalogue.NewSnapshot(12, c),
+		Instances: []instances.Instance{{Price: 0.1}, {Price: 1.4}},
+		Statuses:  []admin.Answer{{Status: admin.Status{Moves: []admin.Move{{ID: "m", Share: 0.25, Phase: admin.PhaseRunning, Reason: "no evidence against v2"}}}}},
+		Scrapes: []Scrape{
+			{Instance: "a", Data: a.text(t)}, {Instance: "b", Data: b.text(t)},
+			{Instance: "<script>c", Err: errors.New("connection refused")}, {Instance: "d", Data: []byte("not metrics {")},
+		},
+	}
+}
+
+// Guards against a report with wrong sums or budgets, or one that hides
+// instances that did not answer.
+func TestReport(t *testing.T) {
+	r := Build(input(t), start.Add(2*time.Hour+10*time.Minute))
+	var text bytes.Buffer
+	if err := r.Write(&text, FormatText); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "report", text.Bytes())
+	var data bytes.Buffer
+	if err := r.Write(&data, FormatJSON); err != nil {
+		t.Fatal(err)
+	}
+	var back Report
+	if err := json.Unmarshal(data.Bytes(), &back); err != nil || len(back.Rows) != len(r.Rows) || back.Measures != r.Measures {
+		t.Errorf("the JSON report reads back as %+v, %v, want %+v", back.Measures, err, r.Measures)
+	}
+	if err := r.Write(&data, "pdf"); err == nil {
+		t.Error("Write(pdf) succeeded, want an error")
+	}
+}
+
+// Guards against a page that needs a network, and against text from instances
+// that becomes markup.
+func TestPageIsSelfContained(t *testing.T) {
+	var b bytes.Buffer
+	if err := Build(input(t), start.Add(2*time.Hour+10*time.Minute)).Write(&b, FormatHTML); err != nil {
+		t.Fatal(err)
+	}
+	if found := regexp.MustCompile(`(?i)(src|href)=|url\(|@import|https?:|<script`).FindString(b.String()); found != "" {
+		t.Errorf("the page contains %q", found)
+	}
+	if n := strings.Count(b.String(), "<svg"); n != 3 {
+		t.Errorf("the page has %d plots, want 3", n)
+	}
+}
+
+// Guards against percentiles that leave their bucket or divide by zero.
+func TestQuantile(t *testing.T) {
+	inf := math.Inf(1)
+	for _, tt := range []struct {
+		b    buckets
+		want float64
+	}{
+		{nil, 0},
+		{buckets{1: 0, inf: 0}, 0},
+		{buckets{1: 100, inf: 100}, 0.95},
+		{buckets{1: 90, 2: 100, inf: 100}, 1.5},
+		{buckets{1: 50, inf: 100}, 1},
+	} {
+		if got := tt.b.quantile(0.95); math.Abs(got-tt.want) > 1e-9 {
+			t.Errorf("quantile(0.95) of %v = %v, want %v", tt.b, got, tt.want)
+		}
+	}
+}
+
+func BenchmarkOutcome(b *testing.B) {
+	n := newNode(b)
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			n.Outcome("sack-assist", "mills", Good)
+		}
+	})
+}
--- /dev/null
+++ b/internal/operator/burn/render.go
@@ -0,0 +1,139 @@
+package burn
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Formats of a report.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+	FormatHTML = "html"
+)
+
+// Write prints the report in one of the formats.
+func (r *Report) Write(w io.Writer, format string) error {
+	switch format {
+	case FormatText:
+		return r.text(w)
+	case FormatJSON:
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(r)
+	case FormatHTML:
+		return page.Execute(w, r)
+	}
+	return fmt.Errorf("format %q is not valid; allowed: %s, %s or %s", format, FormatText, FormatJSON, FormatHTML)
+}
+
+func (r *Report) text(w io.Writer) error {
+	m := &r.Measures
+	fmt.Fprintln(w, r.Title())
+	fmt.Fprintln(w, r.Coverage())
+	for _, s := range r.Silent {
+		fmt.Fprintf(w, "not covered: %s: %s\n", s.Instance, s.Reason)
+	}
+	fmt.Fprintln(w)
+	for _, line := range m.Lines() {
+		fmt.Fprintf(w, "%s: %s\n", line.Name, line.Value)
+	}
+	fmt.Fprintln(w)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, strings.ToUpper(strings.Join(columns, "\t")))
+	for _, x := range r.Rows {
+		fmt.Fprintln(t, strings.Join(x.Cells(), "\t"))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if len(r.Moves) > 0 {
+		fmt.Fprintln(w)
+	}
+	for _, x := range r.Moves {
+		fmt.Fprintln(w, x.Sentence)
+	}
+	if len(r.Rejections) > 0 {
+		fmt.Fprintln(w)
+	}
+	for _, x := range r.Rejections {
+		fmt.Fprintf(w, "rejected for %s: %d\n", x.Reason, x.Count)
+	}
+	return nil
+}
+
+// Title names the catalogue and the time of the report.
+func (r *Report) Title() string {
+	return fmt.Sprintf("Burn report at %s, catalogue revision %d", r.At.Format(time.RFC3339), r.CatalogueRevision)
+}
+
+// Coverage states which instances and times the report covers.
+func (r *Report) Coverage() string {
+	var spans [len(windows)]string
+	for i, w := range windows {
+		spans[i] = fmt.Sprintf("%s of the %s window", time.Duration(r.Covered[i]*float64(time.Second)).Round(time.Second), w.name)
+	}
+	return fmt.Sprintf("%d of %d live entry instances; %s", r.Reporting, r.Instances, strings.Join(spans[:], ", "))
+}
+
+// Line is a measure in words.
+type Line struct{ Name, Value string }
+
+// Lines returns the users' measures in words.
+func (m *Measures) Lines() []Line {
+	cost := "no tokens in the last hour"
+	if m.PerMillionTokens > 0 {
+		cost = fmt.Sprintf("%.4g for a million generated tokens, %.4g per hour", m.PerMillionTokens, m.PricePerHour)
+	}
+	share := 0.0
+	if m.GeneratedTokens > 0 {
+		share = float64(m.RecomputedTokens) / float64(m.GeneratedTokens)
+	}
+	return []Line{
+		{"cost", cost},
+		{"latency target", fmt.Sprintf("%s of the requests of the last hour; 95th percentile %.3g s to the first token, %.3g s between tokens", percent(m.AtTarget), m.FirstToken95, m.BetweenTokens95)},
+		{"tokens recomputed", fmt.Sprintf("%d, %s of %d generated", m.RecomputedTokens, percent(share), m.GeneratedTokens)},
+		{"versions moved", fmt.Sprintf("%d in time, %d late, %d in progress, %d replaced", m.MovesDone, m.MovesLate, m.MovesRunning, m.MovesReplaced)},
+		{"versions rolled back", fmt.Sprint(m.MovesRolledBack)},
+	}
+}
+
+var columns = []string{"entry", "workspace", "objective", "budget left", "burn 5m", "burn 1h", "requests", "slow", "failed", "reclaimed", "rejected", "limited"}
+
+// Columns returns the names of Row.Cells.
+func (r *Report) Columns() []string { return columns }
+
+// Cells returns the row as text.
+func (x Row) Cells() []string {
+	workspace := x.Workspace
+	if workspace == "" {
+		workspace = "all"
+	}
+	cells := []string{x.Entry, workspace, "not in the catalogue", "-", "-", "-"}
+	if x.Objective > 0 {
+		objective := percent(x.Objective) + " within " + x.FirstToken
+		if x.BetweenTokens != "" {
+			objective += ", " + x.BetweenTokens
+		}
+		cells = []string{x.Entry, workspace, objective, percent(x.BudgetLeft), fmt.Sprintf("%.2f", x.BurnShort), fmt.Sprintf("%.2f", x.BurnLong)}
+	}
+	for _, n := range []uint64{x.Requests, x.Slow, x.Failed, x.Reclaimed, x.Rejected, x.Limited} {
+		cells = append(cells, fmt.Sprint(n))
+	}
+	return cells
+}
+
+func percent(v float64) string { return fmt.Sprintf("%.4g%%", 100*v) }
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"burnPlot": burnPlot, "budgetPlot": budgetPlot, "movePlot": movePlot,
+}).Parse(pageText))
