Classify finished requests for the burn report

The request path describes a request by outcome and error code, and each caller would have had to decide what spends the error budget. Rejection reasons came from a fixed list that the error codes do not match.

burn.Classify maps outcome and code to a result; requests that fail by the client's own fault or that the client cancels do not count. Metrics.Finished counts result and rejection in one call. Reasons are the error codes, at most 64. Status gets the cost of attempts that the instance already fills.

Nothing was measured.

--- a/internal/operator/admin/status.go
+++ b/internal/operator/admin/status.go
@@ -32,6 +32,9 @@
 	RecomputedTokens uint64 `json:"recomputed-tokens"`
 	// PricePerHour is the price of the instance itself.
 	PricePerHour float64 `json:"price-per-hour"`
+	// Cost is the price of the time that attempts took on backend servers
+	// since the start of the incarnation.
+	Cost float64 `json:"cost"`
 }
 
 // Member is an entry instance as another one sees it.
--- /dev/null
+++ b/internal/operator/burn/classify.go
@@ -0,0 +1,51 @@
+package burn
+
+import "slices"
+
+// Outcomes and the error codes that decide on the result.
+const (
+	notRun      = "not-run"
+	rateLimited = "rate_limited"
+)
+
+// clientCodes are the error codes of requests that no system could answer;
+// they say nothing about the service level.
+var clientCodes = []string{
+	"body_too_large", "call_pending", "canceled", "entry_not_found", "idempotency_key_required",
+	"idempotency_key_reused", "incomplete_body", "invalid_idempotency_key", "invalid_json",
+	"invalid_last_event_id", "invalid_path", "invalid_token", "invalid_value", "missing_token",
+	"model_not_found", "poison_request", "stream_not_found", "unsupported_parameter",
+}
+
+// Request is a finished request.
+type Request struct {
+	// Outcome is empty for an answered request, else not-run or unknown; Code
+	// is the error code.
+	Outcome, Code string
+	// Slow is true if a latency exceeded the objective.
+	Slow bool
+	// Canceled is true if the client ended the request.
+	Canceled bool
+	// Reclaimed is true if a reclaim is why the request was not answered.
+	Reclaimed bool
+}
+
+// Classify returns the result of a request, and false if it says nothing about
+// the service level. An unknown error code counts against it.
+func Classify(r Request) (Result, bool) {
+	switch {
+	case r.Canceled || slices.Contains(clientCodes, r.Code):
+		return 0, false
+	case r.Outcome == "" && r.Slow:
+		return Slow, true
+	case r.Outcome == "":
+		return Good, true
+	case r.Code == rateLimited:
+		return Limited, true
+	case r.Reclaimed:
+		return Reclaimed, true
+	case r.Outcome == notRun:
+		return Rejected, true
+	}
+	return Failed, true
+}
--- a/internal/operator/burn/collector.go
+++ b/internal/operator/burn/collector.go
@@ -54,8 +54,8 @@
 			counter(requestsDesc, totals[1+i][r], s.entry, s.workspace, name)
 		}
 	}
-	for i, name := range reasons {
-		counter(rejectionsDesc, c.m.reject[i].Load(), name)
+	for reason, n := range *c.m.reject.Load() {
+		counter(rejectionsDesc, n.Load(), reason)
 	}
 	for _, s := range *c.m.moves.Load() {
 		gauge(moveShareDesc, s.Share, s.Entry, s.Move, s.To)
--- a/internal/operator/burn/metrics.go
+++ b/internal/operator/burn/metrics.go
@@ -1,6 +1,7 @@
 package burn
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -17,17 +18,13 @@
 	// maxMoves bounds the moves with a gauge; a catalogue has at most one for
 	// each entry.
 	maxMoves = 1000
+	// maxReasons bounds the reasons of rejections that are counted by name;
+	// the request path has about 30 error codes.
+	maxReasons = 64
 	// other is the label of what is over a bound.
 	other = "other"
 )
 
-// reasons are the label values of rejections; any other reason is counted as
-// "other".
-var reasons = [...]string{
-	"limit", "overload", "poison", "not-ready", "leaving", "store", "no-backend",
-	"retry-budget", "unauthenticated", "invalid", other,
-}
-
 // Config configures Metrics.
 type Config struct {
 	// Registry receives the collectors.
@@ -64,12 +61,12 @@
 	now    func() time.Time
 	series atomic.Pointer[view]
 	tokens [len(tokenNames)]atomic.Uint64
-	reject [len(reasons)]atomic.Uint64
+	reject atomic.Pointer[map[string]*atomic.Uint64]
 	moves  atomic.Pointer[[]MoveShare]
 
 	firstToken, betweenTokens prometheus.Histogram
 
-	mu       sync.Mutex // guards growth of series, and recorder
+	mu       sync.Mutex // guards growth of series and reject, and recorder
 	recorder *Recorder
 }
 
@@ -82,6 +79,7 @@
 	m.recorder = NewRecorder(m.now())
 	m.series.Store(&view{byPair: make(map[pair]*series)})
 	m.moves.Store(&[]MoveShare{})
+	m.reject.Store(&map[string]*atomic.Uint64{})
 	m.firstToken = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "wasabiworks_first_token_seconds", Help: "Time to the first token of a response.",
 		Buckets: []float64{0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.2, 1.5, 2, 3, 5, 10, 30},
@@ -124,15 +122,23 @@
 		return s
 	}
 	s := &series{pair: p}
-	next := &view{byPair: make(map[pair]*series, len(old.byPair)+1), list: append(slices.Clone(old.list), s)}
-	for k, v := range old.byPair {
-		next.byPair[k] = v
-	}
+	next := &view{byPair: maps.Clone(old.byPair), list: append(slices.Clone(old.list), s)}
 	next.byPair[p] = s
 	m.series.Store(next)
 	return s
 }
 
+// Finished counts a request by its outcome and, if it was rejected, by its
+// error code.
+func (m *Metrics) Finished(entry, workspace string, r Request) {
+	if r.Outcome == notRun {
+		m.Rejected(r.Code)
+	}
+	if result, ok := Classify(r); ok {
+		m.Outcome(entry, workspace, result)
+	}
+}
+
 // FirstToken observes the time to a first token, in seconds.
 func (m *Metrics) FirstToken(seconds float64) { m.firstToken.Observe(seconds) }
 
@@ -154,15 +160,31 @@
 	return m.tokens[0].Load(), m.tokens[1].Load(), m.tokens[2].Load()
 }
 
-// Rejected counts a rejection by its reason; the reason is one of limit,
-// overload, poison, not-ready, leaving, store, no-backend, retry-budget,
-// unauthenticated and invalid, or else counts as other.
+// Rejected counts a rejection by its reason, which is an error code.
 func (m *Metrics) Rejected(reason string) {
-	i := slices.Index(reasons[:], reason)
-	if i < 0 {
-		i = len(reasons) - 1
+	n, ok := (*m.reject.Load())[reason]
+	if !ok {
+		n = m.growReasons(reason)
+	}
+	n.Add(1)
+}
+
+// growReasons adds a reason. Reasons over the bound share one.
+func (m *Metrics) growReasons(reason string) *atomic.Uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := *m.reject.Load()
+	reason = strings.ToValidUTF8(reason, "?")
+	if len(old) >= maxReasons-1 && old[reason] == nil {
+		reason = other
+	}
+	if n, ok := old[reason]; ok {
+		return n
 	}
-	m.reject[i].Add(1)
+	next := maps.Clone(old)
+	next[reason] = new(atomic.Uint64)
+	m.reject.Store(&next)
+	return next[reason]
 }
 
 // SetMoves replaces the gauges of the moves; of two with the same ID the first
