--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -28,6 +28,7 @@
 	"wasabiworks.example/wasabiworks/internal/decide/move"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
+	"wasabiworks.example/wasabiworks/internal/operator/burn"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 	"wasabiworks.example/wasabiworks/internal/peer/config"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
@@ -74,6 +75,7 @@
 	config   Config
 	now      func() time.Time
 	registry *prometheus.Registry
+	metrics  *burn.Metrics
 	draining atomic.Bool
 
 	members    *membership.Table
@@ -111,7 +113,12 @@
 	store := kv.New(kv.Config{Address: c.Platform})
 	table := new(evidence.Table)
 	node := fmt.Sprintf("%s/%d", c.ID, i.members.Self().Incarnation)
-	i.recorder = &recorder{node: node, evidence: table}
+	metrics, err := burn.New(burn.Config{Registry: i.registry, Now: i.now})
+	if err != nil {
+		return nil, err
+	}
+	i.metrics = metrics
+	i.recorder = &recorder{node: node, evidence: table, metrics: metrics}
 	i.newMover(store, table)
 	i.newFleet()
 	if err := i.newPeers(store, table); err != nil {
@@ -123,14 +130,9 @@
 }
 
 func (i *Instance) newMover(store kv.Store, table *evidence.Table) {
-	shares := prometheus.NewGaugeVec(prometheus.GaugeOpts{
-		Name: "wasabiworks_move_share",
-		Help: "Share of an entry's requests on the new version, from 0 to 1.",
-	}, []string{"entry", "version"})
-	i.registry.MustRegister(shares)
 	i.mover = &mover{
 		policy: i.config.Move, evidence: table, isolated: i.members.Isolated, store: store, now: i.now,
-		log: i.config.Log, shares: shares, wake: make(chan struct{}, 1), stored: make(map[string]bool),
+		log: i.config.Log, metrics: i.metrics, wake: make(chan struct{}, 1), stored: make(map[string]bool),
 	}
 	i.mover.vetoes = newVetoes(i.mover.vetoed)
 }
@@ -384,7 +386,8 @@
 	return nil
 }
 
-// share computes the shares of the limits until ctx ends.
+// share computes the shares of the limits and samples the counters until ctx
+// ends.
 func (i *Instance) share(ctx context.Context) error {
 	t := time.NewTicker(sharePeriod)
 	defer t.Stop()
@@ -394,6 +397,7 @@
 			return nil
 		case <-t.C:
 			i.limiter.share(i.mover.Snapshot(), i.now())
+			i.metrics.Sample()
 		}
 	}
 }
--- a/internal/entry/instance/moves.go
+++ b/internal/entry/instance/moves.go
@@ -8,11 +8,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/move"
+	"wasabiworks.example/wasabiworks/internal/operator/burn"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
@@ -73,7 +73,7 @@
 	store    kv.Store
 	now      func() time.Time
 	log      *zap.Logger
-	shares   *prometheus.GaugeVec
+	metrics  *burn.Metrics
 
 	// wake asks for a decision before the next period.
 	wake chan struct{}
@@ -190,8 +190,9 @@
 }
 
 func (m *mover) logChanges(previous, p *published) {
+	var shares []burn.MoveShare
 	for name, s := range p.moves {
-		m.shares.WithLabelValues(name, s.record.To).Set(s.decision.Share)
+		shares = append(shares, burn.MoveShare{Entry: name, Move: s.record.ID, To: s.record.To, Share: s.decision.Share})
 		before := move.Phase(-1)
 		if previous != nil && previous.moves[name].record.ID == s.record.ID {
 			before = previous.moves[name].decision.Phase
@@ -204,6 +205,7 @@
 			zap.String("from", s.record.From), zap.String("to", s.record.To),
 			zap.Stringer("phase", s.decision.Phase), zap.String("reason", s.decision.Reason))
 	}
+	m.metrics.SetMoves(shares)
 }
 
 // vetoed is told of each new veto. It does not decide itself, because it may be
--- a/internal/entry/instance/recorder.go
+++ b/internal/entry/instance/recorder.go
@@ -2,12 +2,12 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/caller/openai"
 	"wasabiworks.example/wasabiworks/internal/caller/services"
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
+	"wasabiworks.example/wasabiworks/internal/operator/burn"
 )
 
 // recorder takes the outcomes of the request path and adds them to the
@@ -16,8 +16,7 @@
 	// node is the instance ID, a slash and the incarnation.
 	node     string
 	evidence *evidence.Table
-
-	generated, cached, recomputed atomic.Uint64
+	metrics  *burn.Metrics
 
 	prices sync.Map // backend server ID to price per hour
 	mu     sync.Mutex
@@ -26,6 +25,12 @@
 
 // Attempt records an attempt that an engine ran.
 func (r *recorder) Attempt(a *openai.Attempt) {
+	if a.Tokens > 0 {
+		r.metrics.FirstToken(a.FirstToken.Seconds())
+	}
+	if a.Tokens > 1 {
+		r.metrics.BetweenTokens(a.Between.Seconds())
+	}
 	r.charge(a.Backend, a.FirstToken+time.Duration(max(0, a.Tokens-1))*a.Between)
 	if a.Excused != "" {
 		return
@@ -35,13 +40,15 @@
 
 // Request records a request of a language entry.
 func (r *recorder) Request(q *openai.Request) {
-	r.generated.Add(uint64(q.Generated))
-	r.cached.Add(uint64(q.Cached))
-	r.recomputed.Add(uint64(q.Recomputed))
+	r.metrics.Tokens(q.Generated, q.Cached, q.Recomputed)
+	r.metrics.Finished(q.Entry, q.Workspace, burn.Request{Outcome: q.Outcome, Code: q.Code, Slow: q.Slow, Canceled: q.Canceled})
 }
 
 // Call records a call of a plain service.
 func (r *recorder) Call(c *services.Call) {
+	r.metrics.Finished(c.Entry, c.Workspace, burn.Request{
+		Outcome: c.Outcome, Code: c.Code, Slow: c.Slow, Canceled: c.Canceled, Reclaimed: c.Excused == services.ExcusedReclaim,
+	})
 	if !c.Ran || c.Excused != "" || c.Canceled {
 		return
 	}
