Check that rejected language requests did not run

A response that claims not-run for an executed request breaks a guarantee, and the load tool could see this only for plain services.

Engine fakes log the hash of each prompt. The tool compares the rejections with the logs from before and after a run and counts a rejected request that ran as wrong.

The tests pass three times in a row with -race; nothing was measured.

--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -61,6 +61,7 @@
 	Targets     []string      `long:"target" env:"WASABIWORKS_LOAD_TARGETS" env-delim:"," description:"address of an entry instance, can be repeated"`
 	Platform    string        `long:"platform" env:"WASABIWORKS_LOAD_PLATFORM" description:"address of the platform API, whose ready entry instances are used"`
 	Services    []string      `long:"service" env:"WASABIWORKS_LOAD_SERVICES" env-delim:"," description:"address of a plain service fake whose runs are checked, can be repeated"`
+	Engines     []string      `long:"engine" env:"WASABIWORKS_LOAD_ENGINES" env-delim:"," description:"address of an engine fake whose runs are checked, can be repeated"`
 	Poison      float64       `long:"poison" env:"WASABIWORKS_LOAD_POISON" default:"0" description:"share of requests that crash engines with the fault crash-on=poison-marker, below 1"`
 	Faults      []string      `long:"fault" env:"WASABIWORKS_LOAD_FAULTS" env-delim:";" description:"fault to inject, as 'AT ADDRESS KIND [target=T] [value=V] [version=V] [for=D]', can be repeated; ADDRESS is a host and port, an instance ID or platform"`
 	Output      string        `long:"output" env:"WASABIWORKS_LOAD_OUTPUT" description:"file for the report; the default is standard output"`
@@ -103,6 +104,7 @@
 		Targets:     c.Targets,
 		Platform:    c.Platform,
 		Services:    c.Services,
+		Engines:     c.Engines,
 		Faults:      faults,
 	})
 	if err != nil {
--- a/internal/bench/engine/generate.go
+++ b/internal/bench/engine/generate.go
@@ -52,6 +52,11 @@
 	next atomic.Int64
 }
 
+// PromptHash returns the hash by which the log of attempts names a prompt.
+func PromptHash(prompt string) uint64 {
+	return xxhash.Sum64String(prompt)
+}
+
 func (a *attempt) kvCache() kvCache {
 	return kvCache{Attempt: a.id, Prompt: a.prompt, Tokens: int(a.next.Load())}
 }
@@ -61,7 +66,7 @@
 	if !ok {
 		return
 	}
-	run := s.runs.received(a.body, a.id)
+	run := s.runs.received(a)
 	s.applyLeave()
 	if !s.serves(a.body.Entry, a.body.Version) {
 		reject(w, http.StatusServiceUnavailable, "version")
@@ -91,7 +96,7 @@
 		return nil, false
 	}
 	a.response = answer.For(a.body.Prompt)
-	a.prompt = xxhash.Sum64String(a.body.Prompt)
+	a.prompt = PromptHash(a.body.Prompt)
 	if err := a.check(); err != nil {
 		http.Error(w, "invalid request: "+err.Error(), http.StatusBadRequest)
 		return nil, false
--- a/internal/bench/engine/runs.go
+++ b/internal/bench/engine/runs.go
@@ -10,8 +10,10 @@
 
 // Run counts how often an attempt was received and run.
 type Run struct {
-	Request  string `json:"request"`
-	Attempt  string `json:"attempt"`
+	Request string `json:"request"`
+	Attempt string `json:"attempt"`
+	// Prompt is the hash of the prompt.
+	Prompt   uint64 `json:"prompt,string"`
 	Version  string `json:"version"`
 	From     int    `json:"from"`
 	Received int    `json:"received"`
@@ -37,16 +39,17 @@
 	sums Totals
 }
 
-func (l *runs) received(b body, attempt string) *Run {
+func (l *runs) received(a *attempt) *Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.byID == nil {
 		l.byID = make(map[string]*Run)
 	}
-	id := b.Request + "\x00" + attempt
+	b := a.body
+	id := b.Request + "\x00" + a.id
 	r := l.byID[id]
 	if r == nil {
-		r = &Run{Request: b.Request, Attempt: attempt, Version: b.Version, From: b.From}
+		r = &Run{Request: b.Request, Attempt: a.id, Prompt: a.prompt, Version: b.Version, From: b.From}
 		l.byID[id] = r
 		l.list = append(l.list, r)
 		l.trim()
--- a/internal/bench/load/balancer.go
+++ b/internal/bench/load/balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -27,12 +26,13 @@
 	list    *instances.Client
 
 	mu sync.Mutex
-	// seen are the addresses of all plain services that were ever listed.
-	seen map[string]bool
+	// seen are the addresses of all backend servers that were ever listed,
+	// with their kind.
+	seen map[string]string
 }
 
 func newBalancer(c Config) *balancer {
-	b := &balancer{seen: make(map[string]bool), client: &http.Client{Timeout: checkTimeout, Transport: &http.Transport{}}}
+	b := &balancer{seen: make(map[string]string), client: &http.Client{Timeout: checkTimeout, Transport: &http.Transport{}}}
 	b.set(c.Targets)
 	if c.Platform != "" {
 		b.list = instances.New(instances.Config{Address: c.Platform})
@@ -64,8 +64,8 @@
 	defer tick.Stop()
 	for {
 		if all, err := b.list.List(ctx); err == nil {
+			b.see(all)
 			b.set(b.ready(ctx, all))
-			b.see(services(all))
 		}
 		select {
 		case <-ctx.Done():
@@ -75,20 +75,28 @@
 	}
 }
 
-func (b *balancer) see(addresses []string) {
+func (b *balancer) see(all []instances.Instance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, a := range addresses {
-		b.seen[a] = true
+	for _, i := range all {
+		if i.Role == instances.RoleBackend {
+			b.seen[i.Address] = i.Kind
+		}
 	}
 }
 
-// services returns the configured and the listed plain services.
-func (b *balancer) services(configured []string) []string {
-	b.see(configured)
+// backends returns the configured backend servers and the listed ones of a
+// kind.
+func (b *balancer) backends(configured []string, kind string) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return slices.Sorted(maps.Keys(b.seen))
+	out := slices.Clone(configured)
+	for a, k := range b.seen {
+		if k == kind && !slices.Contains(configured, a) {
+			out = append(out, a)
+		}
+	}
+	return out
 }
 
 // ready returns the addresses of the entry instances that are ready. One
--- a/internal/bench/load/config.go
+++ b/internal/bench/load/config.go
@@ -33,11 +33,13 @@
 	// Targets are addresses of entry instances.
 	Targets []string
 	// Platform is the address of the platform API. With it, the ready entry
-	// instances of the instance list are used, and the runs of all plain
-	// services in the list are checked.
+	// instances of the instance list are used, and the runs of all backend
+	// servers in the list are checked.
 	Platform string
 	// Services are addresses of plain service fakes whose runs are checked.
 	Services []string
+	// Engines are addresses of engine fakes whose runs are checked.
+	Engines []string
 	// Faults are injected during the run.
 	Faults []Fault
 }
--- a/internal/bench/load/experiment_test.go
+++ b/internal/bench/load/experiment_test.go
@@ -106,3 +106,35 @@
 	is.Equal(cost, 1.5)
 	is.Equal(tokens, engine.Totals{Recomputed: 28, Generated: 5})
 }
+
+// Guards against a rejection as not run that is believed although an engine ran
+// the request, and against runs of an earlier experiment that are taken for
+// such a case.
+func TestRejectedAndRan(t *testing.T) {
+	e := engine.New(engine.Config{})
+	h := httptest.NewServer(e)
+	defer h.Close()
+	n := httptest.NewServer(&entry{fault: "not-run", engine: e})
+	defer n.Close()
+	host := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	for _, c := range []struct {
+		name  string
+		runs  bool
+		mixed map[Outcome]int
+	}{
+		{"ran", true, map[Outcome]int{Wrong: 5, NotRun: 0}},
+		{"ran earlier", false, map[Outcome]int{NotRun: 5}},
+	} {
+		n.Config.Handler.(*entry).runs = c.runs
+		r, err := Run(t.Context(), Config{
+			Mix: mixOf(t, "quick-question"), Seed: 1, Rate: 1000, Duration: time.Minute, Count: 5,
+			Targets: []string{host(n)}, Engines: []string{host(h)},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(c.mixed, r.Total.Outcomes); diff != "" {
+			t.Errorf("outcomes of requests that %s (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
--- a/internal/bench/load/recorder.go
+++ b/internal/bench/load/recorder.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// rejectedAndRan corrects the outcome of a request that was recorded as not run.
+func (r *recorder) rejectedAndRan(q Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range []map[Outcome]int{
+		r.report.Total.Outcomes, r.report.Classes[q.Class.Name].Outcomes, r.report.Workspaces[q.Workspace.Name],
+	} {
+		o[NotRun]--
+		o[Wrong]++
+	}
+	r.detail(q.Class.Name, result{outcome: Wrong, detail: fmt.Sprintf("request %d was rejected as not run and ran", q.Index)})
+}
+
 func (r *recorder) detail(class string, out result) {
 	if out.detail != "" && len(r.report.Details) < maxDetails {
 		r.report.Details = append(r.report.Details, class+": "+string(out.outcome)+": "+out.detail)
--- a/internal/bench/load/report.go
+++ b/internal/bench/load/report.go
@@ -42,8 +42,9 @@
 	Failovers int `json:"failovers"`
 	// Codes counts the error codes of rejections and failures.
 	Codes map[string]int `json:"codes,omitempty"`
-	// RunCheck tells whether the runs of plain services were compared with the
-	// outcomes: "none", "partial" if a fake could not be reached, "complete".
+	// RunCheck tells whether the runs that the fakes counted were compared with
+	// the outcomes: "none", "partial" if a fake could not be reached,
+	// "complete".
 	RunCheck string `json:"run-check"`
 	// StartLag is how late the tool itself sent requests.
 	StartLag Summary `json:"start-lag"`
--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"wasabiworks.example/wasabiworks/internal/platform/instances"
 )
 
 const (
@@ -29,6 +31,7 @@
 	client   *client
 	recorder *recorder
 	services serviceCalls
+	rejected rejections
 	// slots holds one element per concurrent request.
 	slots chan struct{}
 	calls sync.WaitGroup
@@ -60,6 +63,8 @@
 		recorder: newRecorder(config, time.Now()),
 		slots:    make(chan struct{}, config.Outstanding),
 	}
+	// Without an earlier log, a fake that fails here counts from 0.
+	r.rejected.before, _ = fetchPrompts(ctx, b.backends(config.Engines, instances.KindLanguage))
 	m := r.meter()
 	if m != nil {
 		m.begin(ctx)
@@ -159,24 +164,38 @@
 		r.services.add(serviceCall{q, planned, ended, out, resent})
 	} else {
 		r.recorder.result(q, planned, ended, out, resent)
+		if out.outcome == NotRun {
+			r.rejected.add(q)
+		}
 	}
 	return out
 }
 
-// checkRuns judges and records the calls of plain services.
+// checkRuns judges and records the calls of plain services, and judges the
+// requests to engines that were rejected.
 func (r *runner) checkRuns(ctx context.Context) {
-	addresses := r.client.balancer.services(r.config.Services)
-	check := "none"
-	if len(addresses) > 0 {
-		runs, complete := fetchRuns(ctx, addresses)
-		r.services.judge(runs, complete)
-		check = "partial"
-		if complete {
-			check = "complete"
-		}
+	services := r.client.balancer.backends(r.config.Services, instances.KindService)
+	engines := r.client.balancer.backends(r.config.Engines, instances.KindLanguage)
+	runs, completeRuns := fetchRuns(ctx, services)
+	if len(services) > 0 {
+		r.services.judge(runs, completeRuns)
 	}
 	for _, c := range r.services.list {
 		r.recorder.result(c.request, c.planned, c.ended, c.out, c.resent)
 	}
-	r.recorder.report.RunCheck = check
+	prompts, completePrompts := fetchPrompts(ctx, engines)
+	for _, q := range r.rejected.ran(prompts) {
+		r.recorder.rejectedAndRan(q)
+	}
+	r.recorder.report.RunCheck = runCheck(len(services)+len(engines), completeRuns && completePrompts)
+}
+
+func runCheck(fakes int, complete bool) string {
+	switch {
+	case fakes == 0:
+		return "none"
+	case complete:
+		return "complete"
+	}
+	return "partial"
 }
--- a/internal/bench/load/run_test.go
+++ b/internal/bench/load/run_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"wasabiworks.example/wasabiworks/internal/bench/answer"
+	"wasabiworks.example/wasabiworks/internal/bench/engine"
 	"wasabiworks.example/wasabiworks/internal/bench/service"
 )
 
@@ -24,11 +25,17 @@
 type entry struct {
 	fault   string
 	service *service.Server
+	// engine runs the prompts of rejected requests if runs is set.
+	engine *engine.Server
+	runs   bool
 }
 
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch e.fault {
 	case "not-run", "unknown":
+		if e.runs {
+			e.generate(r)
+		}
 		w.Header().Set("Wasabiworks-Outcome", e.fault)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = io.WriteString(w, `{"error":{"message":"m","code":"c"}}`)
@@ -69,6 +76,16 @@
 	e.stream(w, r, a, body.Max)
 }
 
+// generate runs a chat at the engine.
+func (e *entry) generate(r *http.Request) {
+	var body struct{ Messages []answer.Message }
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	prompt := answer.ChatPrompt(body.Messages)
+	q := httptest.NewRequest(http.MethodPost, "/generate", bytes.NewReader(encode(map[string]any{"prompt": prompt, "max-tokens": 1})))
+	q.Header.Set("Attempt", strconv.FormatUint(engine.PromptHash(prompt), 16))
+	e.engine.ServeHTTP(httptest.NewRecorder(), q)
+}
+
 func (e *entry) serveService(w http.ResponseWriter, r *http.Request, path string) {
 	r.URL.Path = path
 	if e.fault == "doubled" {
--- a/internal/bench/load/runs.go
+++ b/internal/bench/load/runs.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"wasabiworks.example/wasabiworks/internal/platform/instances"
 )
 
 const (
@@ -61,24 +59,13 @@
 	}
 }
 
-// services returns the addresses of the plain services in the instance list.
-func services(all []instances.Instance) []string {
-	var out []string
-	for _, i := range all {
-		if i.Role == instances.RoleBackend && i.Kind == instances.KindService {
-			out = append(out, i.Address)
-		}
-	}
-	return out
-}
-
 // fetchRuns adds up the run counts of fakes. It reports whether all of them
 // could be read.
 func fetchRuns(ctx context.Context, addresses []string) (runs map[string]int, complete bool) {
 	runs, complete = make(map[string]int), true
 	for _, a := range addresses {
-		counts, err := fetchRunsOf(ctx, a)
-		if err != nil {
+		var counts map[string]int
+		if err := fetch(ctx, a, &counts); err != nil {
 			complete = false
 			continue
 		}
@@ -89,21 +76,21 @@
 	return runs, complete
 }
 
-func fetchRunsOf(ctx context.Context, address string) (map[string]int, error) {
+// fetch reads the runs of a fake.
+func fetch(ctx context.Context, address string, runs any) error {
 	ctx, cancel := context.WithTimeout(ctx, runsTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/runs", nil)
 	if err != nil {
-		return nil, fmt.Errorf("read runs of %s: %w", address, err)
+		return fmt.Errorf("read runs of %s: %w", address, err)
 	}
 	p, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return nil, fmt.Errorf("read runs of %s: %w", address, err)
+		return fmt.Errorf("read runs of %s: %w", address, err)
 	}
 	defer func() { _ = p.Body.Close() }()
-	var counts map[string]int
-	if err := json.NewDecoder(io.LimitReader(p.Body, maxRuns)).Decode(&counts); err != nil {
-		return nil, fmt.Errorf("read runs of %s: %w", address, err)
+	if err := json.NewDecoder(io.LimitReader(p.Body, maxRuns)).Decode(runs); err != nil {
+		return fmt.Errorf("read runs of %s: %w", address, err)
 	}
-	return counts, nil
+	return nil
 }
