Split a load run into steps

Run did the set-up, the traffic and the checks in one function, and the reported duration included the reading of the fakes' logs. The traffic is a function of its own now, and the duration ends with the last response.

--- a/internal/bench/load/balancer.go
+++ b/internal/bench/load/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -16,8 +17,13 @@
 	// ready, as the platform's load balancer does.
 	checkPeriod  = 200 * time.Millisecond
 	checkTimeout = time.Second
+	// readyTimeout bounds the wait for the first ready entry instance.
+	readyTimeout = 15 * time.Second
+	readyPause   = 50 * time.Millisecond
 )
 
+var errNotReady = errors.New("no entry instance became ready")
+
 // balancer stands in for the platform's load balancer.
 type balancer struct {
 	targets atomic.Pointer[[]string]
@@ -44,6 +50,20 @@
 	b.targets.Store(&targets)
 }
 
+// await waits until an entry instance is ready.
+func (b *balancer) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for len(b.next()) == 0 {
+		select {
+		case <-ctx.Done():
+			return errNotReady
+		case <-time.After(readyPause):
+		}
+	}
+	return nil
+}
+
 // next returns the entry instances in the order in which to try them.
 func (b *balancer) next() []string {
 	ts := *b.targets.Load()
--- a/internal/bench/load/meter.go
+++ b/internal/bench/load/meter.go
@@ -21,7 +21,7 @@
 )
 
 // meter adds up the price of backend servers and the tokens of engine fakes
-// during a run.
+// during a run. Without an instance list it stays at 0.
 type meter struct {
 	list   *instances.Client
 	client *http.Client
@@ -61,6 +61,9 @@
 
 // read takes one reading. Without a list, the last price goes on.
 func (m *meter) read(ctx context.Context) {
+	if m.list == nil {
+		return
+	}
 	all, err := m.list.List(ctx)
 	if err != nil {
 		return
--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -12,19 +12,12 @@
 	"wasabiworks.example/wasabiworks/internal/platform/instances"
 )
 
-const (
-	// readyTimeout bounds the wait for the first ready entry instance.
-	readyTimeout = 15 * time.Second
-	readyPause   = 50 * time.Millisecond
-	// retryPause is the time until a caller repeats a failed request.
-	retryPause = 100 * time.Millisecond
-)
+// retryPause is the time until a caller repeats a failed request.
+const retryPause = 100 * time.Millisecond
 
 // ErrInvalid means that a configuration is invalid.
 var ErrInvalid = errors.New("invalid load configuration")
 
-var errNotReady = errors.New("no entry instance became ready")
-
 // runner is a run in progress.
 type runner struct {
 	config   Config
@@ -57,56 +50,32 @@
 	if err := b.await(ctx); err != nil {
 		return nil, err
 	}
-	r := &runner{
-		config:   config,
-		client:   newClient(b),
-		recorder: newRecorder(config, time.Now()),
-		slots:    make(chan struct{}, config.Outstanding),
-	}
-	// Without an earlier log, a fake that fails here counts from 0.
+	r := &runner{config: config, client: newClient(b), slots: make(chan struct{}, config.Outstanding)}
+	// A fake whose log cannot be read here counts from 0.
 	r.rejected.before, _ = fetchPrompts(ctx, b.backends(config.Engines, instances.KindLanguage))
-	m := r.meter()
-	if m != nil {
-		m.begin(ctx)
-		g.Go(func() error { m.watch(watching); return nil })
-	}
+	m := newMeter(b.list)
+	m.begin(ctx)
+	g.Go(func() error { m.watch(watching); return nil })
+	r.recorder = newRecorder(config, time.Now())
+	r.drive(ctx)
+	ended := time.Now()
+	m.read(watching)
+	r.recorder.metered(m.sum())
+	r.checkRuns(watching)
+	return r.recorder.finish(ended), nil
+}
+
+// drive sends the requests and injects the faults, and returns when the last
+// response has arrived.
+func (r *runner) drive(ctx context.Context) {
 	start := time.Now()
-	injecting, stopInjecting := context.WithCancel(ctx)
-	defer stopInjecting()
+	injecting, stop := context.WithCancel(ctx)
 	var injected sync.WaitGroup
 	injected.Go(func() { r.injectAll(injecting, start) })
 	r.arrivals(ctx, start)
 	r.calls.Wait()
-	stopInjecting()
+	stop()
 	injected.Wait()
-	r.checkRuns(watching)
-	if m != nil {
-		m.read(watching)
-		r.recorder.metered(m.sum())
-	}
-	return r.recorder.finish(time.Now()), nil
-}
-
-// meter returns nil without a platform, because there is no instance list.
-func (r *runner) meter() *meter {
-	if r.client.balancer.list == nil {
-		return nil
-	}
-	return newMeter(r.client.balancer.list)
-}
-
-// await waits until an entry instance is ready.
-func (b *balancer) await(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for len(b.next()) == 0 {
-		select {
-		case <-ctx.Done():
-			return errNotReady
-		case <-time.After(readyPause):
-		}
-	}
-	return nil
 }
 
 // arrivals starts each request at its time, whether or not earlier ones have
