--- a/internal/bench/load/balancer.go
+++ b/internal/bench/load/balancer.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"maps"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -17,8 +17,13 @@
 	// ready, as the platform's load balancer does.
 	checkPeriod  = 200 * time.Millisecond
 	checkTimeout = time.Second
+	// readyTimeout bounds the wait for the first ready entry instance.
+	readyTimeout = 15 * time.Second
+	readyPause   = 50 * time.Millisecond
 )
 
+var errNotReady = errors.New("no entry instance became ready")
+
 // balancer stands in for the platform's load balancer.
 type balancer struct {
 	targets atomic.Pointer[[]string]
@@ -27,12 +32,13 @@
 	list    *instances.Client
 
 	mu sync.Mutex
-	// seen are the addresses of all plain services that were ever listed.
-	seen map[string]bool
+	// seen are the addresses of all backend servers that were ever listed,
+	// with their kind.
+	seen map[string]string
 }
 
 func newBalancer(c Config) *balancer {
-	b := &balancer{seen: make(map[string]bool), client: &http.Client{Timeout: checkTimeout, Transport: &http.Transport{}}}
+	b := &balancer{seen: make(map[string]string), client: &http.Client{Timeout: checkTimeout, Transport: &http.Transport{}}}
 	b.set(c.Targets)
 	if c.Platform != "" {
 		b.list = instances.New(instances.Config{Address: c.Platform})
@@ -44,6 +50,20 @@
 	b.targets.Store(&targets)
 }
 
+// await waits until an entry instance is ready.
+func (b *balancer) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for len(b.next()) == 0 {
+		select {
+		case <-ctx.Done():
+			return errNotReady
+		case <-time.After(readyPause):
+		}
+	}
+	return nil
+}
+
 // next returns the entry instances in the order in which to try them.
 func (b *balancer) next() []string {
 	ts := *b.targets.Load()
@@ -64,8 +84,8 @@
 	defer tick.Stop()
 	for {
 		if all, err := b.list.List(ctx); err == nil {
+			b.see(all)
 			b.set(b.ready(ctx, all))
-			b.see(services(all))
 		}
 		select {
 		case <-ctx.Done():
@@ -75,20 +95,28 @@
 	}
 }
 
-func (b *balancer) see(addresses []string) {
+func (b *balancer) see(all []instances.Instance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, a := range addresses {
-		b.seen[a] = true
+	for _, i := range all {
+		if i.Role == instances.RoleBackend {
+			b.seen[i.Address] = i.Kind
+		}
 	}
 }
 
-// services returns the configured and the listed plain services.
-func (b *balancer) services(configured []string) []string {
-	b.see(configured)
+// backends returns the configured backend servers and the listed ones of a
+// kind.
+func (b *balancer) backends(configured []string, kind string) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return slices.Sorted(maps.Keys(b.seen))
+	out := slices.Clone(configured)
+	for a, k := range b.seen {
+		if k == kind && !slices.Contains(configured, a) {
+			out = append(out, a)
+		}
+	}
+	return out
 }
 
 // ready returns the addresses of the entry instances that are ready. One
