Test outcomes at each boundary and responses under each engine fault

Cause: not-run, at most once and whole responses were not shown. Overloaded servers are tried again within the wait, and suspects wait longer only where another suspect runs. Two concurrent losses on one server look like two crashes to a set that doesn't tell processes apart; package poison does.

--- a/internal/caller/openai/attempt.go
+++ b/internal/caller/openai/attempt.go
@@ -23,8 +23,12 @@
 	out    sink
 	record *Request
 	// exclude holds the servers that failed or rejected an attempt.
-	exclude       []string
-	suspect       bool
+	exclude []string
+	// busy holds the servers that rejected an attempt as overloaded.
+	busy    []string
+	suspect bool
+	// crowded is true if a server was passed over for another suspect there.
+	crowded       bool
 	version, move string
 	// imported names the attempt whose KV cache is on target.
 	imported, target string
@@ -78,6 +82,10 @@
 			return nil
 		}
 		last = err
+		if engine.Reason(err) == engine.ReasonPoison {
+			r.g.end("", poisonError(r.outcome()))
+			return nil
+		}
 	}
 	r.g.end("", r.failure(last, errGone))
 	return nil
@@ -95,9 +103,6 @@
 	if r.g.sent {
 		return reply.Failed(http.StatusBadGateway, "backend_failed", "the response could not be completed")
 	}
-	if engine.Reason(last) == engine.ReasonPoison {
-		return poisonError(reply.NotRun)
-	}
 	code, message := "no_backend", "no backend server may run the request now"
 	if last != nil && why != errGone {
 		code, message = "backend_rejected", "the backend servers rejected the request"
@@ -110,21 +115,20 @@
 // choose picks a server and begins the attempt there, waiting for one within
 // the server's patience.
 func (r *run) choose(ctx context.Context, again bool) error {
-	s := r.s
-	patience := s.c.Patience
-	if r.suspect {
-		patience = s.c.SuspectPatience
-	}
-	until := time.Now().Add(patience)
+	begun := time.Now()
 	for {
 		r.pickVersion()
 		if r.pick(again) {
 			return nil
 		}
-		// Only a server that failed may be left; it has had time to recover.
-		if time.Now().After(until) {
+		patience := r.s.c.Patience
+		if r.crowded {
+			patience = r.s.c.SuspectPatience
+		}
+		if time.Since(begun) > patience {
 			return errGone
 		}
+		r.busy = r.busy[:0] // they have had time to finish something
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -150,7 +154,8 @@
 func (r *run) pick(again bool) bool {
 	s := r.s
 	view := s.c.Fleet.View(r.g.entry)
-	exclude := slices.Clip(r.exclude)
+	exclude := slices.Concat(r.exclude, r.busy)
+	r.crowded = false
 	for range len(view) {
 		i, ok := r.index(view, exclude)
 		if !ok {
@@ -158,6 +163,7 @@
 		}
 		b := view[i]
 		if !s.flying.begin(b.ID, r, r.g.fingerprint, r.suspect) {
+			r.crowded = true
 			exclude = append(exclude, b.ID)
 			continue
 		}
@@ -297,7 +303,11 @@
 
 // rejected notes a rejection, which is no evidence against the version.
 func (r *run) rejected(reason string) {
-	r.exclude = append(r.exclude, r.backend.ID)
+	if reason == engine.ReasonOverloaded {
+		r.busy = append(r.busy, r.backend.ID)
+	} else {
+		r.exclude = append(r.exclude, r.backend.ID)
+	}
 	r.free = reason == engine.ReasonLeaving
 	if reason == engine.ReasonVersion {
 		r.s.c.Fleet.RefusedVersion(r.backend.ID, r.version)
--- a/internal/caller/openai/fake_test.go
+++ b/internal/caller/openai/fake_test.go
@@ -191,7 +191,7 @@
 		list = append(list, fleet.Instance{ID: fmt.Sprint("b", i), Address: e.address(), Entry: "sack-assist"})
 	}
 	s.fleet.SetInstances(list)
-	s.engine = engine.New(engine.Config{FirstFrame: time.Second, Stall: 100 * time.Millisecond})
+	s.engine = engine.New(engine.Config{FirstFrame: 300 * time.Millisecond, Stall: 100 * time.Millisecond})
 	c := Config{Node: "n1", Snapshots: s, Limiter: s, Versions: s, Router: s.policy, Fleet: s.fleet, Engine: s.engine,
 		Budget: s, Poison: s.poison, Recorder: s, Random: rand.Uint64, Patience: 50 * time.Millisecond, SuspectPatience: 2 * time.Second}
 	if change != nil {
@@ -261,26 +261,29 @@
 	return 0, false
 }
 
-// fakePoison counts the crashes of each fingerprint.
+// fakePoison counts the processes that crashed under each fingerprint.
 type fakePoison struct {
 	mu      sync.Mutex
-	crashes map[uint64]int
+	crashes map[uint64]map[string]bool
 }
 
 func (p *fakePoison) Verdict(fp uint64) Verdict {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Verdict(min(p.crashes[fp], 2))
+	return Verdict(min(len(p.crashes[fp]), 2))
 }
 
-func (p *fakePoison) Crash(_, _ string, fps []uint64) {
+func (p *fakePoison) Crash(backend, incarnation string, fps []uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.crashes == nil {
-		p.crashes = make(map[uint64]int)
+		p.crashes = make(map[uint64]map[string]bool)
 	}
 	for _, fp := range fps {
-		p.crashes[fp]++
+		if p.crashes[fp] == nil {
+			p.crashes[fp] = make(map[string]bool)
+		}
+		p.crashes[fp][backend+"/"+incarnation] = true
 	}
 }
 
--- a/internal/caller/openai/server.go
+++ b/internal/caller/openai/server.go
@@ -116,9 +116,6 @@
 	if c.route == RouteCompletions {
 		g.id = "cmpl-" + g.id[len("chatcmpl-"):]
 	}
-	if s.c.Poison.Verdict(g.fingerprint) == Poison {
-		return nil, 0, poisonError(reply.NotRun)
-	}
 	if c.key != "" {
 		have, loaded := s.byKey.LoadOrStore(dedupeKey(workspace, c.key), g, g.weight(), now)
 		if loaded && have.digest != c.digest {
--- /dev/null
+++ b/internal/caller/services/boundary_test.go
@@ -0,0 +1,261 @@
+package services_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// cutServer is a backend server on raw TCP that cuts each connection at a
+// boundary of the exchange and records what arrived.
+type cutServer struct {
+	net.Listener
+	boundary string
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	requests []string // what arrived, by connection
+}
+
+func newCutServer(t *testing.T, boundary string) *cutServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &cutServer{Listener: l, boundary: boundary}
+	if boundary == "dial refused" {
+		l.Close()
+		return s
+	}
+	s.wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.wg.Go(func() { s.serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		s.wg.Wait()
+	})
+	return s
+}
+
+func (s *cutServer) serve(c net.Conn) {
+	defer c.Close()
+	var got strings.Builder
+	defer func() {
+		s.mu.Lock()
+		s.requests = append(s.requests, got.String())
+		s.mu.Unlock()
+	}()
+	if s.boundary == "before headers are read" {
+		return
+	}
+	br := bufio.NewReader(io.TeeReader(c, &got))
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return
+	}
+	if s.boundary == "within the request body" {
+		io.CopyN(io.Discard, req.Body, 10)
+		return
+	}
+	io.Copy(io.Discard, req.Body)
+	switch s.boundary {
+	case "within the response headers":
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Len")
+	case "within the response":
+		frame := fmt.Sprintf(`{"attempt":%q,"index":0,"token":"a "}`+"\n{", req.Header.Get("Attempt"))
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(frame)+100, frame)
+	case "not-run header":
+		io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: overloaded\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	case "none":
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
+	}
+}
+
+// arrived returns the number of connections and of those on which a byte
+// arrived.
+func (s *cutServer) arrived() (connections, withBytes int) {
+	s.Close()
+	s.wg.Wait()
+	for _, r := range s.requests {
+		connections++
+		if r != "" {
+			withBytes++
+		}
+	}
+	return connections, withBytes
+}
+
+func send(t *testing.T, method, url, body string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer secret")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return res, string(b), err
+}
+
+var boundaries = []struct {
+	name    string
+	outcome string
+	proven  bool // that it was not run
+}{
+	{"dial refused", "not-run", true},
+	{"not-run header", "not-run", true},
+	{"before headers are read", "unknown", false},
+	{"within the request body", "unknown", false},
+	{"after the request", "unknown", false},
+	{"within the response headers", "unknown", false},
+	{"within the response", "unknown", false},
+}
+
+// Guards against a call that was run twice, and against a not-run told of a
+// call that may have arrived.
+func TestServiceBoundaries(t *testing.T) {
+	large := strings.Repeat("x", 512<<10)
+	for _, b := range boundaries {
+		t.Run(b.name, func(t *testing.T) {
+			is := is.New(t)
+			first, second := newCutServer(t, b.name), newCutServer(t, b.name)
+			url, _ := newSystem(t, first.Addr().String(), second.Addr().String())
+			res, _, _ := send(t, "POST", url+"/v1/services/kalendar-app/deposits", large, "Idempotency-Key", "k")
+			is.Equal(res.Header.Get("Wasabiworks-Outcome"), b.outcome)
+			again, _, _ := send(t, "POST", url+"/v1/services/kalendar-app/deposits", large, "Idempotency-Key", "k")
+			is.Equal(again.Header.Get("Wasabiworks-Outcome"), b.outcome)
+			connections, _ := first.arrived()
+			others, _ := second.arrived()
+			if b.proven {
+				is.Equal(again.StatusCode, http.StatusServiceUnavailable)
+				is.True(others <= 2)
+				return
+			}
+			is.Equal(res.StatusCode, http.StatusBadGateway)
+			is.Equal(again.StatusCode, http.StatusConflict) // the first may have run
+			is.Equal(connections, 1)
+			is.Equal(others, 0)
+		})
+	}
+}
+
+// Guards against a second server that is not tried though the first provably
+// did not run the call.
+func TestServiceMovesOnIfNotRun(t *testing.T) {
+	for _, boundary := range []string{"dial refused", "not-run header"} {
+		is := is.New(t)
+		first, second := newCutServer(t, boundary), newCutServer(t, "none")
+		url, _ := newSystem(t, first.Addr().String(), second.Addr().String())
+		res, body, err := send(t, "POST", url+"/v1/services/kalendar-app/deposits", "10", "Idempotency-Key", "k")
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.Equal(body, "ok")
+		_, ran := second.arrived()
+		is.Equal(ran, 1)
+	}
+}
+
+// Guards against a repeatable call that fails though another server runs it.
+func TestRepeatableMovesOn(t *testing.T) {
+	for _, b := range boundaries {
+		is := is.New(t)
+		first, second := newCutServer(t, b.name), newCutServer(t, "none")
+		url, _ := newSystem(t, first.Addr().String(), second.Addr().String())
+		res, body, err := send(t, "POST", url+"/v1/services/kalendar-app/quotes/7", strings.Repeat("x", 512<<10))
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.Equal(body, "ok") // boundary b.name
+	}
+}
+
+// Guards against a completion whose outcome is told wrongly, streamed or not.
+func TestEngineBoundaries(t *testing.T) {
+	prompt := strings.Repeat("x", 512<<10)
+	for _, b := range boundaries {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprint(b.name, stream), func(t *testing.T) {
+				is := is.New(t)
+				server := newCutServer(t, b.name)
+				url, _ := newSystem(t, server.Addr().String())
+				res, body, err := send(t, "POST", url+"/v1/chat/completions", fmt.Sprintf(`{"model":"stetec-ai","stream":%t,"messages":[{"role":"user","content":%q}]}`, stream, prompt))
+				is.NoErr(err)
+				if stream && b.name == "within the response" {
+					is.Equal(res.StatusCode, http.StatusOK)
+					is.True(strings.Contains(body, `"outcome":"unknown"`))
+					is.True(!strings.Contains(body, "[DONE]"))
+					return
+				}
+				is.Equal(res.Header.Get("Wasabiworks-Outcome"), b.outcome)
+				if _, withBytes := server.arrived(); b.proven && b.name != "not-run header" {
+					is.Equal(withBytes, 0)
+				}
+			})
+		}
+	}
+}
+
+// Guards against net/http, which by itself repeats a request with an
+// Idempotency-Key header if a reused connection breaks.
+func TestTransportDoesNotRepeat(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var mu sync.Mutex
+	runs := make(map[string]int)
+	var wg sync.WaitGroup
+	serve := func(c net.Conn) {
+		defer c.Close()
+		br := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			key := req.Header.Get("Idempotency-Key")
+			mu.Lock()
+			runs[key]++
+			mu.Unlock()
+			if key != "first" {
+				return // it ran, and the connection breaks
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { serve(c) })
+		}
+	})
+	url, _ := newSystem(t, l.Addr().String())
+	for _, key := range []string{"first", "second"} {
+		send(t, "POST", url+"/v1/services/kalendar-app/deposits", "", "Idempotency-Key", key)
+	}
+	l.Close()
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(runs["second"], 1)
+}
--- /dev/null
+++ b/internal/caller/services/fake_test.go
@@ -0,0 +1,150 @@
+package services_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/backend/engine"
+	"wasabiworks.example/wasabiworks/internal/backend/fleet"
+	"wasabiworks.example/wasabiworks/internal/backend/service"
+	"wasabiworks.example/wasabiworks/internal/caller/openai"
+	"wasabiworks.example/wasabiworks/internal/caller/services"
+	"wasabiworks.example/wasabiworks/internal/decide/route"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+)
+
+var testSnapshot = catalogue.NewSnapshot(1, &catalogue.Catalogue{
+	Workspaces: []catalogue.Workspace{{Name: "mill", TokenHashes: []string{"2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"}}},
+	Entries: []catalogue.Entry{
+		{Name: "stetec-ai", Kind: catalogue.KindLanguage, Version: "v1"},
+		{Name: "kalendar-app", Kind: catalogue.KindService, Version: "v1", Repeatable: []string{"POST /quotes"}},
+	},
+})
+
+// deps stands in for the rest of an instance, with open limits.
+type deps struct {
+	mu        sync.Mutex
+	entries   map[services.Key]*journalEntry
+	down      bool
+	completed chan struct{}
+	calls     []services.Call
+}
+
+type journalEntry struct {
+	fingerprint uint64
+	attempt     string
+	done        bool
+	response    *services.Response
+}
+
+func (d *deps) Snapshot() *catalogue.Snapshot { return testSnapshot }
+func (d *deps) Admit(string, *catalogue.Entry, time.Time) (func(), error) {
+	return func() {}, nil
+}
+func (d *deps) Version(*catalogue.Entry, uint64) (string, string) { return "v1", "" }
+func (d *deps) Deposit(string)                                    {}
+func (d *deps) Withdraw(string) bool                              { return true }
+func (d *deps) Verdict(uint64) openai.Verdict                     { return openai.Clear }
+func (d *deps) Crash(string, string, []uint64)                    {}
+func (d *deps) Attempt(*openai.Attempt)                           {}
+func (d *deps) Request(*openai.Request)                           {}
+func (d *deps) Call(c *services.Call) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls = append(d.calls, *c)
+}
+
+func (d *deps) Reserve(_ context.Context, key services.Key, fp uint64, attempt string) (services.Status, *services.Response, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.down {
+		return services.Unavailable, nil, nil
+	}
+	e, ok := d.entries[key]
+	switch {
+	case !ok:
+		if d.entries == nil {
+			d.entries = make(map[services.Key]*journalEntry)
+		}
+		d.entries[key] = &journalEntry{fingerprint: fp, attempt: attempt}
+		return services.Reserved, nil, nil
+	case e.fingerprint != fp:
+		return services.Mismatch, nil, nil
+	case !e.done:
+		return services.Pending, nil, nil
+	case e.response == nil:
+		return services.DoneWithoutResponse, nil, nil
+	}
+	return services.Done, e.response, nil
+}
+
+func (d *deps) Complete(_ context.Context, key services.Key, attempt string, r *services.Response) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.entries[key]; !ok || e.attempt != attempt {
+		return fmt.Errorf("attempt %s holds no reservation", attempt)
+	}
+	d.entries[key].done, d.entries[key].response = true, r
+	if d.completed != nil {
+		close(d.completed)
+	}
+	return nil
+}
+
+func (d *deps) NotRun(_ context.Context, key services.Key, attempt string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.entries[key]; ok && e.attempt == attempt {
+		delete(d.entries, key)
+	}
+	return nil
+}
+
+// firstFit picks the first server that is not excluded.
+type firstFit struct{}
+
+func (firstFit) Pick(bs []route.Backend, r route.Request, _ time.Time, _ uint64) (int, bool) {
+next:
+	for i := range bs {
+		for _, id := range r.Exclude {
+			if id == bs[i].ID {
+				continue next
+			}
+		}
+		return i, true
+	}
+	return 0, false
+}
+
+// newSystem serves both kinds of entries from backend servers at addresses.
+func newSystem(t *testing.T, addresses ...string) (string, *deps) {
+	d := &deps{}
+	f := fleet.New(fleet.Config{})
+	var list []fleet.Instance
+	for i, a := range addresses {
+		list = append(list, fleet.Instance{ID: fmt.Sprint("e", i), Address: a, Entry: "stetec-ai"}, fleet.Instance{ID: fmt.Sprint("s", i), Address: a, Entry: "kalendar-app"})
+	}
+	f.SetInstances(list)
+	sc, ec := service.New(service.Config{ResponseTimeout: 2 * time.Second}), engine.New(engine.Config{})
+	completions := openai.New(openai.Config{Node: "n", Snapshots: d, Limiter: d, Versions: d, Router: firstFit{}, Fleet: f, Engine: ec,
+		Budget: d, Poison: d, Recorder: d, Random: rand.Uint64, Patience: 20 * time.Millisecond})
+	plain := services.New(services.Config{Node: "n", Snapshots: d, Limiter: d, Versions: d, Router: firstFit{}, Fleet: f, Client: sc,
+		Budget: d, Journal: d, Recorder: d, Random: rand.Uint64, MaxResponse: 1 << 20})
+	mux := http.NewServeMux()
+	mux.Handle("/v1/services/", plain)
+	mux.Handle("/v1/", completions)
+	s := httptest.NewServer(mux)
+	t.Cleanup(func() {
+		s.Close()
+		completions.Close()
+		sc.Close()
+		ec.Close()
+	})
+	return s.URL, d
+}
