--- a/cmd/wasabiworks/catalogue.go
+++ b/cmd/wasabiworks/catalogue.go
@@ -163,12 +163,12 @@
 func (c *applyCommand) wait(revision int64) error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.WaitTime)
 	defer cancel()
-	behind, err := admin.NewFleet(admin.FleetConfig{Platform: c.Platform}).Wait(ctx, revision)
+	reached, behind, err := admin.NewFleet(admin.FleetConfig{Platform: c.Platform}).Wait(ctx, revision)
 	if err != nil {
 		return fmt.Errorf("revision %d is applied; whether it is in effect is unknown: %w", revision, err)
 	}
 	if len(behind) == 0 {
-		fmt.Fprintf(c.app.out, "revision %d is in effect on every live entry instance\n", revision)
+		fmt.Fprintf(c.app.out, "revision %d is in effect on all %d live entry instances\n", revision, reached)
 		return nil
 	}
 	var b strings.Builder
--- a/cmd/wasabiworks/main_test.go
+++ b/cmd/wasabiworks/main_test.go
@@ -144,7 +144,7 @@
 func TestApplyWaits(t *testing.T) {
 	s := newShell(t)
 	s.instance("entry-1", admin.Status{Instance: "entry-1", CatalogueRevision: 1 << 40})
-	if out := s.must(example, "catalogue", "apply", "--wait", "-"); !strings.Contains(out, "in effect on every live entry instance") {
+	if out := s.must(example, "catalogue", "apply", "--wait", "-"); !strings.Contains(out, "in effect on all 1 live entry instances") {
 		t.Errorf("apply --wait printed %q", out)
 	}
 	s.instance("entry-2", admin.Status{Instance: "entry-2"})
--- a/internal/operator/admin/fleet.go
+++ b/internal/operator/admin/fleet.go
@@ -135,36 +135,37 @@
 }
 
 // Wait returns once every live entry instance reports a catalogue revision of
-// at least revision. At the end of ctx it returns the instances that do not,
-// each with its last answer; err is set if the instance list was never read.
-func (f *Fleet) Wait(ctx context.Context, revision int64) (behind []Answer, err error) {
-	reached := make(map[string]bool)
+// at least revision. It returns the number of those that do and, if ctx ends
+// before, the others with their last answer; err is set if the instance list
+// was never read.
+func (f *Fleet) Wait(ctx context.Context, revision int64) (reached int, behind []Answer, err error) {
+	done := make(map[string]bool)
 	known := false
 	for {
 		var entries []instances.Instance
 		if entries, err = f.Entries(ctx); err == nil {
 			known = true
-			behind = f.behind(ctx, entries, revision, reached, behind)
+			behind = f.behind(ctx, entries, revision, done, behind)
 			if len(behind) == 0 {
-				return nil, nil
+				return len(done), nil, nil
 			}
 		}
 		if f.config.Pause(ctx, waitPause) != nil {
 			if known {
 				err = nil
 			}
-			return behind, err
+			return len(done), behind, err
 		}
 	}
 }
 
 // behind asks the instances that have not reported the revision yet. An
 // instance whose call was cut short by the end of ctx keeps its last answer.
-func (f *Fleet) behind(ctx context.Context, entries []instances.Instance, revision int64, reached map[string]bool, last []Answer) (behind []Answer) {
-	entries = slices.DeleteFunc(entries, func(i instances.Instance) bool { return reached[i.ID] })
+func (f *Fleet) behind(ctx context.Context, entries []instances.Instance, revision int64, done map[string]bool, last []Answer) (behind []Answer) {
+	entries = slices.DeleteFunc(entries, func(i instances.Instance) bool { return done[i.ID] })
 	for _, a := range f.Statuses(ctx, entries) {
 		if a.Err == nil && a.Status.CatalogueRevision >= revision {
-			reached[a.Instance.ID] = true
+			done[a.Instance.ID] = true
 			continue
 		}
 		if ctx.Err() != nil {
--- a/internal/operator/admin/fleet_test.go
+++ b/internal/operator/admin/fleet_test.go
@@ -62,15 +62,17 @@
 		}
 		return nil
 	}})
-	behind, err := f.Wait(t.Context(), 7)
+	reached, behind, err := f.Wait(t.Context(), 7)
 	is.NoErr(err)
+	is.Equal(reached, 2)
 	is.Equal(len(behind), 0)
 	is.Equal(rounds, 3)
 
 	c.start(t, "c", address).Close()
 	ends := NewFleet(FleetConfig{Platform: address, Pause: func(context.Context, time.Duration) error { return context.DeadlineExceeded }})
-	behind, err = ends.Wait(t.Context(), 8)
+	reached, behind, err = ends.Wait(t.Context(), 8)
 	is.NoErr(err)
+	is.Equal(reached, 1)
 	is.Equal(len(behind), 2)
 	is.Equal(behind[0].Instance.ID, "a")
 	is.NoErr(behind[0].Err)
