--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -165,8 +166,17 @@
 	ahead    []Frame
 }
 
+// buffers holds readers, because one of maxFrame bytes for each attempt would
+// be most of what a request allocates.
+var buffers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxFrame) }}
+
 func (r *reader) run(body io.Reader) error {
-	br := bufio.NewReaderSize(body, maxFrame)
+	br := buffers.Get().(*bufio.Reader)
+	br.Reset(body)
+	defer func() {
+		br.Reset(nil)
+		buffers.Put(br)
+	}()
 	var f Frame
 	for {
 		line, err := br.ReadSlice('\n')
--- a/internal/backend/engine/frame.go
+++ b/internal/backend/engine/frame.go
@@ -40,11 +40,14 @@
 
 // Load is an engine's load report.
 type Load struct {
-	Running  int       `json:"running"`
-	Queued   int       `json:"queued"`
-	Capacity int       `json:"capacity"`
-	Versions []string  `json:"versions"`
-	State    string    `json:"state"`
-	Crashes  int       `json:"crashes"`
-	At       time.Time `json:"at"`
+	Running  int      `json:"running"`
+	Queued   int      `json:"queued"`
+	Capacity int      `json:"capacity"`
+	Versions []string `json:"versions"`
+	State    string   `json:"state"`
+	Crashes  int      `json:"crashes"`
+	// Incarnation changes when the process restarts; engines that do not
+	// report it only count their crashes.
+	Incarnation string    `json:"incarnation"`
+	At          time.Time `json:"at"`
 }
--- a/internal/backend/fleet/fleet.go
+++ b/internal/backend/fleet/fleet.go
@@ -75,6 +75,9 @@
 	mu     sync.Mutex // guards changes to everything below
 	listed map[string]Instance
 	marks  map[string]mark
+	// cleared holds the ends of marks that a new process has made void, so
+	// that a peer which does not know yet cannot bring them back.
+	cleared map[string]time.Time
 }
 
 // entry holds the published slice of one catalogue entry.
@@ -109,7 +112,7 @@
 	if c.Backoff == 0 {
 		c.Backoff = time.Second
 	}
-	f := &Fleet{c: c, listed: make(map[string]Instance), marks: make(map[string]mark)}
+	f := &Fleet{c: c, listed: make(map[string]Instance), marks: make(map[string]mark), cleared: make(map[string]time.Time)}
 	f.entries.Store(&map[string]*entry{})
 	f.servers.Store(&map[string]*server{})
 	return f
@@ -124,17 +127,17 @@
 	}
 	if e.stale.Load() && e.copy.TryLock() {
 		if e.stale.Swap(false) {
-			e.publish()
+			e.publish(f.c.Now())
 		}
 		e.copy.Unlock()
 	}
 	return *e.view.Load()
 }
 
-func (e *entry) publish() {
+func (e *entry) publish(now time.Time) {
 	bs := make([]route.Backend, len(e.members))
 	for i, s := range e.members {
-		bs[i] = s.backend()
+		bs[i] = s.backend(now)
 	}
 	e.view.Store(&bs)
 }
@@ -178,17 +181,18 @@
 	byEntry := make(map[string]*entry)
 	for id, in := range f.listed {
 		s, ok := old[id]
-		if !ok || s.instance.Address != in.Address || s.instance.Entry != in.Entry {
+		if !ok || s.in().Address != in.Address || s.in().Entry != in.Entry {
 			s = newServer(in, now)
 		}
+		s.instance.Store(&in) // the price may have changed
 		servers[id] = s
 	}
 	avoided := make(map[*entry][]*server)
 	for id, s := range servers {
-		e, ok := byEntry[s.instance.Entry]
+		e, ok := byEntry[s.in().Entry]
 		if !ok {
 			e = &entry{}
-			byEntry[s.instance.Entry] = e
+			byEntry[s.in().Entry] = e
 		}
 		s.entry.Store(e)
 		switch f.usable(id, s, now) {
@@ -203,7 +207,7 @@
 			e.members = avoided[e]
 		}
 		sortServers(e.members)
-		e.publish()
+		e.publish(now)
 	}
 	f.servers.Store(&servers)
 	f.entries.Store(&byEntry)
@@ -219,7 +223,7 @@
 
 // usable reports whether a server may get new work.
 func (f *Fleet) usable(id string, s *server, now time.Time) verdict {
-	if f.listed[id].Leaving || f.marks[id].active(now) {
+	if f.marks[id].active(now, s.in().Address) {
 		s.leave(f.marks[id].deadline)
 		return no
 	}
--- /dev/null
+++ b/internal/backend/fleet/fleet_test.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"wasabiworks.example/wasabiworks/internal/decide/route"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func newFleet(c Config) (*Fleet, *clock) {
+	clk := &clock{time.Unix(1000, 0)}
+	c.Now = clk.Now
+	f := New(c)
+	f.SetInstances(list("a", "b"))
+	return f, clk
+}
+
+func list(ids ...string) (l []Instance) {
+	for _, id := range ids {
+		l = append(l, Instance{ID: id, Address: "address-" + id, Entry: "e", Polled: true})
+	}
+	return l
+}
+
+func ids(bs []route.Backend) (s string) {
+	for _, b := range bs {
+		s += b.ID
+	}
+	return s
+}
+
+// Guards against new work for a leaving server, whatever says so first and
+// however the instance list lags.
+func TestLeavingIsOutAtOnce(t *testing.T) {
+	for name, leave := range map[string]func(*Fleet, *clock){
+		"notice":    func(f *Fleet, c *clock) { f.Notice("a", c.now.Add(time.Minute)) },
+		"rejection": func(f *Fleet, _ *clock) { f.Refused("a", ReasonLeaving) },
+		"peer":      func(f *Fleet, c *clock) { f.PeerLeaving("a", c.now.Add(time.Hour)) },
+		"report":    func(f *Fleet, c *clock) { f.Report(Report{Backend: "a", Incarnation: "1", At: c.now, Leaving: true}) },
+		"list":      func(f *Fleet, _ *clock) { l := list("a", "b"); l[0].Leaving = true; f.SetInstances(l) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, clk := newFleet(Config{})
+			f.Report(Report{Backend: "a", Incarnation: "1", At: clk.now})
+			left := f.Began("a")
+			is.Equal(ids(f.View("e")), "ab")
+			leave(f, clk)
+			is.Equal(ids(f.View("e")), "b")
+			select {
+			case <-left:
+			default:
+				t.Error("the attempt on the leaving server was not told")
+			}
+			clk.now = clk.now.Add(10 * time.Second)
+			f.SetInstances(list("a", "b")) // the list lags
+			f.Report(Report{Backend: "a", Incarnation: "1", At: clk.now})
+			is.Equal(ids(f.View("e")), "b")
+		})
+	}
+}
+
+// Guards against a server that never comes back, and against a mark that a
+// peer brings back.
+func TestNewIncarnationJoins(t *testing.T) {
+	is := is.New(t)
+	f, clk := newFleet(Config{})
+	f.Report(Report{Backend: "a", Incarnation: "1", At: clk.now})
+	f.Began("a")
+	f.Leaving("a")
+	until := f.Marks()[0].Deadline
+	f.Report(Report{Backend: "a", Incarnation: "2", At: clk.now})
+	is.Equal(ids(f.View("e")), "ab")
+	f.PeerLeaving("a", until)
+	is.Equal(ids(f.View("e")), "ab")
+	select {
+	case <-f.Began("a"):
+		t.Error("a new process is taken for the one that left")
+	default:
+	}
+	f.Ended("a")
+	f.Ended("a") // of the old process
+	is.Equal(f.View("e")[0].Running, 0)
+
+	f.Notice("b", clk.now.Add(time.Minute))
+	is.Equal(f.Deadline("b"), clk.now.Add(time.Minute))
+	f.SetInstances(list("a"))
+	f.SetInstances(list("a", "b")) // a new instance under the same ID
+	is.Equal(ids(f.View("e")), "ab")
+}
+
+// Guards against own requests that are missing from, or doubled in, the load.
+func TestOwnRequestsCount(t *testing.T) {
+	is := is.New(t)
+	f, clk := newFleet(Config{})
+	f.Report(Report{Backend: "a", Incarnation: "1", Running: 5, Capacity: 8, At: clk.now})
+	f.Began("a")
+	f.Began("a")
+	is.Equal(f.View("e")[0].Running, 7)
+	f.Report(Report{Backend: "a", Incarnation: "1", Running: 6, Capacity: 8, At: clk.now}) // has them
+	is.Equal(f.View("e")[0].Running, 6)
+	f.Ended("a")
+	is.Equal(f.View("e")[0].Running, 5)
+	f.Report(Report{Backend: "a", Incarnation: "1", Running: 50, At: clk.now.Add(-time.Second)}) // late
+	is.Equal(f.View("e")[0].Running, 5)
+}
+
+// Guards against a failing server that is tried again and again, and against
+// none being tried because all have failed.
+func TestFailingServerIsAvoided(t *testing.T) {
+	is := is.New(t)
+	f, clk := newFleet(Config{})
+	f.Refused("a", "failed")
+	is.Equal(ids(f.View("e")), "b")
+	f.Refused("b", "failed")
+	is.Equal(ids(f.View("e")), "ab")
+	clk.now = clk.now.Add(1500 * time.Millisecond)
+	f.Refused("b", "failed")
+	is.Equal(ids(f.View("e")), "a")
+	clk.now = clk.now.Add(1500 * time.Millisecond) // twice as long now
+	f.Poll(context.Background())
+	is.Equal(ids(f.View("e")), "a")
+	f.Report(Report{Backend: "b", Incarnation: "1", At: clk.now})
+	f.Poll(context.Background())
+	is.Equal(ids(f.View("e")), "ab")
+
+	f.Refused("a", ReasonOverloaded)
+	is.Equal(f.View("e")[0].Queued, 1)
+	clk.now = clk.now.Add(2 * time.Second)
+	f.Poll(context.Background())
+	is.Equal(f.View("e")[0].Queued, 0)
+	f.Report(Report{Backend: "a", Incarnation: "1", Versions: []string{"v1", "v2"}, At: clk.now})
+	f.RefusedVersion("a", "v2")
+	is.Equal(f.View("e")[0].Versions, []string{"v1"})
+	f.RefusedVersion("a", "v1")
+	is.True(!f.View("e")[0].Serves("v1"))
+}
+
+type pollFunc func(ctx context.Context, address string) (Report, error)
+
+func (p pollFunc) Load(ctx context.Context, address string) (Report, error) { return p(ctx, address) }
+
+// Guards against polls of other nodes' shares, polls that hang, and goroutines
+// that outlive Run.
+func TestPolling(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	polled := make(map[string]int)
+	reported := make(chan Report, 100)
+	ctx, cancel := context.WithCancel(context.Background())
+	f, _ := newFleet(Config{
+		Interval: time.Millisecond, PollTimeout: 10 * time.Millisecond, Share: func(id string) bool { return id != "b" },
+		OnReport: func(r Report) {
+			select {
+			case reported <- r:
+			default:
+			}
+		},
+		Poller: pollFunc(func(ctx context.Context, address string) (Report, error) {
+			mu.Lock()
+			polled[address]++
+			mu.Unlock()
+			if address == "address-c" {
+				<-ctx.Done() // hangs
+				return Report{}, errors.New("hung")
+			}
+			return Report{Incarnation: "1", Capacity: 4}, nil
+		}),
+	})
+	f.SetInstances(list("a", "b", "c"))
+	done := make(chan error)
+	go func() { done <- f.Run(ctx) }()
+	for range 3 {
+		is.Equal((<-reported).Backend, "a")
+	}
+	cancel()
+	is.Equal(<-done, context.Canceled)
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(polled["address-b"], 0)
+	is.Equal(ids(f.View("e")), "ab") // c did not report twice in a row
+}
--- a/internal/backend/fleet/poll.go
+++ b/internal/backend/fleet/poll.go
@@ -2,11 +2,29 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"wasabiworks.example/wasabiworks/internal/backend/engine"
 )
 
+// Engines polls model engines.
+type Engines struct{ Client *engine.Client }
+
+// Load implements Poller.
+func (e Engines) Load(ctx context.Context, address string) (Report, error) {
+	l, err := e.Client.Load(ctx, address)
+	if err != nil {
+		return Report{}, err
+	}
+	if l.Incarnation == "" {
+		l.Incarnation = strconv.Itoa(l.Crashes)
+	}
+	return Report{Incarnation: l.Incarnation, Running: l.Running, Queued: l.Queued, Capacity: l.Capacity, Versions: l.Versions,
+		At: l.At, Leaving: l.State == "leaving"}, nil
+}
+
 // Run polls this node's share of the servers until ctx ends, and returns when
 // its goroutines have ended.
 func (f *Fleet) Run(ctx context.Context) error {
@@ -28,7 +46,7 @@
 	var g errgroup.Group
 	g.SetLimit(f.c.Parallel)
 	for id, s := range *f.servers.Load() {
-		if f.c.Poller == nil || !s.instance.Polled || !f.c.Share(id) {
+		if f.c.Poller == nil || !s.in().Polled || !f.c.Share(id) {
 			continue
 		}
 		g.Go(func() error {
@@ -45,7 +63,7 @@
 func (f *Fleet) poll(ctx context.Context, id string, s *server) {
 	pollCtx, cancel := context.WithTimeout(ctx, f.c.PollTimeout)
 	defer cancel()
-	r, err := f.c.Poller.Load(pollCtx, s.instance.Address)
+	r, err := f.c.Poller.Load(pollCtx, s.in().Address)
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/backend/fleet/server.go
+++ b/internal/backend/fleet/server.go
@@ -12,7 +12,7 @@
 
 // server is what the node knows about one backend server.
 type server struct {
-	instance Instance
+	instance atomic.Pointer[Instance] // its address and entry never change
 	joined   time.Time
 	inFlight *atomic.Int64 // shared by the incarnations of the server
 	entry    atomic.Pointer[entry]
@@ -28,6 +28,8 @@
 	missed     int // polls in a row without a report
 	avoidUntil time.Time
 	failedAt   time.Time
+	// fullUntil is set while a rejection is newer than the reported load.
+	fullUntil time.Time
 	// without lists versions that the server rejected since its last report.
 	without []string
 }
@@ -37,18 +39,27 @@
 	// incarnation is the one that is leaving; a different one is a new
 	// process, which may get work.
 	incarnation string
+	// address is the server's when it was marked; another one is another
+	// process.
+	address string
 	// until is when the mark is dropped, deadline when the server goes.
 	until, deadline time.Time
 }
 
-func (m mark) active(now time.Time) bool { return now.Before(m.until) }
+func (m mark) active(now time.Time, address string) bool {
+	return now.Before(m.until) && (m.address == "" || m.address == address)
+}
 
 func newServer(in Instance, now time.Time) *server {
-	return &server{instance: in, joined: now, inFlight: new(atomic.Int64), leaving: make(chan struct{})}
+	s := &server{joined: now, inFlight: new(atomic.Int64), leaving: make(chan struct{})}
+	s.instance.Store(&in)
+	return s
 }
 
+func (s *server) in() *Instance { return s.instance.Load() }
+
 func sortServers(ss []*server) {
-	slices.SortFunc(ss, func(a, b *server) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
+	slices.SortFunc(ss, func(a, b *server) int { return cmp.Compare(a.in().ID, b.in().ID) })
 }
 
 func (s *server) touch() {
@@ -71,14 +82,18 @@
 // backend returns the server as the routing policies see it. The report lags,
 // so the node's own requests since the report are added to it, and the sum is
 // never below the node's own requests in flight.
-func (s *server) backend() route.Backend {
+func (s *server) backend(now time.Time) route.Backend {
 	own := s.inFlight.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	queued := s.report.Queued
+	if now.Before(s.fullUntil) {
+		queued = max(queued, s.report.Capacity, 1)
+	}
 	return route.Backend{
-		ID: s.instance.ID, Address: s.instance.Address, FailureDomain: s.instance.FailureDomain,
-		Class: s.instance.Class, Price: s.instance.Price, Versions: s.versions(),
-		Running: max(s.report.Running+int(own-s.counted), int(own)), Queued: s.report.Queued, Capacity: s.report.Capacity,
+		ID: s.in().ID, Address: s.in().Address, FailureDomain: s.in().FailureDomain,
+		Class: s.in().Class, Price: s.in().Price, Versions: s.versions(),
+		Running: max(s.report.Running+int(own-s.counted), int(own)), Queued: queued, Capacity: s.report.Capacity,
 		Reported: s.report.At, Joined: s.joined, Incarnation: s.report.Incarnation,
 	}
 }
@@ -109,7 +124,7 @@
 	}
 	s.report = r
 	s.counted = s.inFlight.Load()
-	s.without = nil
+	s.without, s.fullUntil = nil, time.Time{}
 	s.missed = 0
 	if r.At.After(s.failedAt) {
 		s.failures, s.avoidUntil = 0, time.Time{}
@@ -135,3 +150,11 @@
 		s.fail(now, backoff)
 	}
 }
+
+// full makes the server look full until its next report, at most for the time
+// of one backoff.
+func (s *server) full(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fullUntil = until
+}
--- a/internal/backend/fleet/sources.go
+++ b/internal/backend/fleet/sources.go
@@ -13,8 +13,9 @@
 	ReasonPoison     = "poison"
 )
 
-// SetInstances replaces the instance list. The caller keeps the last list
-// while the platform has none.
+// SetInstances replaces the instance list. The caller passes no list that is
+// older than the last one, and keeps the last one while the platform has none.
+// A server that is no longer listed has left; its mark goes with it.
 func (f *Fleet) SetInstances(list []Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -23,13 +24,35 @@
 	for _, in := range list {
 		next[in.ID] = in
 	}
-	f.listed = next
 	for id, m := range f.marks {
-		if _, ok := next[id]; !ok && !m.active(now) {
-			delete(f.marks, id)
+		_, was := f.listed[id]
+		if _, is := next[id]; !is && (was || !now.Before(m.until)) {
+			f.clear(id, m)
+		}
+	}
+	for id, until := range f.cleared {
+		if !now.Before(until) {
+			delete(f.cleared, id)
 		}
 	}
+	f.listed = next
 	f.rebuild()
+	marked := false
+	for id, in := range next {
+		if in.Leaving && !f.marks[id].active(now, in.Address) {
+			f.marks[id] = f.newMark(id, now.Add(f.c.Keep), time.Time{})
+			marked = true
+		}
+	}
+	if marked {
+		f.rebuild()
+	}
+}
+
+// clear drops a mark. The caller holds mu.
+func (f *Fleet) clear(id string, m mark) {
+	delete(f.marks, id)
+	f.cleared[id] = m.until
 }
 
 // Notice records a reclaim notice.
@@ -42,18 +65,23 @@
 func (f *Fleet) PeerLeaving(id string, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m, ok := f.marks[id]; ok && !until.After(m.until) {
+	now := f.c.Now()
+	if m, ok := f.marks[id]; ok && !until.After(m.until) || !until.After(f.cleared[id]) || !until.After(now) {
 		return
 	}
-	f.setMark(id, mark{incarnation: f.incarnation(id), until: until, deadline: f.marks[id].deadline})
+	// A peer's clock may be ahead, and its mark must not outlast one of ours.
+	if latest := now.Add(f.c.Keep); until.After(latest) {
+		until = latest
+	}
+	f.setMark(id, f.newMark(id, until, f.marks[id].deadline))
 }
 
 func (f *Fleet) leave(id string, deadline time.Time) {
 	f.mu.Lock()
 	now := f.c.Now()
-	m := mark{incarnation: f.incarnation(id), until: now.Add(f.c.Keep), deadline: deadline}
+	m := f.newMark(id, now.Add(f.c.Keep), deadline)
 	have, known := f.marks[id]
-	known = known && have.active(now)
+	known = known && have.active(now, m.address)
 	if known && (deadline.IsZero() || have.deadline.Equal(deadline)) {
 		f.mu.Unlock()
 		return
@@ -71,14 +99,15 @@
 	f.rebuild()
 }
 
-func (f *Fleet) incarnation(id string) string {
-	s, ok := (*f.servers.Load())[id]
-	if !ok {
-		return ""
+// newMark marks the process that now runs under id. The caller holds mu.
+func (f *Fleet) newMark(id string, until, deadline time.Time) mark {
+	m := mark{until: until, deadline: deadline}
+	if s, ok := (*f.servers.Load())[id]; ok {
+		s.mu.Lock()
+		m.incarnation, m.address = s.report.Incarnation, s.in().Address
+		s.mu.Unlock()
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.report.Incarnation
+	return m
 }
 
 // Marks returns the active leaving marks, for the peers.
@@ -88,7 +117,7 @@
 	now := f.c.Now()
 	var ms []Mark
 	for id, m := range f.marks {
-		if m.active(now) {
+		if now.Before(m.until) {
 			ms = append(ms, Mark{id, m.until})
 		}
 	}
@@ -103,10 +132,8 @@
 	}
 	f.mu.Lock()
 	m, marked := f.marks[r.Backend]
-	// A new process under the same ID is not the one that was leaving. Marks
-	// made before the first report name no process and stay.
-	if marked && !r.Leaving && m.incarnation != "" && r.Incarnation != "" && m.incarnation != r.Incarnation && m.deadline.IsZero() {
-		delete(f.marks, r.Backend)
+	if marked && m.replacedBy(&r) {
+		f.clear(r.Backend, m)
 		marked = false
 		s = f.renew(s)
 	}
@@ -119,12 +146,20 @@
 	s.touch()
 }
 
+// replacedBy reports whether r is from a new process under the same ID, which
+// is not the one that was leaving. A mark made before the first report names
+// no process and stays. A reclaim takes the instance and not just the process.
+func (m mark) replacedBy(r *Report) bool {
+	return !r.Leaving && m.incarnation != "" && r.Incarnation != "" && m.incarnation != r.Incarnation &&
+		(m.deadline.IsZero() || r.At.After(m.deadline))
+}
+
 // renew replaces a server whose process was replaced. The caller holds mu.
 func (f *Fleet) renew(old *server) *server {
-	s := newServer(old.instance, f.c.Now())
+	s := newServer(*old.in(), f.c.Now())
 	s.inFlight = old.inFlight
 	servers := maps.Clone(*f.servers.Load())
-	servers[old.instance.ID] = s
+	servers[old.in().ID] = s
 	f.servers.Store(&servers)
 	f.rebuild()
 	return s
@@ -143,7 +178,7 @@
 	case ReasonPoison:
 		return
 	case ReasonOverloaded:
-		s.full()
+		s.full(f.c.Now().Add(f.c.Backoff))
 	default:
 		s.fail(f.c.Now(), f.c.Backoff)
 	}
@@ -165,10 +200,3 @@
 	s.mu.Unlock()
 	s.touch()
 }
-
-// full makes the server look full until its next report.
-func (s *server) full() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.report.Queued = max(s.report.Queued, s.report.Capacity, 1)
-}
--- a/internal/caller/services/boundary_test.go
+++ b/internal/caller/services/boundary_test.go
@@ -58,6 +58,9 @@
 		s.mu.Unlock()
 	}()
 	if s.boundary == "before headers are read" {
+		// Without this byte the client may find the connection closed before
+		// it writes, which is a proof that nothing was sent.
+		io.CopyN(&got, c, 1)
 		return
 	}
 	br := bufio.NewReader(io.TeeReader(c, &got))
@@ -143,7 +146,7 @@
 			is.Equal(res.Header.Get("Wasabiworks-Outcome"), b.outcome)
 			again, _, _ := send(t, "POST", url+"/v1/services/kalendar-app/deposits", large, "Idempotency-Key", "k")
 			is.Equal(again.Header.Get("Wasabiworks-Outcome"), b.outcome)
-			connections, _ := first.arrived()
+			connections, withBytes := first.arrived()
 			others, _ := second.arrived()
 			if b.proven {
 				is.Equal(again.StatusCode, http.StatusServiceUnavailable)
@@ -153,6 +156,7 @@
 			is.Equal(res.StatusCode, http.StatusBadGateway)
 			is.Equal(again.StatusCode, http.StatusConflict) // the first may have run
 			is.Equal(connections, 1)
+			is.Equal(withBytes, 1)
 			is.Equal(others, 0)
 		})
 	}
