--- a/internal/backend/engine/frame.go
+++ b/internal/backend/engine/frame.go
@@ -46,7 +46,8 @@
 	Versions []string `json:"versions"`
 	State    string   `json:"state"`
 	Crashes  int      `json:"crashes"`
-	// Incarnation changes when the engine's process restarts.
+	// Incarnation changes when the process restarts; engines that do not
+	// report it only count their crashes.
 	Incarnation string    `json:"incarnation"`
 	At          time.Time `json:"at"`
 }
