Test calls of plain services and name their routes after the catalogue

Cause: at most once, replays, headers and paths were not shown; the route of a call was its method, which tells little about a version that fails on one route. Change: tests; the route is the catalogue's rule for the call, the method, or once, so that evidence stays bounded.

--- a/internal/caller/services/request.go
+++ b/internal/caller/services/request.go
@@ -87,12 +87,10 @@
 	return Key(sum[:16])
 }
 
-// repeatable reports whether a call may run more than once.
-func repeatable(e *catalogue.Entry, method, path string) bool {
-	if method == http.MethodGet || method == http.MethodHead {
-		return true
-	}
-	return slices.ContainsFunc(e.Repeatable, func(rule string) bool {
+// rule returns how the catalogue lists a call as repeatable, or an empty
+// string if the call must not be repeated.
+func rule(e *catalogue.Entry, method, path string) string {
+	i := slices.IndexFunc(e.Repeatable, func(rule string) bool {
 		m, p, ok := strings.Cut(rule, " ")
 		if !ok || m != method {
 			return false
@@ -100,4 +98,11 @@
 		rest, ok := strings.CutPrefix(path, strings.TrimSpace(p))
 		return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(p, "/"))
 	})
+	if i >= 0 {
+		return e.Repeatable[i]
+	}
+	if method == http.MethodGet || method == http.MethodHead {
+		return method
+	}
+	return ""
 }
--- a/internal/caller/services/server.go
+++ b/internal/caller/services/server.go
@@ -1,6 +1,7 @@
 package services
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -49,6 +50,9 @@
 // ServeHTTP serves /v1/services/{entry}/{path}.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.routes.ServeHTTP(w, r) }
 
+// routeOnce is the route of all calls that must not be repeated.
+const routeOnce = "once"
+
 // admitted is a call that passed the limits.
 type admitted struct {
 	*call
@@ -75,11 +79,14 @@
 	if !ok || e.Kind != catalogue.KindService {
 		return nil, reply.Rejected(http.StatusNotFound, "entry_not_found", "the service "+strconv.Quote(c.entry)+" does not exist")
 	}
-	a := &admitted{call: c, workspace: w.Name, entry: e, repeatable: repeatable(e, c.method, c.path), begun: s.c.Now()}
+	name := rule(e, c.method, c.path)
+	a := &admitted{call: c, workspace: w.Name, entry: e, repeatable: name != "", begun: s.c.Now()}
 	if !a.repeatable && c.key == "" {
 		return nil, reply.Invalid("", "idempotency_key_required", "this call must not be repeated and needs an Idempotency-Key header")
 	}
-	a.record = Call{ID: c.id, Workspace: w.Name, Entry: e.Name, Route: c.method}
+	// The route is one of few, so that evidence does not grow with the paths
+	// that clients choose.
+	a.record = Call{ID: c.id, Workspace: w.Name, Entry: e.Name, Route: cmp.Or(name, routeOnce)}
 	if a.release, err = s.c.Limiter.Admit(w.Name, e, a.begun); err != nil {
 		s.finish(a, err)
 		return nil, err
--- /dev/null
+++ b/internal/caller/services/services_test.go
@@ -0,0 +1,183 @@
+package services_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const once = "/v1/services/kalendar-app/deposits"
+
+func newBackend(t *testing.T, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// Guards against a second run of a call, whatever its key's state.
+func TestAtMostOnce(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	url, d := newSystem(t, newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		w.Header().Set("Content-Type", "text/plain")
+		w.WriteHeader(http.StatusCreated)
+		io.WriteString(w, strings.Repeat("r", len(r.URL.Query().Get("size"))))
+	}))
+	check := func(path, body, key string, status int, outcome, replayed string, wantRuns int64) {
+		t.Helper()
+		var header []string
+		if key != "" {
+			header = []string{"Idempotency-Key", key}
+		}
+		res, _, err := send(t, "POST", url+path, body, header...)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, status)
+		is.Equal(res.Header.Get("Wasabiworks-Outcome"), outcome)
+		is.Equal(res.Header.Get("Wasabiworks-Replayed"), replayed)
+		is.Equal(runs.Load(), wantRuns)
+	}
+	check(once, "1", "", http.StatusBadRequest, "not-run", "", 0)
+	d.down = true
+	check(once, "1", "a", http.StatusServiceUnavailable, "not-run", "", 0)
+	d.down = false
+	check(once, "1", "a", http.StatusCreated, "", "", 1)
+	check(once, "1", "a", http.StatusCreated, "", "true", 1)
+	check(once, "2", "a", http.StatusUnprocessableEntity, "not-run", "", 1)
+	large := once + "?size=" + strings.Repeat("x", 5000)
+	check(large, "1", "b", http.StatusCreated, "", "", 2)
+	check(large, "1", "b", http.StatusConflict, "unknown", "", 2) // over 4 KiB, not kept
+	check(once, strings.Repeat("x", 1<<20+1), "c", http.StatusRequestEntityTooLarge, "not-run", "", 2)
+}
+
+// Guards against a call that is lost to the journal because its client goes
+// away while it runs.
+func TestClientGoesAway(t *testing.T) {
+	is := is.New(t)
+	running, release := make(chan struct{}), make(chan struct{})
+	url, d := newSystem(t, newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(running)
+		<-release
+		io.WriteString(w, "done")
+	}))
+	d.completed = make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "POST", url+once, strings.NewReader("1"))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer secret")
+	req.Header.Set("Idempotency-Key", "k")
+	gone := make(chan struct{})
+	go func() {
+		http.DefaultClient.Do(req)
+		close(gone)
+	}()
+	<-running
+	cancel()
+	<-gone
+	res, _, _ := send(t, "POST", url+once, "1", "Idempotency-Key", "k")
+	is.Equal(res.StatusCode, http.StatusConflict) // it is running
+	is.Equal(res.Header.Get("Wasabiworks-Outcome"), "unknown")
+	close(release)
+	<-d.completed
+	res, body, _ := send(t, "POST", url+once, "1", "Idempotency-Key", "k")
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(body, "done")
+}
+
+// Guards against headers of one connection that reach the other, against the
+// client's token reaching a service, and against lost request IDs.
+func TestHeaders(t *testing.T) {
+	is := is.New(t)
+	got := make(chan http.Header, 1)
+	url, _ := newSystem(t, newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		got <- r.Header.Clone()
+		w.Header().Set("Connection", "X-Private")
+		w.Header().Set("X-Private", "1")
+		w.Header().Set("X-Public", r.URL.String())
+		w.Header().Set("X-Request-Id", "other")
+		io.WriteString(w, "ok")
+	}))
+	res, _, err := send(t, "GET", url+"/v1/services/kalendar-app/a%20b/c?d=%20e", "", "Connection", "X-Hop", "X-Hop", "1", "Te", "trailers",
+		"X-Http-Method-Override", "POST", "X-Request-Id", "r-1", "X-End", "2")
+	is.NoErr(err)
+	h := <-got
+	for _, name := range []string{"X-Hop", "Te", "Authorization", "X-Http-Method-Override", "User-Agent-Default"} {
+		is.Equal(h.Get(name), "")
+	}
+	is.Equal(h.Get("X-End"), "2")
+	is.Equal(h.Get("X-Request-Id"), "r-1")
+	is.True(h.Get("Attempt") != "")
+	is.Equal(res.Header.Get("X-Private"), "")
+	is.Equal(res.Header.Get("X-Public"), "/a%20b/c?d=%20e")
+	is.Equal(res.Header.Values("X-Request-Id"), []string{"r-1"})
+}
+
+// Guards against paths that pass for repeatable and are not.
+func TestPaths(t *testing.T) {
+	url, _ := newSystem(t, newBackend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }))
+	for path, want := range map[string]int{
+		"quotes":                 http.StatusOK,
+		"quotes/1":               http.StatusOK,
+		"quotes-paid":            http.StatusBadRequest,
+		"quotes/%2e%2e/deposits": http.StatusBadRequest,
+		"quotes%2fdeposits":      http.StatusBadRequest,
+		"quotes/..%5cdeposits":   http.StatusBadRequest,
+		"":                       http.StatusBadRequest,
+	} {
+		res, _, _ := send(t, "POST", url+"/v1/services/kalendar-app/"+path, "")
+		if res.StatusCode != want {
+			t.Errorf("POST %q without a key: got status %d, want %d", path, res.StatusCode, want)
+		}
+	}
+}
+
+// Guards against a cut response that looks complete, and against responses
+// without bound.
+func TestCutResponse(t *testing.T) {
+	for _, kind := range []string{"cut", "endless"} {
+		url, _ := newSystem(t, newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+			for i := 0; kind == "endless" || i < 3; i++ {
+				if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+					return
+				}
+				w.(http.Flusher).Flush()
+			}
+			panic(http.ErrAbortHandler)
+		}))
+		_, body, err := send(t, "GET", url+"/v1/services/kalendar-app/report", "")
+		if err == nil || len(body) > 1<<20 {
+			t.Errorf("%s response: got %d bytes and error %v, want an error within 1 MiB", kind, len(body), err)
+		}
+	}
+}
+
+// Guards against a repeatable call that runs once for each of its requests.
+func TestRepeatableWithKey(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	url, _ := newSystem(t, newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		time.Sleep(20 * time.Millisecond)
+		io.WriteString(w, "ok")
+	}))
+	results := make(chan string, 8)
+	for range cap(results) {
+		go func() {
+			_, body, _ := send(t, "POST", url+"/v1/services/kalendar-app/quotes", "1", "Idempotency-Key", "k")
+			results <- body
+		}()
+	}
+	for range cap(results) {
+		is.Equal(<-results, "ok")
+	}
+	is.Equal(runs.Load(), int64(1))
+	res, _, _ := send(t, "POST", url+"/v1/services/kalendar-app/quotes", "2", "Idempotency-Key", "k")
+	is.Equal(res.StatusCode, http.StatusUnprocessableEntity)
+}
