--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -26,6 +26,9 @@
 // moveTime is how long the demo's version move may take.
 const moveTime = 12 * time.Second
 
+// reclaimNotice is shorter than the streams that run when it is given.
+const reclaimNotice = 1500 * time.Millisecond
+
 // maxFaults is the number of failed requests that are printed.
 const maxFaults = 10
 
@@ -207,18 +210,18 @@
 	var wg sync.WaitGroup
 	for i := range 16 {
 		wg.Go(func() {
-			d.completion(ctx, "during reclaim", i, d.topology.entries[i%len(d.topology.entries)], 120)
+			d.completion(ctx, "during reclaim", i, d.topology.entries[i%len(d.topology.entries)], 800)
 		})
 	}
 	time.Sleep(500 * time.Millisecond)
 	body := fmt.Sprintf(`{"kind":"reclaim","target":%q,"until":%q}`,
-		d.topology.engines[0].id, time.Now().Add(3*time.Second).Format(time.RFC3339Nano))
+		d.topology.engines[0].id, time.Now().Add(reclaimNotice).Format(time.RFC3339Nano))
 	res, err := http.Post("http://"+d.topology.platform+"/faults", "application/json", strings.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("announce the reclaim: %w", err)
 	}
 	res.Body.Close()
-	time.Sleep(3 * time.Second)
+	time.Sleep(reclaimNotice)
 	_ = d.topology.engines[0].process.cmd.Process.Kill()
 	<-d.topology.engines[0].process.done
 	d.topology.engines = d.topology.engines[1:]
--- a/internal/entry/instance/limits.go
+++ b/internal/entry/instance/limits.go
@@ -121,7 +121,7 @@
 	g := l.gate(use{e.Name, workspace})
 	g.arrived.Add(1)
 	if !g.bucket.Take(now) {
-		return nil, rejected(http.StatusTooManyRequests, "rate_limit_exceeded", "the workspace's limit on this entry is reached")
+		return nil, rejected(http.StatusTooManyRequests, "rate_limited", "the workspace's limit on this entry is reached")
 	}
 	s, class := l.shedder(e.Name), limit.Interactive
 	if e.Class == catalogue.ClassBatch {
--- a/internal/entry/instance/operations.go
+++ b/internal/entry/instance/operations.go
@@ -44,6 +44,7 @@
 	now := i.now()
 	self := i.members.Self()
 	reason := i.notReady()
+	generated, cached, recomputed := i.metrics.TokenTotals()
 	s := admin.Status{
 		Instance:          self.ID,
 		Incarnation:       self.Incarnation,
@@ -54,9 +55,9 @@
 		Leaving:           i.draining.Load(),
 		CatalogueRevision: i.propagator.Revision(),
 		Members:           i.memberStatus(),
-		GeneratedTokens:   i.recorder.generated.Load(),
-		CachedTokens:      i.recorder.cached.Load(),
-		RecomputedTokens:  i.recorder.recomputed.Load(),
+		GeneratedTokens:   generated,
+		CachedTokens:      cached,
+		RecomputedTokens:  recomputed,
 		PricePerHour:      i.config.Price,
 		Cost:              i.recorder.total(),
 	}
