Count evidence at the step of the move and send sums across failure domains

Cause: the move test compares versions where both were offered a known part of the traffic; the instance dropped the step, so that all evidence fell into the step that is not known. Change: the choice of a version carries the step to the evidence and to the peers; members of other failure domains get sums; the mover passes its last decision, which an isolated instance holds.

--- a/internal/caller/openai/attempt.go
+++ b/internal/caller/openai/attempt.go
@@ -30,6 +30,7 @@
 	// crowded is true if a server was passed over for another suspect there.
 	crowded       bool
 	version, move string
+	step          uint8
 	// imported names the attempt whose KV cache is on target.
 	imported, target string
 	// free is true if the next attempt is not charged to the retry budget:
@@ -150,7 +151,7 @@
 	if !ok {
 		return
 	}
-	r.version, r.move = r.s.c.Versions.Version(e, r.g.conversation)
+	r.version, r.move, r.step = r.s.c.Versions.Version(e, r.g.conversation)
 	r.g.setVersion(r.version)
 }
 
@@ -372,7 +373,7 @@
 	slow := o.FirstToken > 0 && r.first > o.FirstToken || o.BetweenTokens > 0 && between > o.BetweenTokens
 	r.record.Slow = r.record.Slow || slow
 	r.s.c.Recorder.Attempt(&Attempt{
-		Workspace: r.g.workspace, Entry: r.g.entry, Move: r.move, Version: r.version, Route: r.g.route, Backend: r.backend.ID,
+		Workspace: r.g.workspace, Entry: r.g.entry, Move: r.move, Step: r.step, Version: r.version, Route: r.g.route, Backend: r.backend.ID,
 		Load: loadLevel(&r.backend), Failed: failed, Slow: slow, Excused: excused,
 		FirstToken: r.first, Between: between, Tokens: r.tokens,
 	})
--- a/internal/caller/openai/config.go
+++ b/internal/caller/openai/config.go
@@ -19,9 +19,9 @@
 }
 
 // Versions chooses the version of an entry for a conversation, and names the
-// move that the choice is evidence for, if any.
+// move that the choice is evidence for, if any, and the move's step.
 type Versions interface {
-	Version(e *catalogue.Entry, conversation uint64) (version, move string)
+	Version(e *catalogue.Entry, conversation uint64) (version, move string, step uint8)
 }
 
 // Fleet is the view of the backend servers.
@@ -75,7 +75,9 @@
 type Attempt struct {
 	Workspace, Entry, Move, Version, Route, Backend string
 	// Load is the server's load level, as in package evidence.
-	Load         uint8
+	Load uint8
+	// Step is the step of the move when the version was chosen.
+	Step         uint8
 	Failed, Slow bool
 	// Excused is a reason, or empty.
 	Excused             string
--- a/internal/caller/services/config.go
+++ b/internal/caller/services/config.go
@@ -20,9 +20,9 @@
 }
 
 // Versions chooses the version of an entry for a conversation, and names the
-// move that the choice is evidence for, if any.
+// move that the choice is evidence for, if any, and the move's step.
 type Versions interface {
-	Version(e *catalogue.Entry, conversation uint64) (version, move string)
+	Version(e *catalogue.Entry, conversation uint64) (version, move string, step uint8)
 }
 
 // Fleet is the view of the backend servers.
@@ -91,6 +91,8 @@
 	ID, Workspace, Entry, Move, Version, Route, Backend string
 	// Load is the server's load level, as in package evidence.
 	Load uint8
+	// Step is the step of the move when the version was chosen.
+	Step uint8
 	// Outcome is empty for an answered call, else not-run or unknown; Code is
 	// the error code.
 	Outcome, Code string
--- a/internal/caller/services/fake_test.go
+++ b/internal/caller/services/fake_test.go
@@ -47,7 +47,7 @@
 func (d *deps) Admit(string, *catalogue.Entry, time.Time) (func(), error) {
 	return func() {}, nil
 }
-func (d *deps) Version(*catalogue.Entry, uint64) (string, string) { return "v1", "" }
+func (d *deps) Version(*catalogue.Entry, uint64) (string, string, uint8) { return "v1", "", 0 }
 func (d *deps) Deposit(string)                                    {}
 func (d *deps) Withdraw(string) bool                              { return true }
 func (d *deps) Verdict(uint64) openai.Verdict                     { return openai.Clear }
--- a/internal/caller/services/server.go
+++ b/internal/caller/services/server.go
@@ -95,7 +95,7 @@
 	if stick == "" {
 		stick = c.id
 	}
-	a.record.Version, a.record.Move = s.c.Versions.Version(e, xxhash.Sum64String(w.Name+"\x00"+stick))
+	a.record.Version, a.record.Move, a.record.Step = s.c.Versions.Version(e, xxhash.Sum64String(w.Name+"\x00"+stick))
 	return a, nil
 }
 
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -112,6 +112,7 @@
 	})
 	store := kv.New(kv.Config{Address: c.Platform})
 	table := new(evidence.Table)
+	table.SetDomain(c.FailureDomain)
 	node := fmt.Sprintf("%s/%d", c.ID, i.members.Self().Incarnation)
 	metrics, err := burn.New(burn.Config{Registry: i.registry, Now: i.now})
 	if err != nil {
@@ -187,7 +188,7 @@
 		node: i.config.ID, fleet: i.fleet, demands: demands, snapshot: i.mover.Snapshot,
 		nodes: func() int { return len(i.members.Live("", i.now())) },
 	}
-	evidenceExchange := exchange.Evidence{Table: table, Known: i.mover.known}
+	evidenceExchange := exchange.Evidence{Table: table, Domain: i.config.FailureDomain, Known: i.mover.known}
 	records := crashes{i.poison}
 	var err error
 	i.exchange, err = exchange.New(exchange.Config{
--- a/internal/entry/instance/moves.go
+++ b/internal/entry/instance/moves.go
@@ -93,23 +93,23 @@
 }
 
 // Version returns the version of an entry for a conversation, and the move
-// that the choice is evidence for.
-func (m *mover) Version(e *catalogue.Entry, conversation uint64) (version, moveID string) {
+// that the choice is evidence for, with its step.
+func (m *mover) Version(e *catalogue.Entry, conversation uint64) (version, moveID string, step uint8) {
 	p := m.current.Load()
 	if p == nil {
-		return e.Version, ""
+		return e.Version, "", 0
 	}
 	s, ok := p.moves[e.Name]
 	if !ok {
-		return e.Version, ""
+		return e.Version, "", 0
 	}
 	if m.now().Before(s.record.KeepUntil) {
 		moveID = s.record.ID
 	}
 	if move.Choose(s.decision.Share, conversation) {
-		return s.record.To, moveID
+		return s.record.To, moveID, s.decision.Step
 	}
-	return s.record.From, moveID
+	return s.record.From, moveID, s.decision.Step
 }
 
 // known reports whether a move is in the catalogue in effect.
@@ -155,19 +155,28 @@
 // The caller holds mu.
 func (m *mover) publish(s *catalogue.Snapshot) {
 	now := m.now()
+	previous := m.current.Load()
 	p := &published{snapshot: s, moves: make(map[string]moveState)}
 	for i := range s.Catalogue.Moves {
 		record := s.Catalogue.Moves[i]
 		if latest, ok := s.MoveOf(record.Entry); !ok || latest.ID != record.ID {
 			continue
 		}
-		p.moves[record.Entry] = moveState{record: record, decision: m.decideOne(record, now)}
+		p.moves[record.Entry] = moveState{record: record, decision: m.decideOne(record, previous.last(record), now)}
 	}
-	previous := m.current.Swap(p)
+	m.current.Store(p)
 	m.logChanges(previous, p)
 }
 
-func (m *mover) decideOne(record catalogue.Move, now time.Time) move.Decision {
+// last returns the decision in effect on a move, or the zero value.
+func (p *published) last(record catalogue.Move) move.Decision {
+	if p == nil || p.moves[record.Entry].record.ID != record.ID {
+		return move.Decision{}
+	}
+	return p.moves[record.Entry].decision
+}
+
+func (m *mover) decideOne(record catalogue.Move, last move.Decision, now time.Time) move.Decision {
 	given, vetoed := m.vetoes.Get(record.ID)
 	d := m.policy.Decide(move.State{
 		Plan: move.Plan{
@@ -177,6 +186,7 @@
 		Evidence: m.evidence.Totals(record.ID),
 		Vetoed:   vetoed,
 		Isolated: m.isolated(now),
+		Last:     last,
 	}, now)
 	if d.Veto && !vetoed {
 		// The veto set tells the peers; its Changed callback must not decide
--- a/internal/entry/instance/recorder.go
+++ b/internal/entry/instance/recorder.go
@@ -35,7 +35,7 @@
 	if a.Excused != "" {
 		return
 	}
-	r.evidenceOf(a.Move, a.Version, a.Route, a.Load, a.Failed, a.Slow)
+	r.count(evidence.Key{Move: a.Move, Version: a.Version, Route: a.Route, Load: a.Load, Step: a.Step}, a.Failed, a.Slow)
 }
 
 // Request records a request of a language entry.
@@ -53,11 +53,12 @@
 		return
 	}
 	r.charge(c.Backend, c.Duration)
-	r.evidenceOf(c.Move, c.Version, c.Route, c.Load, c.Failed, c.Slow)
+	r.count(evidence.Key{Move: c.Move, Version: c.Version, Route: c.Route, Load: c.Load, Step: c.Step}, c.Failed, c.Slow)
 }
 
-func (r *recorder) evidenceOf(moveID, version, route string, load uint8, failed, slow bool) {
-	if moveID == "" {
+// count adds an outcome to the evidence on a move.
+func (r *recorder) count(k evidence.Key, failed, slow bool) {
+	if k.Move == "" {
 		return
 	}
 	var c evidence.Count
@@ -69,7 +70,7 @@
 	default:
 		c.Answered = 1
 	}
-	r.evidence.Add(r.node, evidence.Key{Move: moveID, Version: version, Route: route, Load: load}, c)
+	r.evidence.Add(r.node, k, c)
 }
 
 // setPrice sets the price per hour of a backend server.
