--- a/internal/entry/instance/limits.go
+++ b/internal/entry/instance/limits.go
@@ -23,8 +23,10 @@
 	// smoothing is the weight of the last period in the measured demand.
 	smoothing = 0.5
 	// queueFactor is the part of the capacity that may be admitted; what
-	// exceeds 1 waits in the backend servers' queues.
-	queueFactor = 1.5
+	// exceeds 1 waits in the backend servers' queues. A request waits for about
+	// the excess times the mean duration of a response, which is seconds; with
+	// half the capacity in queues the first token is late under overload.
+	queueFactor = 1.1
 )
 
 // use identifies a workspace on an entry.
