Resume streams by Last-Event-ID and hand them over on a planned shutdown

Cause: a client that lost its connection, or whose instance shuts down, had to start again; keys in flight, slow readers and request IDs were not shown. Change: Handover and Adopt; time bounds on reading bodies and on each response; errors in OpenAI's form for unknown paths; tests.

--- a/internal/backend/fleet/server.go
+++ b/internal/backend/fleet/server.go
@@ -90,11 +90,15 @@
 	if now.Before(s.fullUntil) {
 		queued = max(queued, s.report.Capacity, 1)
 	}
+	reported := s.report.At
+	if !s.in().Polled {
+		reported = now // the node's own requests are all that is known
+	}
 	return route.Backend{
 		ID: s.in().ID, Address: s.in().Address, FailureDomain: s.in().FailureDomain,
 		Class: s.in().Class, Price: s.in().Price, Versions: s.versions(),
 		Running: max(s.report.Running+int(own-s.counted), int(own)), Queued: queued, Capacity: s.report.Capacity,
-		Reported: s.report.At, Joined: s.joined, Incarnation: s.report.Incarnation,
+		Reported: reported, Joined: s.joined, Incarnation: s.report.Incarnation,
 	}
 }
 
--- a/internal/caller/openai/attempt.go
+++ b/internal/caller/openai/attempt.go
@@ -92,7 +92,7 @@
 }
 
 func (r *run) outcome() string {
-	if r.g.sent {
+	if r.g.wasSent() {
 		return reply.Unknown
 	}
 	return reply.NotRun
@@ -100,7 +100,7 @@
 
 // failure is what the client is told when no further attempt is made.
 func (r *run) failure(last, why error) *reply.Error {
-	if r.g.sent {
+	if r.g.wasSent() {
 		return reply.Failed(http.StatusBadGateway, "backend_failed", "the response could not be completed")
 	}
 	code, message := "no_backend", "no backend server may run the request now"
@@ -222,7 +222,7 @@
 		return nil
 	}
 	if !engine.IsNotRun(err) {
-		g.sent = true
+		g.markSent()
 	}
 	r.failed(ctx, &a, err)
 	return err
@@ -246,7 +246,6 @@
 	} else {
 		r.waited += now.Sub(r.last)
 	}
-	r.g.sent = true
 	if f.Token != "" || f.Finish == "" {
 		r.tokens++
 		r.record.Generated++
--- a/internal/caller/openai/fake_test.go
+++ b/internal/caller/openai/fake_test.go
@@ -110,6 +110,12 @@
 func (e *fakeEngine) frames(w http.ResponseWriter, r *http.Request, q *generateRequest, f *fault, imported bool) {
 	id, length := r.Header.Get("Attempt"), min(testLength, q.MaxTokens)
 	out := json.NewEncoder(w)
+	if f.kind == "flood" {
+		for i := 0; r.Context().Err() == nil; i++ {
+			out.Encode(engine.Frame{Attempt: id, Index: i, Token: strings.Repeat("x", 16<<10)})
+		}
+		return
+	}
 	var held *engine.Frame
 	for i := q.From; i < length; i++ {
 		fr := engine.Frame{Attempt: id, Index: i, Token: token(q.Prompt, i)}
--- a/internal/caller/openai/generation.go
+++ b/internal/caller/openai/generation.go
@@ -24,12 +24,9 @@
 	conversation uint64
 	interactive  bool
 
-	// sent is true once a byte of an attempt may have left. It belongs to
-	// the driver.
-	sent bool
-
 	mu      sync.Mutex
 	version string
+	sent    bool // a byte of an attempt may have left
 	tokens  []string
 	finish  string
 	usage   engine.Usage
@@ -49,10 +46,24 @@
 func (g *generation) add(token string) {
 	g.mu.Lock()
 	g.tokens = append(g.tokens, token)
+	g.sent = true
 	g.wake()
 	g.mu.Unlock()
 }
 
+// markSent notes that a byte of an attempt may have left.
+func (g *generation) markSent() {
+	g.mu.Lock()
+	g.sent = true
+	g.mu.Unlock()
+}
+
+func (g *generation) wasSent() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sent
+}
+
 // end records the end of the response, or its failure.
 func (g *generation) end(finish string, err *reply.Error) {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/caller/openai/resume_test.go
@@ -0,0 +1,209 @@
+package openai
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"wasabiworks.example/wasabiworks/internal/caller/reply"
+)
+
+// start sends a streamed request and returns its body once n tokens arrived,
+// with what was read so far.
+func (s *system) start(t *testing.T, prompt string, n int) (res *http.Response, got string, stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/v1/chat/completions", strings.NewReader(body(prompt, true)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testToken)
+	if res, err = http.DefaultClient.Do(req); err != nil {
+		t.Fatal(err)
+	}
+	buf := make([]byte, 4096)
+	for strings.Count(got, "id: ") < n || !strings.HasSuffix(got, "\n\n") {
+		k, err := res.Body.Read(buf)
+		if got += string(buf[:k]); err != nil {
+			t.Fatalf("stream ended after %q: %v", got, err)
+		}
+	}
+	return res, got, func() {
+		cancel()
+		res.Body.Close()
+	}
+}
+
+// eventually waits for what happens after a client has gone.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 400 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("not seen: %s", what)
+}
+
+// Guards against engines that go on for clients that have gone, and against
+// repeated or missing tokens when such a client comes back.
+func TestClientGoesAndResumes(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1, nil)
+	s.engines[0].fault.Store(&fault{wait: 10 * time.Millisecond})
+	_, b, stop := s.start(t, "a", 3)
+	stop()
+	eventually(t, "cancellation", func() bool { return s.engines[0].canceled.Load() == 1 })
+	is.True(s.lastRequest(t).Canceled)
+	first, ids, _ := read(t, b)
+
+	res, _ := s.post(t, "/v1/chat/completions", body("another", true), "Last-Event-ID", ids[len(ids)-1])
+	is.Equal(res.StatusCode, http.StatusNotFound) // of another request
+	is.Equal(res.Header.Get(reply.OutcomeHeader), reply.NotRun)
+	for _, id := range []string{"x", "x:-1", "x:1", ids[0][:strings.Index(ids[0], ":")] + ":9999"} {
+		res, _ = s.post(t, "/v1/chat/completions", body("a", true), "Last-Event-ID", id)
+		is.True(res.StatusCode == http.StatusNotFound || res.StatusCode == http.StatusBadRequest)
+	}
+	for _, known := range []int{len(ids), 1, 0} { // it may resume again, from an earlier event
+		id := fmt.Sprintf("%s:%d", ids[0][:strings.Index(ids[0], ":")], known)
+		_, b = s.post(t, "/v1/chat/completions", body("a", true), "Last-Event-ID", id)
+		rest, _, done := read(t, b)
+		is.True(done)
+		is.Equal(strings.Join(strings.SplitAfter(first, " ")[:known], "")+rest, expected("a"))
+	}
+	is.Equal(s.engines[0].runs.Load(), int64(2))
+}
+
+// Guards against a second run for a request with the same key, and against
+// the end of a response with the client that came first.
+func TestIdempotencyKey(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1, nil)
+	s.engines[0].fault.Store(&fault{wait: 5 * time.Millisecond})
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() {
+			_, b := s.post(t, "/v1/chat/completions", body("a", true), reply.KeyHeader, "k")
+			if got, _, done := read(t, b); got != expected("a") || !done {
+				t.Errorf("request %d: got %q (complete: %t), want %q", i, got, done, expected("a"))
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(s.engines[0].runs.Load(), int64(1))
+	res, _ := s.post(t, "/v1/chat/completions", body("b", true), reply.KeyHeader, "k")
+	is.Equal(res.StatusCode, http.StatusUnprocessableEntity)
+	is.Equal(res.Header.Get(reply.OutcomeHeader), reply.NotRun)
+
+	// The first client leaves, the second one gets the whole response.
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/v1/chat/completions", strings.NewReader(body("c", false)))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+testToken)
+	req.Header.Set(reply.KeyHeader, "k2")
+	go http.DefaultClient.Do(req)
+	eventually(t, "second run", func() bool { return s.engines[0].runs.Load() == 2 })
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, b := s.post(t, "/v1/chat/completions", body("c", false), reply.KeyHeader, "k2")
+	got, _, _ := read(t, b)
+	is.Equal(got, expected("c"))
+
+	// A failure is not kept.
+	s.engines[0].fault.Store(&fault{kind: "fail"})
+	res, _ = s.post(t, "/v1/chat/completions", body("d", false), reply.KeyHeader, "k3")
+	is.Equal(res.StatusCode, http.StatusBadGateway)
+	s.engines[0].fault.Store(&fault{})
+	_, b = s.post(t, "/v1/chat/completions", body("d", false), reply.KeyHeader, "k3")
+	got, _, _ = read(t, b)
+	is.Equal(got, expected("d"))
+}
+
+// Guards against a stream that a planned shutdown breaks.
+func TestHandover(t *testing.T) {
+	is := is.New(t)
+	s, peer := newSystem(t, 1, nil), newSystem(t, 1, nil)
+	s.engines[0].fault.Store(&fault{wait: 10 * time.Millisecond})
+	res, b, stop := s.start(t, "a", 3)
+	defer stop()
+	is.NoErr(s.server.Handover(context.Background(), func(_ context.Context, h *Handover) error {
+		is.True(peer.server.Adopt(h))
+		is.True(!peer.server.Adopt(h))
+		return nil
+	}))
+	rest, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	b += string(rest)
+	first, ids, done := read(t, b)
+	is.True(!done)
+	is.True(strings.Contains(b, "instance_leaving"))
+	again, _ := s.post(t, "/v1/chat/completions", body("b", true))
+	is.Equal(again.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(again.Header.Get(reply.OutcomeHeader), reply.NotRun)
+	_, b = peer.post(t, "/v1/chat/completions", body("a", true), "Last-Event-ID", ids[len(ids)-1])
+	last, _, done := read(t, b)
+	is.True(done)
+	is.Equal(first+last, expected("a"))
+}
+
+// Guards against a client that does not read and so holds its request for
+// ever.
+func TestSlowReader(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1, func(c *Config) { c.WriteTimeout = 50 * time.Millisecond })
+	s.engines[0].fault.Store(&fault{kind: "flood"})
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	b := body("a", true)
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testToken, len(b), b)
+	is.True(s.lastRequest(t).Canceled)
+	eventually(t, "cancellation", func() bool { return s.engines[0].canceled.Load() == 1 })
+}
+
+// Guards against request IDs that are lost on the way.
+func TestRequestID(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1, nil)
+	res, _ := s.post(t, "/v1/chat/completions", body("a", false), "X-Request-Id", "client-1")
+	is.Equal(res.Header.Get("X-Request-Id"), "client-1")
+	res, _ = s.post(t, "/v1/chat/completions", body("a", false), "X-Request-Id", "not usable")
+	made := res.Header.Get("X-Request-Id")
+	is.True(made != "" && made != "not usable")
+	is.Equal(s.engines[0].ids, []string{"client-1", made})
+}
+
+// Guards against parameters that are ignored although they matter.
+func TestInvalidRequests(t *testing.T) {
+	s := newSystem(t, 1, nil)
+	for _, c := range []struct{ path, body, code string }{
+		{"chat/completions", `{`, "invalid_json"},
+		{"chat/completions", `{"model":"sack-assist","messages":[]}`, "invalid_value"},
+		{"chat/completions", `{"model":"sack-assist","n":2,"messages":[{"role":"user","content":"a"}]}`, "unsupported_parameter"},
+		{"chat/completions", `{"model":"sack-assist","max_tokens":0,"messages":[{"role":"user","content":"a"}]}`, "invalid_value"},
+		{"chat/completions", `{"model":"sack-assist","max_tokens":100000000,"messages":[{"role":"user","content":"a"}]}`, "invalid_value"},
+		{"chat/completions", `{"model":"sack-assist","messages":[{"role":"x\nuser","content":"a"}]}`, "invalid_value"},
+		{"chat/completions", `{"model":"sack-assist","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, "invalid_value"},
+		{"chat/completions", `{"model":"sack-assist","stop":["x"],"messages":[{"role":"user","content":"a"}]}`, "unsupported_parameter"},
+		{"completions", `{"model":"sack-assist","prompt":["a","b"]}`, "invalid_value"},
+		{"completions", `{"model":"sack-assist"}`, "invalid_value"},
+		{"completions", `{"model":"ledger","prompt":"a"}`, "model_not_found"},
+		{"embeddings", `{}`, "unknown_url"},
+		{"completions", `{"prompt":"` + strings.Repeat("x", 1<<20) + `"}`, "body_too_large"},
+	} {
+		res, b := s.post(t, "/v1/"+c.path, c.body)
+		if res.StatusCode/100 != 4 || res.Header.Get(reply.OutcomeHeader) != reply.NotRun || !strings.Contains(b, `"code":"`+c.code+`"`) {
+			t.Errorf("POST %s %.80s: got status %d, outcome %q and body %s, want code %s and not-run", c.path, c.body, res.StatusCode, res.Header.Get(reply.OutcomeHeader), b, c.code)
+		}
+	}
+	if n := s.engines[0].runs.Load(); n != 0 {
+		t.Errorf("got %d runs of invalid requests, want 0", n)
+	}
+}
--- a/internal/caller/openai/server.go
+++ b/internal/caller/openai/server.go
@@ -32,12 +32,21 @@
 	cleanup  sync.WaitGroup
 	attempts atomic.Uint64
 	routes   http.Handler
+
+	// driving is held for reading while a generation is driven, and for
+	// writing by Handover.
+	driving sync.RWMutex
+	// stopping ends when Handover begins; released is closed when it is done.
+	stopping context.Context
+	stop     context.CancelFunc
+	released chan struct{}
 }
 
 // New returns a Server.
 func New(c Config) *Server {
 	c.setDefaults()
-	s := &Server{c: c, cancels: make(chan struct{}, 64)}
+	s := &Server{c: c, cancels: make(chan struct{}, 64), released: make(chan struct{})}
+	s.stopping, s.stop = context.WithCancel(context.Background())
 	s.byKey.MaxEntries, s.byKey.MaxWeight, s.byKey.Keep = maxKept, maxKeptWeight, c.Keep
 	s.byID.MaxEntries, s.byID.MaxWeight, s.byID.Keep = maxKept, maxKeptWeight, c.Keep
 	mux := http.NewServeMux()
@@ -45,6 +54,9 @@
 	mux.Handle("POST /v1/completions", reply.Handler(s.complete, s.decode(RouteCompletions), s.encode))
 	mux.Handle("GET /v1/models", reply.Handler(s.models, keepRequest, reply.EncodeJSON[modelList]))
 	mux.Handle("GET /v1/models/{model}", reply.Handler(s.model, keepRequest, reply.EncodeJSON[model]))
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		reply.EncodeError(r.Context(), reply.Rejected(http.StatusNotFound, "unknown_url", "no such method and path"), w)
+	})
 	s.routes = mux
 	return s
 }
@@ -52,8 +64,13 @@
 // ServeHTTP serves the paths of completions and models.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.routes.ServeHTTP(w, r) }
 
-// Close waits for the cancellations that are under way.
-func (s *Server) Close() { s.cleanup.Wait() }
+// Close stops what is under way and waits for it.
+func (s *Server) Close() {
+	s.stop()
+	s.driving.Lock()
+	defer s.driving.Unlock()
+	s.cleanup.Wait()
+}
 
 func keepRequest(r *http.Request) (*http.Request, error) { return r, nil }
 
@@ -71,6 +88,9 @@
 // complete admits a request and finds or makes its generation.
 func (s *Server) complete(ctx context.Context, c *completion) (*response, error) {
 	begun := s.c.Now()
+	if s.stopping.Err() != nil {
+		return nil, leavingError(reply.NotRun)
+	}
 	snapshot := s.c.Snapshots.Snapshot()
 	w, err := reply.Authenticate(snapshot, c.http)
 	if err != nil {
@@ -197,6 +217,10 @@
 	g := p.g
 	record := Request{ID: p.call.id, Workspace: g.workspace, Entry: g.entry, Route: g.route}
 	defer s.record(p, &record)
+	client := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.stopping, cancel)()
 	for {
 		st := g.state()
 		if err := catchUp(out, st.tokens); err != nil {
@@ -206,12 +230,9 @@
 			s.settle(p, &record, &st)
 			return st, nil
 		}
-		err := ctx.Err()
-		if g.drive() {
-			err = s.drive(ctx, p, out, &record)
-			g.rest()
-		} else if err == nil {
-			err = g.wait(ctx, out.reached())
+		err := s.advance(ctx, p, out, &record)
+		if err != nil && s.stopping.Err() != nil && client.Err() == nil {
+			return s.moved(client, p, &record)
 		}
 		if err != nil {
 			return st, s.abandon(&record)
@@ -219,6 +240,23 @@
 	}
 }
 
+// advance drives the generation, or waits for the handler that does.
+func (s *Server) advance(ctx context.Context, p *response, out sink, record *Request) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if !p.g.drive() {
+		return p.g.wait(ctx, out.reached())
+	}
+	defer p.g.rest()
+	s.driving.RLock()
+	defer s.driving.RUnlock()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return s.drive(ctx, p, out, record)
+}
+
 // catchUp writes the tokens that out has not had.
 func catchUp(out sink, tokens []string) error {
 	for n := out.reached(); n < len(tokens); n++ {
--- a/internal/caller/openai/whole.go
+++ b/internal/caller/openai/whole.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -45,10 +44,7 @@
 	b = append(b, `}],"usage":`...)
 	b = appendUsage(b, len(st.tokens), st.usage)
 	b = append(b, '}')
-	err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
-	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return nil // the client is gone
-	}
+	reply.SetWriteDeadline(w, timeout)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 	w.Write(b)
--- a/internal/caller/reply/error.go
+++ b/internal/caller/reply/error.go
@@ -94,6 +94,7 @@
 	if !errors.As(err, &e) {
 		e = Failed(http.StatusInternalServerError, "internal_error", "internal error")
 	}
+	SetWriteDeadline(w, writeTimeout)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(OutcomeHeader, e.Outcome)
--- a/internal/caller/reply/request.go
+++ b/internal/caller/reply/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -97,12 +98,48 @@
 		id := RequestID(r)
 		r.Header.Set(RequestIDHeader, id)
 		w.Header().Set(RequestIDHeader, id)
+		if r.Body != nil && r.Body != http.NoBody {
+			r.Body = &timedBody{r.Body, http.NewResponseController(w), false}
+		}
 		server.ServeHTTP(w, r)
 	})
 }
 
+// Bounds of reading a request and of writing a short response.
+const (
+	readTimeout  = 30 * time.Second
+	writeTimeout = 10 * time.Second
+)
+
+// timedBody bounds the time for reading a body. The bound must not last
+// longer: net/http watches for the client's departure with a read.
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+	started bool
+}
+
+func (b *timedBody) Read(p []byte) (int, error) {
+	if !b.started {
+		b.started = true
+		b.control.SetReadDeadline(time.Now().Add(readTimeout))
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// SetWriteDeadline bounds the next write to a client. A deadline stays on the
+// connection until the next one, so each response sets its own.
+func SetWriteDeadline(w http.ResponseWriter, timeout time.Duration) {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
+}
+
 // EncodeJSON writes a value as JSON.
 func EncodeJSON[T any](_ context.Context, w http.ResponseWriter, v T) error {
+	SetWriteDeadline(w, writeTimeout)
 	w.Header().Set("Content-Type", "application/json")
 	return json.NewEncoder(w).Encode(v)
 }
