Update the fleet's slice only where servers changed

Cause: each failure rebuilt the maps of all servers, and each request the whole slice. Change: failures and requests mark their server, and the next reader renews the marked ones; time limits are looked at after each round of polls. Ignoring the marks, the time limits or a failed server makes a test fail.

--- a/internal/backend/fleet/fleet.go
+++ b/internal/backend/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,10 +83,12 @@
 
 // entry holds the published slice of one catalogue entry.
 type entry struct {
-	view  atomic.Pointer[[]route.Backend]
-	stale atomic.Bool
-	copy  sync.Mutex
-	// members are in the order of the slice.
+	view atomic.Pointer[[]route.Backend]
+	// stale is true if a server has changed since view was made, and expired
+	// if time has passed that may change any server.
+	stale, expired atomic.Bool
+	copy           sync.Mutex
+	// members are the servers that are not leaving, in the order of the slice.
 	members []*server
 }
 
@@ -127,21 +130,52 @@
 	}
 	if e.stale.Load() && e.copy.TryLock() {
 		if e.stale.Swap(false) {
-			e.publish(f.c.Now())
+			e.refresh(f.c.Now())
 		}
 		e.copy.Unlock()
 	}
 	return *e.view.Load()
 }
 
-func (e *entry) publish(now time.Time) {
-	bs := make([]route.Backend, len(e.members))
+// refresh makes the slice anew for the servers that changed only, because
+// each request changes one. The caller holds copy.
+func (e *entry) refresh(now time.Time) {
+	old := *e.view.Load()
+	if e.expired.Swap(false) || len(old) != len(e.members) {
+		e.publish(now)
+		return
+	}
+	bs := slices.Clone(old)
 	for i, s := range e.members {
+		if !s.dirty.Load() || !s.dirty.Swap(false) {
+			continue
+		}
+		if s.avoided(now) {
+			e.publish(now)
+			return
+		}
 		bs[i] = s.backend(now)
 	}
 	e.view.Store(&bs)
 }
 
+// publish makes the slice anew. Servers that failed are left out, unless all
+// have.
+func (e *entry) publish(now time.Time) {
+	bs := make([]route.Backend, 0, len(e.members))
+	for _, s := range e.members {
+		if !s.avoided(now) {
+			bs = append(bs, s.backend(now))
+		}
+	}
+	if len(bs) == 0 {
+		for _, s := range e.members {
+			bs = append(bs, s.backend(now))
+		}
+	}
+	e.view.Store(&bs)
+}
+
 // Began counts a request of this node on a server. The channel is closed when
 // the server is found to be leaving; it is nil for an unknown server.
 func (f *Fleet) Began(id string) <-chan struct{} {
@@ -187,7 +221,6 @@
 		s.instance.Store(&in) // the price may have changed
 		servers[id] = s
 	}
-	avoided := make(map[*entry][]*server)
 	for id, s := range servers {
 		e, ok := byEntry[s.in().Entry]
 		if !ok {
@@ -195,45 +228,16 @@
 			byEntry[s.in().Entry] = e
 		}
 		s.entry.Store(e)
-		switch f.usable(id, s, now) {
-		case yes:
+		if m := f.marks[id]; m.active(now, s.in().Address) {
+			s.leave(m.deadline)
+		} else {
 			e.members = append(e.members, s)
-		case ifNoOther:
-			avoided[e] = append(avoided[e], s)
 		}
 	}
 	for _, e := range byEntry {
-		if len(e.members) == 0 {
-			e.members = avoided[e]
-		}
 		sortServers(e.members)
 		e.publish(now)
 	}
 	f.servers.Store(&servers)
 	f.entries.Store(&byEntry)
 }
-
-type verdict int
-
-const (
-	no verdict = iota
-	ifNoOther
-	yes
-)
-
-// usable reports whether a server may get new work.
-func (f *Fleet) usable(id string, s *server, now time.Time) verdict {
-	if f.marks[id].active(now, s.in().Address) {
-		s.leave(f.marks[id].deadline)
-		return no
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.report.Leaving {
-		return no
-	}
-	if now.Before(s.avoidUntil) {
-		return ifNoOther
-	}
-	return yes
-}
--- a/internal/backend/fleet/fleet_test.go
+++ b/internal/backend/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -188,3 +189,28 @@
 	is.Equal(polled["address-b"], 0)
 	is.Equal(ids(f.View("e")), "ab") // c did not report twice in a row
 }
+
+// BenchmarkView is a choice after another request has begun, among the workers of
+// an entry now, of a large one and of the target scale.
+func BenchmarkView(b *testing.B) {
+	for _, size := range []int{20, 200, 2000} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) { benchmarkView(b, size) })
+	}
+}
+
+func benchmarkView(b *testing.B, size int) {
+	f, _ := newFleet(Config{})
+	var l []Instance
+	for i := range size {
+		l = append(l, Instance{ID: strconv.Itoa(i), Address: "a", Entry: "e", Polled: true})
+	}
+	f.SetInstances(l)
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Began("7")
+		if len(f.View("e")) != len(l) {
+			b.Fatal("servers are missing")
+		}
+		f.Ended("7")
+	}
+}
--- a/internal/backend/fleet/poll.go
+++ b/internal/backend/fleet/poll.go
@@ -55,9 +55,10 @@
 		})
 	}
 	g.Wait()
-	f.mu.Lock()
-	f.rebuild()
-	f.mu.Unlock()
+	for _, e := range *f.entries.Load() {
+		e.expired.Store(true)
+		e.stale.Store(true)
+	}
 }
 
 func (f *Fleet) poll(ctx context.Context, id string, s *server) {
--- a/internal/backend/fleet/server.go
+++ b/internal/backend/fleet/server.go
@@ -16,6 +16,7 @@
 	joined   time.Time
 	inFlight *atomic.Int64 // shared by the incarnations of the server
 	entry    atomic.Pointer[entry]
+	dirty    atomic.Bool // changed since the entry's slice was made
 	leaving  chan struct{}
 	left     sync.Once
 	deadline atomic.Int64 // nanoseconds since the Unix epoch, or 0
@@ -63,6 +64,7 @@
 }
 
 func (s *server) touch() {
+	s.dirty.Store(true)
 	if e := s.entry.Load(); e != nil {
 		e.stale.Store(true)
 	}
@@ -144,6 +146,12 @@
 	s.avoidUntil = now.Add(min(backoff<<min(s.failures-1, 5), 30*backoff))
 }
 
+func (s *server) avoided(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.avoidUntil)
+}
+
 // miss counts a poll without a report; two in a row are a failure.
 func (s *server) miss(now time.Time, backoff time.Duration) {
 	s.mu.Lock()
--- a/internal/backend/fleet/sources.go
+++ b/internal/backend/fleet/sources.go
@@ -182,9 +182,7 @@
 	default:
 		s.fail(f.c.Now(), f.c.Backoff)
 	}
-	f.mu.Lock()
-	f.rebuild()
-	f.mu.Unlock()
+	s.touch()
 }
 
 // RefusedVersion records that a server does not have a version.
