Choose the version anew for each attempt

Cause: a retry stayed on its version even after that was rolled back. Change: each attempt asks for the version; a response that has begun keeps its version unless that failed or is served no more. The fault matrix checks the counts of dropped frames.

--- a/internal/caller/openai/attempt.go
+++ b/internal/caller/openai/attempt.go
@@ -30,6 +30,9 @@
 	// crowded is true if a server was passed over for another suspect there.
 	crowded       bool
 	version, move string
+	// versionFailed is true if an attempt of the version failed or was lost
+	// without another reason.
+	versionFailed bool
 	// imported names the attempt whose KV cache is on target.
 	imported, target string
 	// free is true if the next attempt is not charged to the retry budget:
@@ -137,18 +140,27 @@
 	}
 }
 
-// pickVersion keeps a generation on its version while any server has it.
+// pickVersion chooses the version anew for each attempt, so that one that is
+// rolled back gets no more attempts. Tokens of two versions are mixed only if
+// the first one has failed or is served no more: a share that grows does not
+// move a response that has begun.
 func (r *run) pickVersion() {
-	view := r.s.c.Fleet.View(r.g.entry)
-	if r.version != "" && slices.ContainsFunc(view, func(b route.Backend) bool { return b.Serves(r.version) }) {
-		return
-	}
 	e, ok := r.s.c.Snapshots.Snapshot().Entry(r.g.entry)
 	if !ok {
 		return
 	}
-	r.version, r.move = r.s.c.Versions.Version(e, r.g.conversation)
-	r.g.setVersion(r.version)
+	have := r.g.lastVersion()
+	version, move := r.s.c.Versions.Version(e, r.g.conversation)
+	if have != "" && version != have && len(r.g.reached()) > 0 && !r.versionFailed && r.served(have) {
+		r.version = have
+		return
+	}
+	r.version, r.move = version, move
+	r.g.setVersion(version)
+}
+
+func (r *run) served(version string) bool {
+	return slices.ContainsFunc(r.s.c.Fleet.View(r.g.entry), func(b route.Backend) bool { return b.Serves(version) })
 }
 
 func (r *run) pick(again bool) bool {
@@ -327,6 +339,7 @@
 		r.report(true, ExcusedReclaim)
 		return
 	}
+	r.versionFailed = true
 	excused := ""
 	if r.suspect {
 		excused = ExcusedSuspect
--- a/internal/caller/openai/fault_test.go
+++ b/internal/caller/openai/fault_test.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"wasabiworks.example/wasabiworks/internal/caller/reply"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 )
 
 // read returns the text of a response, streamed or not, and the IDs of its
@@ -101,6 +103,9 @@
 					})
 				}
 				wg.Wait()
+				if d := s.engine.Dropped(); (d.Foreign > 0) != (f.kind == "foreign") || (d.Misplaced > 0) != (f.kind == "twice") {
+					t.Errorf("fault %+v: got %+v dropped", f.fault, d)
+				}
 				r := s.lastRequest(t)
 				if r.Attempts > f.attempts || r.Recomputed > f.recomputed || r.Generated != testLength {
 					t.Errorf("fault %+v: got %d attempts, %d recomputed and %d generated tokens, want at most %d and %d, and %d", f.fault, r.Attempts, r.Recomputed, r.Generated, f.attempts, f.recomputed, testLength)
@@ -241,3 +246,36 @@
 	is.Equal(len(f.crashed("d", now.Add(time.Second))), 0) // a wave, not a request
 	is.Equal(len(f.crashed("d", now.Add(time.Minute))), 1)
 }
+
+// Guards against attempts on a version that has been rolled back, and against
+// a response whose version changes although nothing failed.
+func TestVersionOfLaterAttempts(t *testing.T) {
+	for _, c := range []struct{ kind, want string }{{"fail", "v0"}, {"die", "v0"}, {"", "v1"}} {
+		is := is.New(t)
+		var choices atomic.Int64
+		s := newSystem(t, 2, func(cfg *Config) {
+			cfg.MoveMargin = time.Hour
+			cfg.Versions = versionsFunc(func() string {
+				if choices.Add(1) == 1 {
+					return "v1"
+				}
+				return "v0" // v1 has been rolled back
+			})
+		})
+		s.engines[0].fault.Store(&fault{kind: c.kind, at: 5, wait: 5 * time.Millisecond})
+		if c.kind == "" {
+			time.AfterFunc(30*time.Millisecond, func() { s.fleet.Notice("b0", time.Now().Add(time.Second)) })
+		}
+		_, b := s.post(t, "/v1/chat/completions", body("a", true))
+		got, _, done := read(t, b)
+		is.Equal(got, expected("a"))
+		is.True(done)
+		r := s.lastRequest(t)
+		is.Equal(r.Attempts, 2)
+		is.Equal(r.Version, c.want) // after fault c.kind
+	}
+}
+
+type versionsFunc func() string
+
+func (f versionsFunc) Version(*catalogue.Entry, uint64) (string, string) { return f(), "" }
