--- a/internal/caller/openai/attempt.go
+++ b/internal/caller/openai/attempt.go
@@ -31,6 +31,9 @@
 	crowded       bool
 	version, move string
 	step          uint8
+	// versionFailed is true if an attempt of the version failed or was lost
+	// without another reason.
+	versionFailed bool
 	// imported names the attempt whose KV cache is on target.
 	imported, target string
 	// free is true if the next attempt is not charged to the retry budget:
@@ -96,7 +99,7 @@
 }
 
 func (r *run) outcome() string {
-	if r.g.sent {
+	if r.g.wasSent() {
 		return reply.Unknown
 	}
 	return reply.NotRun
@@ -104,7 +107,7 @@
 
 // failure is what the client is told when no further attempt is made.
 func (r *run) failure(last, why error) *reply.Error {
-	if r.g.sent {
+	if r.g.wasSent() {
 		return reply.Failed(http.StatusBadGateway, "backend_failed", "the response could not be completed")
 	}
 	code, message := "no_backend", "no backend server may run the request now"
@@ -141,18 +144,27 @@
 	}
 }
 
-// pickVersion keeps a generation on its version while any server has it.
+// pickVersion chooses the version anew for each attempt, so that one that is
+// rolled back gets no more attempts. Tokens of two versions are mixed only if
+// the first one has failed or is served no more: a share that grows does not
+// move a response that has begun.
 func (r *run) pickVersion() {
-	view := r.s.c.Fleet.View(r.g.entry)
-	if r.version != "" && slices.ContainsFunc(view, func(b route.Backend) bool { return b.Serves(r.version) }) {
-		return
-	}
 	e, ok := r.s.c.Snapshots.Snapshot().Entry(r.g.entry)
 	if !ok {
 		return
 	}
-	r.version, r.move, r.step = r.s.c.Versions.Version(e, r.g.conversation)
-	r.g.setVersion(r.version)
+	have := r.g.lastVersion()
+	version, move, step := r.s.c.Versions.Version(e, r.g.conversation)
+	if have != "" && version != have && len(r.g.reached()) > 0 && !r.versionFailed && r.served(have) {
+		r.version = have
+		return
+	}
+	r.version, r.move, r.step = version, move, step
+	r.g.setVersion(version)
+}
+
+func (r *run) served(version string) bool {
+	return slices.ContainsFunc(r.s.c.Fleet.View(r.g.entry), func(b route.Backend) bool { return b.Serves(version) })
 }
 
 func (r *run) pick(again bool) bool {
@@ -226,7 +238,7 @@
 		return nil
 	}
 	if !engine.IsNotRun(err) {
-		g.sent = true
+		g.markSent()
 	}
 	r.failed(ctx, &a, err)
 	return err
@@ -250,7 +262,6 @@
 	} else {
 		r.waited += now.Sub(r.last)
 	}
-	r.g.sent = true
 	if f.Token != "" || f.Finish == "" {
 		r.tokens++
 		r.record.Generated++
@@ -338,6 +349,7 @@
 		r.report(true, ExcusedReclaim)
 		return
 	}
+	r.versionFailed = true
 	excused := ""
 	if r.suspect {
 		excused = ExcusedSuspect
