--- a/internal/peer/journal/journal.go
+++ b/internal/peer/journal/journal.go
@@ -59,6 +59,9 @@
 	// PeerTimeout limits a call to the owner, after which the instance writes
 	// itself. Default 500 ms.
 	PeerTimeout time.Duration
+	// RetryAfter is the time between two trials of a store that is down.
+	// Default 500 ms.
+	RetryAfter time.Duration
 	// Now and After are the clock; defaults time.Now and time.After.
 	Now        func() time.Time
 	After      func(time.Duration) <-chan time.Time
@@ -82,6 +85,9 @@
 	if c.PeerTimeout == 0 {
 		c.PeerTimeout = 500 * time.Millisecond
 	}
+	if c.RetryAfter == 0 {
+		c.RetryAfter = 500 * time.Millisecond
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -100,9 +106,10 @@
 	config  Config
 	writer  string
 	metrics *metrics
-	// down is when the store is tried again after a failure, in nanoseconds
-	// since the Unix epoch. Until then calls fail at once.
-	down atomic.Int64
+	// failures counts the failed store calls in a row, and down is when the
+	// store is tried again, in nanoseconds since the Unix epoch.
+	failures atomic.Int32
+	down     atomic.Int64
 
 	ctx  context.Context
 	stop context.CancelFunc
@@ -146,26 +153,41 @@
 // Reserve records that attempt is about to run the call of key. Attempts need
 // unique IDs of at most journal.MaxAttempt bytes. Only the status
 // journal.Reserved allows the caller to run the call, and it must call Complete
-// afterwards. An error has the type NotRun.
+// afterwards. An error has the type NotRun; the status is then
+// journal.Unavailable or journal.Full.
 func (j *Journal) Reserve(ctx context.Context, k journal.Key, attempt string, fingerprint uint64) (journal.Result, error) {
 	op := journal.Op{Kind: journal.Reserve, Key: k, Attempt: attempt, Fingerprint: fingerprint}
 	shard := journal.ShardOf(k, j.config.Shards)
+	r, err := j.reserve(ctx, shard, op)
+	j.metrics.reserved(r.Status)
+	if err != nil {
+		return journal.Result{Status: r.Status}, NotRun.Wrap(err, "reserve in journal shard %d", shard)
+	}
+	return r, nil
+}
+
+func (j *Journal) reserve(ctx context.Context, shard uint32, op journal.Op) (r journal.Result, err error) {
 	if owner, ok := j.remoteOwner(shard); ok {
-		reply, err := j.reserveAt(ctx, owner, shard, op)
-		if err == nil && statusOf(reply.Status) != journal.Unavailable {
-			r := journal.Result{Status: statusOf(reply.Status), Response: fromWire(reply.Response)}
-			j.metrics.reserved(r.Status)
+		r, err = j.reserveAt(ctx, owner, shard, op)
+		if journal.Next(journal.AtOwner, err == nil, r.Status) == journal.Use {
 			return r, nil
 		}
 	}
-	r, err := j.local(ctx, shard, op)
-	if err != nil {
-		j.abandon(shard, op)
-		j.metrics.reserved(journal.Unavailable)
-		return journal.Result{Status: journal.Unavailable}, NotRun.Wrap(err, "reserve in journal shard %d", shard)
+	r, err = j.local(ctx, shard, op)
+	switch journal.Next(journal.AtSelf, err == nil, r.Status) {
+	case journal.Use:
+		return r, nil
+	case journal.Reject:
+		return r, errFull
 	}
-	j.metrics.reserved(r.Status)
-	return r, nil
+	if err == nil {
+		return r, errAttempt // Reserve records nothing for an invalid attempt
+	}
+	// Without the removal, the key of an ambiguous reservation would be
+	// answered as pending until it expires.
+	op.Kind = journal.Remove
+	j.writerOf(shard).later(op)
+	return r, err
 }
 
 // Complete records the response to a call that attempt reserved. If notRun is
@@ -229,14 +251,17 @@
 	return &peerpb.CompleteReply{Recorded: result.Recorded}, nil
 }
 
-func (j *Journal) reserveAt(ctx context.Context, owner string, shard uint32, op journal.Op) (*peerpb.ReserveReply, error) {
+func (j *Journal) reserveAt(ctx context.Context, owner string, shard uint32, op journal.Op) (journal.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, j.config.PeerTimeout)
 	defer cancel()
 	reply, err := j.config.Peers.Reserve(ctx, owner, &peerpb.ReserveRequest{
 		Shard: shard, Key: op.Key[:], Attempt: op.Attempt, Fingerprint: op.Fingerprint,
 	})
 	j.reached(owner, err)
-	return reply, err
+	if err != nil {
+		return journal.Result{}, err
+	}
+	return journal.Result{Status: statusOf(reply.GetStatus()), Response: fromWire(reply.GetResponse())}, nil
 }
 
 func (j *Journal) completeAt(ctx context.Context, owner string, shard uint32, op journal.Op) (*peerpb.CompleteReply, error) {
@@ -301,14 +326,6 @@
 	}
 }
 
-// abandon removes, as soon as the store allows, the reservation of an attempt
-// that the caller of Reserve was told not to run. Without it, the key of an
-// ambiguous reservation would be answered as pending until it expires.
-func (j *Journal) abandon(shard uint32, op journal.Op) {
-	op.Kind = journal.Remove
-	j.writerOf(shard).later(op)
-}
-
 func (j *Journal) writerOf(shard uint32) *writer {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/peer/journal/journal_test.go
+++ b/internal/peer/journal/journal_test.go
@@ -37,6 +37,12 @@
 	return m.journals[id], nil
 }
 
+func (m *mesh) setCut(id string, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut[id] = cut
+}
+
 func (m *mesh) Reserve(ctx context.Context, id string, r *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
 	j, err := m.get(id)
 	if err != nil {
@@ -69,6 +75,7 @@
 		j, err := journal.New(journal.Config{
 			Self: id, Incarnation: int64(i + 1), Store: store, Peers: m, Live: func() []string { return ids },
 			Shards: shards, Gap: gap, StoreTimeout: 100 * time.Millisecond, PeerTimeout: 50 * time.Millisecond,
+			RetryAfter: 5 * time.Millisecond,
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/peer/journal/writer.go
+++ b/internal/peer/journal/writer.go
@@ -21,8 +21,9 @@
 	maxLater = 1024
 	// laterFor is how long an operation is retried in the background.
 	laterFor = 10 * time.Minute
-	// retryAfter is how long calls fail at once after the store failed.
-	retryAfter = 500 * time.Millisecond
+	// maxFailures is the number of failed store calls in a row after which the
+	// store counts as down. One alone can be a rejection above the rate limit.
+	maxFailures = 3
 	// maxRounds bounds the conflicts of one batch. Each conflict means that
 	// another instance made progress.
 	maxRounds = 8
@@ -34,7 +35,10 @@
 var (
 	errClosed = errors.New("journal is closed")
 	errBusy   = errors.New("journal queue is full")
-	errDown   = errors.New("store failed lately")
+	errDown   = errors.New("store is down")
+	errFull   = errors.New("journal shard is full")
+
+	errAttempt = errors.New("attempt has no ID or one that is too long")
 )
 
 type result struct {
@@ -121,7 +125,7 @@
 		left := w.write(w.take())
 		retry = nil
 		if left > 0 {
-			retry = w.j.config.After(retryAfter)
+			retry = w.j.config.After(w.j.config.RetryAfter)
 		}
 		select {
 		case <-gap:
@@ -229,7 +233,8 @@
 	revision, err := w.j.config.Store.Put(ctx, w.key(), data, w.revision)
 	switch {
 	case err == nil:
-		w.value, w.revision, w.contact = next, revision, w.j.config.Now()
+		w.value, w.revision = next, revision
+		w.storeAnswered()
 		return true, nil
 	case errors.Is(err, kv.ErrUnavailable):
 		w.storeFailed(err)
@@ -270,19 +275,33 @@
 		}
 		w.value, w.revision = s, v.Revision
 	}
-	w.contact = w.j.config.Now()
+	w.storeAnswered()
 	return nil
 }
 
+// storeFailed counts a failed call. Once the store counts as down, calls fail
+// at once until the next trial.
 func (w *writer) storeFailed(err error) {
-	now := w.j.config.Now()
-	was := w.j.down.Swap(now.Add(retryAfter).UnixNano())
-	if now.UnixNano()-was > int64(time.Minute) {
-		w.j.config.Logger.Warn("store failed; non-idempotent calls are rejected as not run",
+	n := w.j.failures.Add(1)
+	if n < maxFailures {
+		return
+	}
+	w.j.down.Store(w.j.config.Now().Add(w.j.config.RetryAfter).UnixNano())
+	if n == maxFailures {
+		w.j.config.Logger.Warn("store is down; non-idempotent calls are rejected as not run",
 			zap.String("instance", w.j.config.Self), zap.Uint32("shard", w.shard), zap.Error(err))
 	}
 }
 
+// storeAnswered ends a series of failed calls.
+func (w *writer) storeAnswered() {
+	w.contact = w.j.config.Now()
+	if w.j.failures.Swap(0) >= maxFailures {
+		w.j.config.Logger.Info("store answers again",
+			zap.String("instance", w.j.config.Self), zap.Uint32("shard", w.shard))
+	}
+}
+
 func (w *writer) age() time.Duration { return w.j.config.Now().Sub(w.contact) }
 
 func (w *writer) key() string { return fmt.Sprintf("journal/%d", w.shard) }
