--- a/internal/decide/config/config.go
+++ b/internal/decide/config/config.go
@@ -38,7 +38,8 @@
 type State struct {
 	Have Version
 	// Rejected is the highest revision that did not decode. It is not
-	// requested again; the node keeps Have until a higher one appears.
+	// requested again. A lower one still is: a node that starts while the
+	// store holds a value that does not decode takes its peers' catalogue.
 	Rejected int64
 	// Ready is true once the node has asked the store and its peers and has a
 	// catalogue. It never reverts.
@@ -51,7 +52,7 @@
 // Received decides on a value from the store or a peer. The caller publishes
 // the value if accepted is true; decodes tells whether it is well formed.
 func (s *State) Received(offered Version, decodes bool) (accepted bool) {
-	if !Accept(s.Have, offered) {
+	if !s.Wanted(offered.Revision) {
 		return false
 	}
 	if !decodes {
@@ -64,13 +65,19 @@
 	return true
 }
 
-// Known returns the highest revision that was accepted or rejected; only a
-// higher one is worth a request.
-func (s *State) Known() int64 { return max(s.Have.Revision, s.Rejected) }
+// Wanted reports whether a revision is worth a request: it would be accepted,
+// and it is not known to be malformed.
+func (s *State) Wanted(revision int64) bool {
+	return Accept(s.Have, Version{Revision: revision}) && revision != s.Rejected
+}
+
+// WatchAfter returns the revision after which to watch the store, whose value
+// is Have, Rejected or newer.
+func (s *State) WatchAfter() int64 { return max(s.Have.Revision, s.Rejected) }
 
 // Offered records that peer has revision and reports whether to pull it.
 func (s *State) Offered(peer string, revision int64) (pull bool) {
-	if revision <= s.Known() {
+	if !s.Wanted(revision) {
 		return false
 	}
 	if s.offers == nil {
@@ -91,7 +98,7 @@
 			peer, best = p, r
 		}
 	}
-	return peer, best > s.Known()
+	return peer, s.Wanted(best)
 }
 
 // Failed forgets the offer of a peer after a pull from it: it could not be
@@ -140,7 +147,7 @@
 // settle drops the offers that are not worth a pull any more.
 func (s *State) settle() {
 	for p, r := range s.offers {
-		if r <= s.Known() {
+		if !s.Wanted(r) {
 			delete(s.offers, p)
 		}
 	}
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -26,17 +26,14 @@
 
 // Join merges two descriptions of the same member. It is commutative,
 // associative and idempotent, so the order in which lists arrive is
-// irrelevant. A higher incarnation replaces a lower one; the deadlines belong
-// to the incarnation, but Forget is the later of both.
+// irrelevant. A higher incarnation replaces a lower one, deadlines included.
 func Join(a, b Member) Member {
-	forget := later(a.Forget, b.Forget)
-	if a.Incarnation != b.Incarnation {
-		if a.Incarnation < b.Incarnation {
-			a = b
-		}
-		a.Forget = forget
+	if a.Incarnation > b.Incarnation {
 		return a
 	}
+	if a.Incarnation < b.Incarnation {
+		return b
+	}
 	joined := a
 	if describes(b, a) > 0 {
 		joined = b
@@ -44,7 +41,7 @@
 	joined.Beat = max(a.Beat, b.Beat)
 	joined.Leaving = a.Leaving || b.Leaving
 	joined.Suspect = later(a.Suspect, b.Suspect)
-	joined.Forget = forget
+	joined.Forget = later(a.Forget, b.Forget)
 	return joined
 }
 
--- a/internal/peer/config/config.go
+++ b/internal/peer/config/config.go
@@ -180,7 +180,7 @@
 func (p *Propagator[T]) receive(source string, revision int64, data []byte) (accepted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if revision <= p.state.Known() {
+	if !p.state.Wanted(revision) {
 		return false
 	}
 	value, err := p.decode(revision, data)
@@ -232,10 +232,7 @@
 func (p *Propagator[T]) pull(ctx context.Context, id string) (answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	p.mu.Lock()
-	have := p.state.Known()
-	p.mu.Unlock()
-	s, err := p.config.Pull(ctx, id, &peerpb.PullRequest{HaveRevision: have})
+	s, err := p.config.Pull(ctx, id, &peerpb.PullRequest{HaveRevision: p.Revision()})
 	accepted := err == nil && s.GetRevision() > 0 && p.receive("peer", s.GetRevision(), s.GetCatalogue())
 	if err != nil {
 		p.metrics.failed.WithLabelValues("pull").Inc()
--- a/internal/peer/config/run.go
+++ b/internal/peer/config/run.go
@@ -132,7 +132,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	p.mu.Lock()
-	after := p.state.Known()
+	after := p.state.WatchAfter()
 	p.mu.Unlock()
 	v, err := p.config.Store.Watch(ctx, p.config.Key, after)
 	if err != nil {
