Route long prefixes by affinity and the rest in turns

Affinity sent every request by its prefix.

Request gains PrefixTokens. Combined uses Affinity for prefixes of 1,000 tokens or more and takes turns otherwise; the bound is capped below the point where a server queues, and the price preference fades under load. routetest models workers with prefix caches and lagging reports.

Seen to fail first: no ramp, price, failure domain or staleness ignored, no bound, interactive as batch, turns over ineligible servers, Exclude ignored, an allocation in Pick.

--- a/internal/decide/route/affinity.go
+++ b/internal/decide/route/affinity.go
@@ -16,6 +16,12 @@
 	// bound is the load, relative to the mean, above which a backend server
 	// is passed over (rendezvous hashing with bounded load).
 	bound = 1.25
+	// longPrefix is the number of tokens from which a prefix is worth affinity:
+	// recomputing fewer costs less than the queues of an uneven load.
+	longPrefix = 1000
+	// full caps the bound, so that a server doesn't queue while others have
+	// room.
+	full = 0.85
 	// slack keeps the bound from passing over servers when all are idle.
 	slack = 0.1
 	// remote weighs backend servers of other failure domains: a crossing
@@ -35,33 +41,52 @@
 	if m.eligible == 0 {
 		return 0, false
 	}
-	key := r.Prefix
-	if key == 0 {
+	key, affine := r.Prefix, r.affine()
+	if !affine {
 		key = random
 	}
-	limit := bound*m.load + slack
-	best, spare := math.Inf(-1), math.Inf(1)
-	fallback := 0
+	limit := m.limit()
+	var best, second choice
+	spare := choice{load: math.Inf(1)}
 	for i := range bs {
 		b := &bs[i]
 		if !eligible(b, &r) {
 			continue
 		}
-		load := b.estimate(m.load, now)
-		if load < spare {
-			fallback, spare = i, load
+		c := choice{index: i, ok: true, load: b.estimate(m.load, now)}
+		if c.load < spare.load {
+			spare = c
 		}
-		if load > limit || r.Interactive && (b.Queued > 0 || load >= 1) {
+		if c.load > limit || r.Interactive && (b.Queued > 0 || c.load >= 1) {
 			continue
 		}
-		if s := b.score(key, m.price, r.FailureDomain, now); s > best {
-			index, ok, best = i, true, s
+		c.score = b.score(key, &m, r.FailureDomain, now)
+		switch {
+		case !best.ok || c.score > best.score:
+			best, second = c, best
+		case !second.ok || c.score > second.score:
+			second = c
 		}
 	}
-	if !ok {
-		return fallback, true
+	switch {
+	case !best.ok:
+		return spare.index, true
+	case !affine && second.ok && second.load < best.load:
+		return second.index, true
 	}
-	return index, true
+	return best.index, true
+}
+
+// choice is a backend server that may be picked.
+type choice struct {
+	index       int
+	ok          bool
+	load, score float64
+}
+
+// affine reports whether the cached prefix is worth an uneven load.
+func (r *Request) affine() bool {
+	return r.Prefix != 0 && (r.PrefixTokens == 0 || r.PrefixTokens >= longPrefix)
 }
 
 // mean holds the averages over the eligible backend servers.
@@ -89,6 +114,9 @@
 	return m
 }
 
+// limit returns the load above which a server is passed over.
+func (m *mean) limit() float64 { return min(bound*m.load+slack, max(full, 1.1*m.load)) }
+
 // ramped returns the part of its capacity that b may use, from a tenth to 1.
 func (b *Backend) ramped(now time.Time) float64 {
 	age := now.Sub(b.Joined)
@@ -108,13 +136,19 @@
 
 // score is that of weighted rendezvous hashing: the highest wins, and each
 // server wins a part of the keys proportional to its weight.
-func (b *Backend) score(key uint64, price float64, domain string, now time.Time) float64 {
+func (b *Backend) score(key uint64, m *mean, domain string, now time.Time) float64 {
 	weight := float64(max(b.Capacity, 1)) * b.ramped(now)
-	if price > 0 {
-		weight *= price / max(b.Price, price/4)
+	preference := 1.0
+	if m.price > 0 {
+		preference = m.price / max(b.Price, m.price/4)
 	}
 	if domain != "" && b.FailureDomain != domain {
-		weight *= remote
+		preference *= remote
+	}
+	// Under load all servers are needed, and preferring some only fills them
+	// first.
+	if preference != 1 {
+		weight *= math.Pow(preference, max(0, 1-m.load))
 	}
 	u := (float64(mix(key^xxhash.Sum64String(b.ID))>>11) + 0.5) / (1 << 53)
 	return -weight / math.Log(u)
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -20,8 +20,11 @@
 type Request struct {
 	Entry, Version, FailureDomain string
 	// Prefix is the hash of the prompt's beginning, or 0.
-	Prefix      uint64
-	Interactive bool
+	Prefix uint64
+	// PrefixTokens is the estimated number of tokens that a cached prefix
+	// saves; 0 is unknown and counts as many.
+	PrefixTokens int
+	Interactive  bool
 	// Exclude lists IDs that must not be chosen.
 	Exclude []string
 }
--- a/internal/decide/route/route_test.go
+++ b/internal/decide/route/route_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -21,7 +22,7 @@
 // Guards against a policy that picks a server that is leaving, excluded or
 // without the version, or that picks none although one is eligible.
 func TestPickEligible(t *testing.T) {
-	policies := map[string]Policy{"affinity": Affinity{}, "round robin": &RoundRobin{}, "least loaded": LeastLoaded{}}
+	policies := map[string]Policy{"affinity": Affinity{}, "combined": new(Combined), "round robin": &RoundRobin{}, "least loaded": LeastLoaded{}}
 	bs := servers(4)
 	bs[0].Leaving = true
 	bs[1].Versions = []string{"v2"}
@@ -57,3 +58,137 @@
 	third, _ := Affinity{}.Pick(bs, r, epoch, 3)
 	is.True(third != first) // a loaded server is passed over
 }
+
+// shares returns the parts of requests without a prefix that two servers get,
+// after change has been applied to the first.
+func shares(change func(*Backend)) (first, second float64) {
+	bs := servers(2)
+	change(&bs[0])
+	for i := range uint64(2000) {
+		r := Request{Version: "v1", FailureDomain: "brno-a", Prefix: mix(i)}
+		if j, _ := (Affinity{}).Pick(bs, r, epoch, i); j == 0 {
+			first++
+		} else {
+			second++
+		}
+	}
+	return first, second
+}
+
+// Guards against a server that has just joined and is flooded, against prices
+// and failure domains that are ignored, and against an old report that counts as
+// much as a new one.
+func TestWeights(t *testing.T) {
+	tests := []struct {
+		name        string
+		change      func(*Backend)
+		least, most float64 // of the first server's requests per the second's
+	}{
+		{"equal", func(*Backend) {}, 0.8, 1.2},
+		{"joined 2 s ago", func(b *Backend) { b.Joined = epoch.Add(-2 * time.Second) }, 0.1, 0.35},
+		{"half the price", func(b *Backend) { b.Price = 0.5 }, 1.5, 2.6},
+		{"other failure domain", func(b *Backend) { b.FailureDomain = "zlin" }, 0.7, 0.88},
+		{"loaded", func(b *Backend) { b.Running = 12 }, 0, 0},
+		{"loaded a minute ago", func(b *Backend) { b.Running, b.Reported = 12, epoch.Add(-time.Minute) }, 0.5, 1.5},
+	}
+	for _, test := range tests {
+		first, second := shares(test.change)
+		if got := first / second; got < test.least || got > test.most {
+			t.Errorf("%s: ratio of requests is %.2f, want %v to %v", test.name, got, test.least, test.most)
+		}
+	}
+}
+
+// Guards against interactive requests that wait behind a queue while a server
+// is free, even where their prefix is cached.
+func TestInteractiveAvoidsQueues(t *testing.T) {
+	is := is.New(t)
+	bs := servers(20)
+	r := Request{Version: "v1", Prefix: 42}
+	for i := range bs {
+		bs[i].Running = 14
+	}
+	home, _ := Affinity{}.Pick(bs, r, epoch, 0)
+	bs[home].Queued = 1
+	batch, _ := Affinity{}.Pick(bs, r, epoch, 0)
+	is.Equal(batch, home)
+	r.Interactive = true
+	interactive, _ := Affinity{}.Pick(bs, r, epoch, 0)
+	is.True(interactive != home)
+}
+
+// Guards against turns that miss servers or favour those after a gap.
+func TestCombinedTurns(t *testing.T) {
+	is := is.New(t)
+	bs := servers(10)
+	bs[0].Leaving, bs[1].Leaving, bs[2].Leaving = true, true, true
+	var p Combined
+	var picked [10]int
+	for i := range uint64(700) {
+		j, ok := p.Pick(bs, Request{Version: "v1", Prefix: 42, PrefixTokens: 100}, epoch, i)
+		is.True(ok)
+		picked[j]++
+	}
+	is.Equal(picked, [10]int{3: 100, 100, 100, 100, 100, 100, 100})
+}
+
+// Guards against a pick that is not eligible or an eligible server that is not
+// found, for any state of the servers.
+func TestPickArbitrary(t *testing.T) {
+	policies := []Policy{Affinity{}, new(Combined), new(RoundRobin), LeastLoaded{}}
+	rapid.Check(t, func(t *rapid.T) {
+		bs := servers(rapid.IntRange(0, 6).Draw(t, "servers"))
+		found := false
+		r := Request{
+			Version: rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(t, "version"), Prefix: rapid.Uint64Range(0, 2).Draw(t, "prefix"),
+			PrefixTokens: rapid.IntRange(0, 2000).Draw(t, "tokens"), Interactive: rapid.Bool().Draw(t, "interactive"),
+			FailureDomain: "zlin", Exclude: []string{"worker-1"},
+		}
+		for i := range bs {
+			b := &bs[i]
+			b.Versions = []string{rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "has")}
+			b.Leaving = rapid.Bool().Draw(t, "leaving")
+			b.Running, b.Queued, b.Capacity = rapid.IntRange(0, 40).Draw(t, "running"), rapid.IntRange(0, 4).Draw(t, "queued"), rapid.IntRange(0, 16).Draw(t, "capacity")
+			b.Price = rapid.Float64Range(0, 2).Draw(t, "price")
+			b.Joined = epoch.Add(time.Duration(rapid.Int64Range(-20, 5).Draw(t, "joined")) * time.Second)
+			b.Reported = epoch.Add(time.Duration(rapid.Int64Range(-20, 5).Draw(t, "reported")) * time.Second)
+			found = found || eligible(b, &r)
+		}
+		for _, p := range policies {
+			i, ok := p.Pick(bs, r, epoch, rapid.Uint64().Draw(t, "random"))
+			if ok != found || ok && !eligible(&bs[i], &r) {
+				t.Fatalf("%T: Pick(%+v, %+v) = %d, %v; want ok: %v", p, bs, r, i, ok, found)
+			}
+		}
+	})
+}
+
+// Guards against garbage on the request path.
+func TestPickDoesNotAllocate(t *testing.T) {
+	bs := servers(200)
+	for _, p := range []Policy{Affinity{}, new(Combined), new(RoundRobin), LeastLoaded{}} {
+		for _, prefix := range []uint64{0, 42} {
+			r := Request{Version: "v1", Prefix: prefix, Interactive: true}
+			if n := testing.AllocsPerRun(100, func() { p.Pick(bs, r, epoch, 1) }); n != 0 {
+				t.Errorf("%T: Pick with prefix %d allocates %v times, want 0", p, prefix, n)
+			}
+		}
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{20, 200, 2000} {
+		bs := servers(n)
+		for _, prefix := range []uint64{0, 42} {
+			b.Run(fmt.Sprintf("servers=%d/prefix=%v", n, prefix != 0), func(b *testing.B) {
+				var p Combined
+				random := uint64(0)
+				b.ReportAllocs()
+				for b.Loop() {
+					random++
+					p.Pick(bs, Request{Version: "v1", FailureDomain: "brno-a", Prefix: prefix * random, Interactive: true}, epoch, random)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/routetest/doc.go
@@ -0,0 +1,3 @@
+// Package routetest measures routing policies on a model of workers with
+// prompt-prefix caches, slots and queues, whose load reports lag.
+package routetest
--- /dev/null
+++ b/internal/decide/routetest/measure.go
@@ -0,0 +1,57 @@
+package routetest
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"wasabiworks.example/wasabiworks/internal/decide/route"
+)
+
+// Objectives, in seconds at the 95th percentile.
+const (
+	firstToken    = 1.2
+	betweenTokens = 0.041
+)
+
+// Named is a policy with its name.
+type Named struct {
+	Name string
+	New  func() route.Policy
+}
+
+// Policies are the policies to compare.
+var Policies = []Named{
+	{"RoundRobin", func() route.Policy { return new(route.RoundRobin) }},
+	{"LeastLoaded", func() route.Policy { return route.LeastLoaded{} }},
+	{"Affinity", func() route.Policy { return route.Affinity{} }},
+	{"Combined", func() route.Policy { return new(route.Combined) }},
+}
+
+// Table measures the policies on both mixes and writes a table.
+func Table(w io.Writer, workers int, seeds []uint64) error {
+	fmt.Fprintf(w, "%d workers, seeds %d, 95th percentiles of %v s to the first token and %v s between tokens\n", workers, seeds, firstToken, betweenTokens)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "mix\tpolicy\trequests/s\tcost per 1,000 requests\trecomputed tokens/request\tat half of the least rate: first token\trecomputed\tbetween tokens")
+	for _, m := range []Mix{LongPrefixes, ShortQuestions} {
+		rates := make([]float64, len(Policies))
+		results := make([]Result, len(Policies))
+		least := 0.0
+		for i, p := range Policies {
+			for _, seed := range seeds {
+				rate, at := Capacity(p.New, m, workers, seed)
+				rates[i] += rate / float64(len(seeds))
+				results[i].Recomputed += at.Recomputed / float64(len(seeds))
+			}
+			if least == 0 || rates[i] < least {
+				least = rates[i]
+			}
+		}
+		for i, p := range Policies {
+			half := Simulate(p.New(), m, workers, least/2, seeds[0])
+			cost := FleetPrice(workers) / 3600 / rates[i] * 1000
+			fmt.Fprintf(t, "%s\t%s\t%.1f\t%.4f\t%.0f\t%.2f s\t%.0f\t%.4f s\n", m.Name, p.Name, rates[i], cost, results[i].Recomputed, half.FirstToken, half.Recomputed, half.BetweenTokens)
+		}
+	}
+	return t.Flush()
+}
