Bound the labels of unidentified requests and shorten the history

A request without a workspace was counted under the entry name that the client wrote, so that 1,000 made-up names could take all series while an instance has no catalogue. The history of 100 changes went to every instance with each change. Labels of plots overlapped the bars for long names.

Requests without a workspace are counted together. The history keeps 50 changes. Plots shorten labels and keep the whole name as the title.

--- a/internal/operator/burn/metrics.go
+++ b/internal/operator/burn/metrics.go
@@ -129,11 +129,15 @@
 }
 
 // Finished counts a request by its outcome and, if it was rejected, by its
-// error code.
+// error code. Without a workspace the entry is what a client wrote and could
+// be anything, so such requests are counted together.
 func (m *Metrics) Finished(entry, workspace string, r Request) {
 	if r.Outcome == notRun {
 		m.Rejected(r.Code)
 	}
+	if workspace == "" {
+		entry, workspace = other, other
+	}
 	if result, ok := Classify(r); ok {
 		m.Outcome(entry, workspace, result)
 	}
--- a/internal/operator/burn/plot.go
+++ b/internal/operator/burn/plot.go
@@ -5,9 +5,11 @@
 // Measures of the plots in pixels. The page draws its plots as SVG itself, so
 // that it needs neither a network nor fonts.
 const (
-	labelWidth = 180
+	labelWidth = 220
 	plotWidth  = 480
 	barHeight  = 14
+	// labelLength is how many characters of a label fit.
+	labelLength = 34
 )
 
 // Plot is a horizontal bar chart.
@@ -21,13 +23,14 @@
 
 // Bar is one bar of a plot.
 type Bar struct {
-	Label, Value string
-	Class        string
-	X, Y         int
-	TextY        int
-	Width        int
-	ValueX       int
-	Height       int
+	// Label is shortened to fit; Title is the whole.
+	Label, Title, Value string
+	Class               string
+	X, Y                int
+	TextY               int
+	Width               int
+	ValueX              int
+	Height              int
 }
 
 // add appends a bar of a value on a scale whose end is at the right.
@@ -36,9 +39,13 @@
 	if end > 0 {
 		width = int(plotWidth * min(max(value/end, 0), 1))
 	}
+	title := label
+	if len(label) > labelLength {
+		label = label[:labelLength-1] + "…" // names are ASCII
+	}
 	y := len(p.Bars) * (barHeight + 4)
 	p.Bars = append(p.Bars, Bar{
-		Label: label, Value: text, Class: class,
+		Label: label, Title: title, Value: text, Class: class,
 		X: labelWidth, Y: y, TextY: y + barHeight - 3, Width: width, ValueX: labelWidth + width + 4, Height: barHeight,
 	})
 	p.Width, p.Height = labelWidth+plotWidth+100, y+barHeight+4
--- a/internal/operator/catalogue/validate.go
+++ b/internal/operator/catalogue/validate.go
@@ -23,8 +23,9 @@
 	maxConcurrent = 1_000_000
 	maxText       = 200
 	// maxHistory bounds the history, the part of the value that would
-	// otherwise grow with every apply.
-	maxHistory = 100
+	// otherwise grow with every apply. Every instance receives it with each
+	// change, so it is kept short.
+	maxHistory = 50
 )
 
 const (
