Show version moves while the store is away

moves failed in an outage of the store, when operators look at it. It now shows the moves that the instances report and says that the catalogue cannot be read. A test checks that every flag of every command has its environment variable.

Nothing was measured. The tests were seen to fail with moves ending at the outage, without the reported moves, and with a variable missing or misnamed.

--- a/cmd/wasabiworks/fleet.go
+++ b/cmd/wasabiworks/fleet.go
@@ -36,15 +36,17 @@
 func (c *movesCommand) Execute([]string) error {
 	ctx, cancel := c.context()
 	defer cancel()
-	s, err := c.client().Load(ctx)
-	if err != nil {
-		return err
-	}
 	answers, err := c.ask(ctx)
 	if err != nil {
 		return err
 	}
-	states := admin.MoveStates(s.Catalogue, answers)
+	declared := admin.ReportedMoves(answers)
+	if s, err := c.client().Load(ctx); err == nil {
+		declared = s.Catalogue
+	} else {
+		fmt.Fprintf(c.app.out, "the catalogue cannot be read, shown is what the instances report: %v\n", err)
+	}
+	states := admin.MoveStates(declared, answers)
 	for _, m := range states {
 		fmt.Fprintln(c.app.out, m.Sentence(c.app.now()))
 	}
--- a/cmd/wasabiworks/main_test.go
+++ b/cmd/wasabiworks/main_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/jessevdk/go-flags"
+
 	"wasabiworks.example/wasabiworks/internal/bench/fault"
 	"wasabiworks.example/wasabiworks/internal/bench/platform"
 	"wasabiworks.example/wasabiworks/internal/operator/admin"
@@ -198,10 +200,17 @@
 	}
 	s.instance("entry-1", admin.Status{
 		Instance: "entry-1", FailureDomain: "brno-a", Ready: true, CatalogueRevision: 2,
-		Moves: []admin.Move{{ID: id, Share: 0.02, Phase: admin.PhaseRunning}},
+		Moves: []admin.Move{{ID: id, Entry: "sack-assist", From: "v1", To: "v2", Share: 0.02, Phase: admin.PhaseRunning, Deadline: start.Add(time.Hour)}},
 	})
 	s.register("entry-2", "127.0.0.1:1")
 	moves, status := s.must("", "moves"), s.must("", "status")
+	if err := s.fake.Inject(fault.Fault{Kind: platform.Outage, Target: "kv"}); err != nil {
+		t.Fatal(err)
+	}
+	if out := s.must("", "moves"); !strings.Contains(out, "the catalogue cannot be read") || !strings.Contains(out, "sack-assist from v1 to v2 is moving; 2%") {
+		t.Errorf("moves without the store printed %q, want the move", out)
+	}
+	s.fake.Clear()
 	report := s.must("", "report", "burn")
 	for _, want := range []string{"0 of 2 live entry instances", "not covered: entry-1: ", "not covered: entry-2: ", "is moving; 2%"} {
 		if !strings.Contains(report, want) {
@@ -220,6 +229,28 @@
 	}
 }
 
+// Guards against a flag without an environment variable.
+func TestFlagsHaveVariables(t *testing.T) {
+	seen := 0
+	var check func(c *flags.Command)
+	check = func(c *flags.Command) {
+		for _, o := range c.Options() {
+			seen++
+			want := "WASABIWORKS_" + strings.ToUpper(strings.ReplaceAll(o.LongName, "-", "_"))
+			if o.EnvDefaultKey != want {
+				t.Errorf("%s --%s has variable %q, want %q", c.Name, o.LongName, o.EnvDefaultKey, want)
+			}
+		}
+		for _, sub := range c.Commands() {
+			check(sub)
+		}
+	}
+	check(newParser(&app{}, false).Command)
+	if seen < 30 {
+		t.Errorf("checked %d flags, want all of about 35", seen)
+	}
+}
+
 // Guards against usage errors that take several lines or exit with status 0.
 func TestUsageErrors(t *testing.T) {
 	s := newShell(t)
--- a/internal/operator/admin/moves.go
+++ b/internal/operator/admin/moves.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
@@ -38,6 +40,22 @@
 	return states
 }
 
+// ReportedMoves returns the moves that the instances report, for use while the
+// store does not answer. Their start and end of keeping are not known.
+func ReportedMoves(answers []Answer) *catalogue.Catalogue {
+	byID := make(map[string]catalogue.Move)
+	for _, a := range answers {
+		for _, r := range a.Status.Moves {
+			byID[r.ID] = catalogue.Move{ID: r.ID, Entry: r.Entry, From: r.From, To: r.To, Deadline: r.Deadline}
+		}
+	}
+	c := new(catalogue.Catalogue)
+	for _, id := range slices.Sorted(maps.Keys(byID)) {
+		c.Moves = append(c.Moves, byID[id])
+	}
+	return c
+}
+
 func (s *MoveState) add(m Move) {
 	rank := map[string]int{PhaseDone: 1, PhaseRunning: 2, PhaseRolledBack: 3}
 	if s.Reports == 0 || rank[m.Phase] > rank[s.Phase] {
