--- a/internal/operator/catalogue/diff.go
+++ b/internal/operator/catalogue/diff.go
@@ -25,10 +25,10 @@
 	var lines []string
 	for len(old) > 0 || len(now) > 0 {
 		switch {
-		case len(now) == 0 || len(old) > 0 && less(old[0], now[0]) < 0:
+		case len(now) == 0 || len(old) > 0 && compare(old[0], now[0]) < 0:
 			lines = append(lines, "- "+old[0].title)
 			old = old[1:]
-		case len(old) == 0 || less(old[0], now[0]) > 0:
+		case len(old) == 0 || compare(old[0], now[0]) > 0:
 			lines = append(lines, fieldDiff(item{title: now[0].title}, now[0], "+ ")...)
 			now = now[1:]
 		default:
@@ -39,7 +39,7 @@
 	return lines
 }
 
-func less(a, b item) int { return cmp.Compare(a.title, b.title) }
+func compare(a, b item) int { return cmp.Compare(a.title, b.title) }
 
 func fieldDiff(old, now item, mark string) (lines []string) {
 	have := make(map[string]string)
@@ -82,7 +82,7 @@
 			{"deadline", clock(m.Deadline) + ", old version kept until " + clock(m.KeepUntil)},
 		}})
 	}
-	slices.SortFunc(is, less)
+	slices.SortFunc(is, compare)
 	return is
 }
 
