Tell silence from a miss in the burn report

Without any answering instance the report called a finished move late and showed 0% of the requests at the target.

Moves that no instance reports on are counted by themselves, and measures without requests say so.

Nothing was measured. The test was seen to fail with unreported moves counted as late and with the share of no requests.

--- a/internal/operator/burn/burn_test.go
+++ b/internal/operator/burn/burn_test.go
@@ -229,6 +229,18 @@
 	}
 }
 
+// Guards against silence that reads as a missed objective or a late move.
+func TestReportWithoutInstances(t *testing.T) {
+	is := is.New(t)
+	in := input(t)
+	in.Statuses, in.Scrapes = nil, nil
+	r := Build(in, start.Add(5*time.Hour)) // past the move's deadline
+	is.Equal(r.Measures.MovesLate, 0)
+	is.Equal(r.Measures.MovesUnknown, 1)
+	is.Equal(r.Measures.Lines()[0].Value, "no tokens in the last hour")
+	is.Equal(r.Measures.Lines()[1].Value, "no requests in the last hour")
+}
+
 // Guards against a page that needs a network, and against text from instances
 // that becomes markup.
 func TestPageIsSelfContained(t *testing.T) {
--- a/internal/operator/burn/render.go
+++ b/internal/operator/burn/render.go
@@ -95,11 +95,18 @@
 	if m.GeneratedTokens > 0 {
 		share = float64(m.RecomputedTokens) / float64(m.GeneratedTokens)
 	}
+	target := "no requests in the last hour"
+	if m.Requests > 0 {
+		target = fmt.Sprintf("%s of %d requests of the last hour", percent(m.AtTarget), m.Requests)
+	}
+	if m.FirstToken95 > 0 {
+		target += fmt.Sprintf("; 95th percentile %.3g s to the first token, %.3g s between tokens", m.FirstToken95, m.BetweenTokens95)
+	}
 	return []Line{
 		{"cost", cost},
-		{"latency target", fmt.Sprintf("%s of the requests of the last hour; 95th percentile %.3g s to the first token, %.3g s between tokens", percent(m.AtTarget), m.FirstToken95, m.BetweenTokens95)},
+		{"latency target", target},
 		{"tokens recomputed", fmt.Sprintf("%d, %s of %d generated", m.RecomputedTokens, percent(share), m.GeneratedTokens)},
-		{"versions moved", fmt.Sprintf("%d in time, %d late, %d in progress, %d replaced", m.MovesDone, m.MovesLate, m.MovesRunning, m.MovesReplaced)},
+		{"versions moved", fmt.Sprintf("%d in time, %d late, %d in progress, %d replaced, %d not reported on", m.MovesDone, m.MovesLate, m.MovesRunning, m.MovesReplaced, m.MovesUnknown)},
 		{"versions rolled back", fmt.Sprint(m.MovesRolledBack)},
 	}
 }
--- a/internal/operator/burn/report.go
+++ b/internal/operator/burn/report.go
@@ -42,6 +42,9 @@
 	// PerMillionTokens is the price of a million generated tokens over the
 	// last hour; 0 without tokens.
 	PerMillionTokens float64 `json:"price-per-million-tokens"`
+	// Requests counts those of the last hour that have an objective; AtTarget
+	// is 0 without any.
+	Requests uint64 `json:"requests"`
 	// AtTarget is the share of the requests within their objective over the
 	// last hour.
 	AtTarget float64 `json:"at-target"`
@@ -60,6 +63,8 @@
 	MovesRolledBack int `json:"moves-rolled-back"`
 	MovesReplaced   int `json:"moves-replaced"`
 	MovesRunning    int `json:"moves-running"`
+	// MovesUnknown are those that no instance reports on.
+	MovesUnknown int `json:"moves-unknown"`
 }
 
 // Row is the state of an objective for an entry and a workspace. Requests
@@ -213,6 +218,8 @@
 			Entry: s.Entry, From: s.From, To: s.To, Share: s.High, Phase: s.Phase, Deadline: s.Deadline, Sentence: s.Sentence(now),
 		})
 		switch {
+		case s.Reports == 0:
+			m.MovesUnknown++
 		case s.Phase == admin.PhaseDone:
 			m.MovesDone++
 		case s.Phase == admin.PhaseRolledBack:
@@ -238,7 +245,8 @@
 	for _, counts := range s.requests {
 		requests.add(counts[1])
 	}
-	if n := requests.total(); n > 0 {
+	m.Requests = requests.total()
+	if n := m.Requests; n > 0 {
 		m.AtTarget = float64(requests[Good]) / float64(n)
 	}
 	day := s.tokens[2]
