--- a/cmd/wasabiworks/main_test.go
+++ b/cmd/wasabiworks/main_test.go
@@ -11,6 +11,9 @@
 	"testing"
 	"time"
 
+	"github.com/jessevdk/go-flags"
+
+	"wasabiworks.example/wasabiworks/internal/bench/fault"
 	"wasabiworks.example/wasabiworks/internal/bench/platform"
 	"wasabiworks.example/wasabiworks/internal/operator/admin"
 	"wasabiworks.example/wasabiworks/internal/platform/instances"
@@ -23,6 +26,7 @@
 	t         *testing.T
 	directory string
 	platform  string
+	fake      *platform.Server
 }
 
 func newShell(t *testing.T) *shell {
@@ -35,7 +39,7 @@
 	t.Setenv("WASABIWORKS_AUTHOR", "Asha")
 	directory := t.TempDir()
 	t.Chdir(directory)
-	return &shell{t, directory, address}
+	return &shell{t, directory, address, fake}
 }
 
 func (s *shell) run(in string, args ...string) (status int, out, errs string) {
@@ -133,6 +137,30 @@
 	}
 }
 
+// Guards against a lost answer that is reported as a failure or written again,
+// and against an outage that looks like a success.
+func TestApplyUnderFaults(t *testing.T) {
+	s := newShell(t)
+	inject := func(f fault.Fault) {
+		t.Helper()
+		if err := s.fake.Inject(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	inject(fault.Fault{Kind: platform.LostAnswer, Target: "kv/catalogue"})
+	if out := s.must(example, "catalogue", "apply", "-"); !strings.Contains(out, "applied at revision 1") {
+		t.Errorf("apply with a lost answer printed %q, want revision 1", out)
+	}
+	if n := s.fake.Calls()["kv-put"]; n != 1 {
+		t.Errorf("apply with a lost answer wrote %d times, want once", n)
+	}
+	shown := s.must("", "catalogue", "show")
+	inject(fault.Fault{Kind: platform.Outage, Target: "kv"})
+	if status, out, errs := s.run(shown, "catalogue", "apply", "-"); status != 1 || out != "" || strings.Count(errs, "\n") != 1 {
+		t.Errorf("apply in an outage: exit status %d, stdout %q, stderr %q, want one line and status 1", status, out, errs)
+	}
+}
+
 // Guards against a token in the output or a hash that the catalogue rejects.
 func TestHashToken(t *testing.T) {
 	s := newShell(t)
@@ -172,10 +200,17 @@
 	}
 	s.instance("entry-1", admin.Status{
 		Instance: "entry-1", FailureDomain: "brno-a", Ready: true, CatalogueRevision: 2,
-		Moves: []admin.Move{{ID: id, Share: 0.02, Phase: admin.PhaseRunning}},
+		Moves: []admin.Move{{ID: id, Entry: "sack-assist", From: "v1", To: "v2", Share: 0.02, Phase: admin.PhaseRunning, Deadline: start.Add(time.Hour)}},
 	})
 	s.register("entry-2", "127.0.0.1:1")
 	moves, status := s.must("", "moves"), s.must("", "status")
+	if err := s.fake.Inject(fault.Fault{Kind: platform.Outage, Target: "kv"}); err != nil {
+		t.Fatal(err)
+	}
+	if out := s.must("", "moves"); !strings.Contains(out, "the catalogue cannot be read") || !strings.Contains(out, "sack-assist from v1 to v2 is moving; 2%") {
+		t.Errorf("moves without the store printed %q, want the move", out)
+	}
+	s.fake.Clear()
 	report := s.must("", "report", "burn")
 	for _, want := range []string{"0 of 2 live entry instances", "not covered: entry-1: ", "not covered: entry-2: ", "is moving; 2%"} {
 		if !strings.Contains(report, want) {
@@ -194,6 +229,28 @@
 	}
 }
 
+// Guards against a flag without an environment variable.
+func TestFlagsHaveVariables(t *testing.T) {
+	seen := 0
+	var check func(c *flags.Command)
+	check = func(c *flags.Command) {
+		for _, o := range c.Options() {
+			seen++
+			want := "WASABIWORKS_" + strings.ToUpper(strings.ReplaceAll(o.LongName, "-", "_"))
+			if o.EnvDefaultKey != want {
+				t.Errorf("%s --%s has variable %q, want %q", c.Name, o.LongName, o.EnvDefaultKey, want)
+			}
+		}
+		for _, sub := range c.Commands() {
+			check(sub)
+		}
+	}
+	check(newParser(&app{}, false).Command)
+	if seen < 30 {
+		t.Errorf("checked %d flags, want all of about 35", seen)
+	}
+}
+
 // Guards against usage errors that take several lines or exit with status 0.
 func TestUsageErrors(t *testing.T) {
 	s := newShell(t)
--- a/internal/operator/burn/burn_test.go
+++ b/internal/operator/burn/burn_test.go
@@ -153,8 +153,9 @@
 	n := newNode(t)
 	n.Finished("a", "mills", Request{Outcome: notRun, Code: "rate_limited"})
 	n.Finished("a", "mills", Request{Outcome: notRun, Code: "invalid_json"})
+	n.Finished("made-up", "", Request{Outcome: notRun, Code: "no_catalogue"})
 	text := string(n.text(t))
-	for _, want := range []string{`{entry="a",result="limited",workspace="mills"} 1`, `{entry="a",result="rejected",workspace="mills"} 0`, `{entry="a",result="good",workspace="mills"} 0`, `{reason="invalid_json"} 1`, `{reason="rate_limited"} 1`} {
+	for _, want := range []string{`{entry="other",result="rejected",workspace="other"} 1`, `{entry="a",result="limited",workspace="mills"} 1`, `{entry="a",result="rejected",workspace="mills"} 0`, `{entry="a",result="good",workspace="mills"} 0`, `{reason="invalid_json"} 1`, `{reason="rate_limited"} 1`} {
 		if !strings.Contains(text, want+"\n") {
 			t.Errorf("metrics lack %s", want)
 		}
@@ -228,6 +229,18 @@
 	}
 }
 
+// Guards against silence that reads as a missed objective or a late move.
+func TestReportWithoutInstances(t *testing.T) {
+	is := is.New(t)
+	in := input(t)
+	in.Statuses, in.Scrapes = nil, nil
+	r := Build(in, start.Add(5*time.Hour)) // past the move's deadline
+	is.Equal(r.Measures.MovesLate, 0)
+	is.Equal(r.Measures.MovesUnknown, 1)
+	is.Equal(r.Measures.Lines()[0].Value, "no tokens in the last hour")
+	is.Equal(r.Measures.Lines()[1].Value, "no requests in the last hour")
+}
+
 // Guards against a page that needs a network, and against text from instances
 // that becomes markup.
 func TestPageIsSelfContained(t *testing.T) {
