--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -46,9 +46,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeader bounds the headers of a request in bytes.
 	maxHeader = 32 << 10
-	// balancerDelay is how long an instance that reports not ready still gets
-	// requests from the platform's load balancer.
-	balancerDelay = 1500 * time.Millisecond
 )
 
 // Config configures an Instance. The listeners are closed by Run.
@@ -205,6 +202,7 @@
 			Complete: func(ctx context.Context, r *peerpb.CompleteRequest) (*peerpb.CompleteReply, error) {
 				return i.journal.ServeComplete(ctx, r)
 			},
+			Handover: i.adopt,
 		},
 		Revision: func() int64 { return i.propagator.Revision() },
 		Watching: func() bool { return i.propagator.Watching() },
@@ -361,33 +359,6 @@
 	return nil
 }
 
-// drain completes the requests in progress. Requests that the load balancer
-// still sends in the first moments are served.
-func (i *Instance) drain(clients *http.Server) error {
-	i.draining.Store(true)
-	i.config.Log.Info("planned shutdown started", zap.Int64("revision", i.propagator.Revision()))
-	i.exchange.Leave()
-	i.platform.register(context.Background())
-	time.Sleep(balancerDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), i.config.DrainNotice)
-	defer cancel()
-	if err := clients.Shutdown(ctx); err != nil {
-		return fmt.Errorf("requests in progress at the end of the drain notice: %w", err)
-	}
-	i.openai.Close()
-	return i.remove(ctx)
-}
-
-// remove takes the instance off the instance list. A failure is no fault of the
-// shutdown: the platform removes the instance later by itself.
-func (i *Instance) remove(ctx context.Context) error {
-	if err := i.platform.list.Remove(ctx, i.config.ID); err != nil {
-		i.config.Log.Warn("instance could not be removed from the instance list", zap.Error(err))
-	}
-	i.config.Log.Info("planned shutdown completed")
-	return nil
-}
-
 // share computes the shares of the limits and samples the counters until ctx
 // ends.
 func (i *Instance) share(ctx context.Context) error {
