Wait for the response to a call that is still running

Cause: a call that was sent again while the first one ran was answered 409 with outcome unknown; with 9 instances 1 of 1486 requests of a load run met it. Result: TestPendingCallWaitsForResponse fails with 409 before and passes now.

--- a/internal/caller/services/config.go
+++ b/internal/caller/services/config.go
@@ -128,6 +128,9 @@
 	MaxResponse int64
 	// JournalTimeout bounds a call of the journal, 2 s by default.
 	JournalTimeout time.Duration
+	// PendingPatience bounds the wait for the response to an earlier call with
+	// the same idempotency key, 2 s by default.
+	PendingPatience time.Duration
 	// CallTimeout bounds a call, with its body, 60 s by default.
 	CallTimeout time.Duration
 	// WriteTimeout bounds each write to a client, 10 s by default.
@@ -142,6 +145,7 @@
 	setDefault(&c.MaxAttempts, c.MaxAttempts == 0, 4)
 	setDefault(&c.MaxResponse, c.MaxResponse == 0, 64<<20)
 	setDefault(&c.JournalTimeout, c.JournalTimeout == 0, 2*time.Second)
+	setDefault(&c.PendingPatience, c.PendingPatience == 0, 2*time.Second)
 	setDefault(&c.CallTimeout, c.CallTimeout == 0, time.Minute)
 	setDefault(&c.WriteTimeout, c.WriteTimeout == 0, 10*time.Second)
 	setDefault(&c.Keep, c.Keep == 0, 2*time.Minute)
--- a/internal/caller/services/fake_test.go
+++ b/internal/caller/services/fake_test.go
@@ -33,7 +33,9 @@
 	entries   map[services.Key]*journalEntry
 	down      bool
 	completed chan struct{}
-	calls     []services.Call
+	// pending gets a value for each reservation that found a pending call.
+	pending chan struct{}
+	calls   []services.Call
 }
 
 type journalEntry struct {
@@ -77,6 +79,7 @@
 	case e.fingerprint != fp:
 		return services.Mismatch, nil, nil
 	case !e.done:
+		d.pending <- struct{}{}
 		return services.Pending, nil, nil
 	case e.response == nil:
 		return services.DoneWithoutResponse, nil, nil
@@ -124,7 +127,12 @@
 
 // newSystem serves both kinds of entries from backend servers at addresses.
 func newSystem(t *testing.T, addresses ...string) (string, *deps) {
-	d := &deps{}
+	return newPatientSystem(t, 100*time.Millisecond, addresses...)
+}
+
+// newPatientSystem is newSystem with a bound on the wait for a pending call.
+func newPatientSystem(t *testing.T, patience time.Duration, addresses ...string) (string, *deps) {
+	d := &deps{pending: make(chan struct{}, 1024)}
 	f := fleet.New(fleet.Config{})
 	var list []fleet.Instance
 	for i, a := range addresses {
@@ -135,7 +143,7 @@
 	completions := openai.New(openai.Config{Node: "n", Snapshots: d, Limiter: d, Versions: d, Router: firstFit{}, Fleet: f, Engine: ec,
 		Budget: d, Poison: d, Recorder: d, Random: rand.Uint64, Patience: 20 * time.Millisecond})
 	plain := services.New(services.Config{Node: "n", Snapshots: d, Limiter: d, Versions: d, Router: firstFit{}, Fleet: f, Client: sc,
-		Budget: d, Journal: d, Recorder: d, Random: rand.Uint64, MaxResponse: 1 << 20})
+		Budget: d, Journal: d, Recorder: d, Random: rand.Uint64, MaxResponse: 1 << 20, PendingPatience: patience})
 	mux := http.NewServeMux()
 	mux.Handle("/v1/services/", plain)
 	mux.Handle("/v1/", completions)
--- a/internal/caller/services/once.go
+++ b/internal/caller/services/once.go
@@ -10,6 +10,12 @@
 	"wasabiworks.example/wasabiworks/internal/caller/reply"
 )
 
+// Pauses between two questions to the journal about a pending call.
+const (
+	firstPause = 20 * time.Millisecond
+	maxPause   = 200 * time.Millisecond
+)
+
 // once makes a call that must not be repeated.
 func (s *Server) once(ctx context.Context, w http.ResponseWriter, a *admitted) error {
 	// The call is carried through, and its response stored, even if the
@@ -45,16 +51,16 @@
 
 // reserve records the intent. It writes the response of an earlier call.
 func (s *Server) reserve(ctx context.Context, w http.ResponseWriter, a *admitted, key Key, id string) error {
-	var status Status
-	var stored *Response
-	err := s.journal(ctx, func(ctx context.Context) (err error) {
-		status, stored, err = s.c.Journal.Reserve(ctx, key, a.fingerprint, id)
-		return err
-	})
-	if err != nil {
-		// The reservation may have been recorded; the call will not run.
-		s.journal(ctx, func(ctx context.Context) error { return s.c.Journal.NotRun(ctx, key, id) })
-		status = Unavailable
+	status, stored := s.intent(ctx, a, key, id)
+	// A call that is sent again while the first one runs waits for its response.
+	deadline := s.c.Now().Add(s.c.PendingPatience)
+	for pause := firstPause; status == Pending && s.c.Now().Before(deadline); pause = min(2*pause, maxPause) {
+		select {
+		case <-ctx.Done():
+			return reply.Failed(http.StatusConflict, "call_pending", "an earlier call with this idempotency key is running")
+		case <-time.After(pause):
+		}
+		status, stored = s.intent(ctx, a, key, id)
 	}
 	switch status {
 	case Reserved:
@@ -78,6 +84,20 @@
 	return e
 }
 
+// intent asks the journal for the key once.
+func (s *Server) intent(ctx context.Context, a *admitted, key Key, id string) (status Status, stored *Response) {
+	err := s.journal(ctx, func(ctx context.Context) (err error) {
+		status, stored, err = s.c.Journal.Reserve(ctx, key, a.fingerprint, id)
+		return err
+	})
+	if err == nil {
+		return status, stored
+	}
+	// The reservation may have been recorded; the call will not run.
+	s.journal(ctx, func(ctx context.Context) error { return s.c.Journal.NotRun(ctx, key, id) })
+	return Unavailable, nil
+}
+
 // store completes the journal and writes the response.
 func (s *Server) store(ctx context.Context, w http.ResponseWriter, a *admitted, key Key, id string, res *http.Response) error {
 	head, err := io.ReadAll(io.LimitReader(res.Body, maxStored+1))
--- a/internal/caller/services/services_test.go
+++ b/internal/caller/services/services_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -181,3 +182,29 @@
 	res, _, _ := send(t, "POST", url+"/v1/services/kalendar-app/quotes", "2", "Idempotency-Key", "k")
 	is.Equal(res.StatusCode, http.StatusUnprocessableEntity)
 }
+
+// Guards against a call that is refused because it was sent again while the
+// first one still runs.
+func TestPendingCallWaitsForResponse(t *testing.T) {
+	is := is.New(t)
+	running, release := make(chan struct{}), make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(running) // a second run would panic here
+		<-release
+		io.WriteString(w, "booked")
+	}))
+	defer backend.Close()
+	url, d := newPatientSystem(t, time.Minute, backend.Listener.Addr().String())
+	call := func(responses chan<- string) {
+		res, body, err := send(t, "POST", url+"/v1/services/kalendar-app/deposits", "10", "Idempotency-Key", "k")
+		responses <- fmt.Sprint(res.StatusCode, body, res.Header.Get("Wasabiworks-Replayed"), err)
+	}
+	first, second := make(chan string, 1), make(chan string, 1)
+	go call(first)
+	<-running
+	go call(second)
+	<-d.pending
+	close(release)
+	is.Equal(<-first, "200booked<nil>")
+	is.Equal(<-second, "200bookedtrue<nil>")
+}
