--- a/internal/decide/evidence/evidence.go
+++ b/internal/decide/evidence/evidence.go
@@ -87,6 +87,9 @@
 	newer, earlier *row
 }
 
+// DomainNode returns the node name of the sums over a failure domain.
+func DomainNode(domain string) string { return domainPrefix + domain }
+
 // SetDomain names the failure domain of the table's owner. Sums over that
 // domain are not merged, as its nodes are counted one by one.
 func (t *Table) SetDomain(domain string) {
@@ -159,7 +162,7 @@
 		}
 	}
 	for k, c := range sums {
-		rs = append(rs, Record{Node: domainPrefix + t.domain, Key: k, Count: c})
+		rs = append(rs, Record{Node: DomainNode(t.domain), Key: k, Count: c})
 	}
 	return rs, t.version
 }
@@ -217,7 +220,7 @@
 func (t *Table) rejects(move string) bool { return t.forgotten[move] }
 
 func (t *Table) ownSum(node string) bool {
-	return t.domain != "" && node == domainPrefix+t.domain
+	return t.domain != "" && node == DomainNode(t.domain)
 }
 
 // route returns the route under which node counts k. It bounds the rows that
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -185,7 +185,7 @@
 		node: i.config.ID, fleet: i.fleet, demands: demands, snapshot: i.mover.Snapshot,
 		nodes: func() int { return len(i.members.Live("", i.now())) },
 	}
-	evidenceExchange := exchange.Evidence{Table: table, Domain: i.config.FailureDomain, Known: i.mover.known}
+	evidenceExchange := exchange.Evidence{Table: table, Self: i.config.ID, Domain: i.config.FailureDomain, Known: i.mover.known}
 	records := crashes{i.poison}
 	var err error
 	i.exchange, err = exchange.New(exchange.Config{
