--- /dev/null
+++ b/internal/bench/engine/runs.go
@@ -0,0 +1,108 @@
+package engine
+
+import (
+	"slices"
+	"sync"
+)
+
+// runLimit bounds the log; the oldest attempts are dropped.
+const runLimit = 200000
+
+// Run counts how often an attempt was received and run.
+type Run struct {
+	Request string `json:"request"`
+	Attempt string `json:"attempt"`
+	// Prompt is the hash of the prompt.
+	Prompt   uint64 `json:"prompt,string"`
+	Version  string `json:"version"`
+	From     int    `json:"from"`
+	Received int    `json:"received"`
+	Ran      int    `json:"ran"`
+}
+
+// Totals counts tokens since the start of the process.
+type Totals struct {
+	// Incarnation changes when the process restarts.
+	Incarnation string `json:"incarnation"`
+	Ran         int    `json:"ran"`
+	Prompt      int    `json:"prompt"`
+	Cached      int    `json:"cached"`
+	Recomputed  int    `json:"recomputed"`
+	Generated   int    `json:"generated"`
+}
+
+// runs is the log of attempts in order of arrival.
+type runs struct {
+	mu   sync.Mutex
+	list []*Run
+	byID map[string]*Run
+	sums Totals
+}
+
+func (l *runs) received(a *attempt) *Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byID == nil {
+		l.byID = make(map[string]*Run)
+	}
+	b := a.body
+	id := b.Request + "\x00" + a.id
+	r := l.byID[id]
+	if r == nil {
+		r = &Run{Request: b.Request, Attempt: a.id, Prompt: a.prompt, Version: b.Version, From: b.From}
+		l.byID[id] = r
+		l.list = append(l.list, r)
+		l.trim()
+	}
+	r.Received++
+	return r
+}
+
+func (l *runs) trim() {
+	if len(l.list) <= runLimit {
+		return
+	}
+	for _, r := range l.list[:runLimit/2] {
+		delete(l.byID, r.Request+"\x00"+r.Attempt)
+	}
+	l.list = slices.Clone(l.list[runLimit/2:])
+}
+
+func (l *runs) ran(r *Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.Ran++
+	l.sums.Ran++
+}
+
+// began counts the tokens of an attempt's prompt.
+func (l *runs) began(u usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sums.Prompt += u.Prompt
+	l.sums.Cached += u.Cached
+	l.sums.Recomputed += u.Recomputed
+}
+
+// ended counts the tokens that an attempt generated.
+func (l *runs) ended(generated int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sums.Generated += generated
+}
+
+func (l *runs) totals() Totals {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sums
+}
+
+func (l *runs) all() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Run, len(l.list))
+	for i, r := range l.list {
+		out[i] = *r
+	}
+	return out
+}
--- a/internal/peer/exchange/evidence.go
+++ b/internal/peer/exchange/evidence.go
@@ -1,6 +1,9 @@
 package exchange
 
 import (
+	"math"
+	"math/rand/v2"
+	"slices"
 	"strings"
 
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
@@ -14,6 +17,9 @@
 // Evidence is the Source and Sink of the evidence on moves.
 type Evidence struct {
 	Table *evidence.Table
+	// Domain is the failure domain of the instance. Members of others are sent
+	// sums over it, so that what crosses does not grow with its nodes.
+	Domain string
 	// Known reports whether a move is in the catalogue; counters of others are
 	// dropped, which bounds the table. Nil takes all.
 	Known func(move string) bool
@@ -22,17 +28,25 @@
 }
 
 // Digest implements Source. If more counters changed than fit, the version
-// stays, and the next digest holds others of them: Since returns them in random
-// order.
+// stays, and each digest holds a random choice of them until all have arrived
+// or fit.
 func (e Evidence) Digest(to membership.Member, since uint64, d *peerpb.Digest) (next uint64) {
-	rs, next := e.Table.Since(since)
+	changes := e.Table.Since
+	if e.Domain != "" && to.FailureDomain != e.Domain {
+		changes = e.Table.SinceDomains
+	}
+	rs, next := changes(since)
+	if e.Members != nil {
+		rs = slices.DeleteFunc(rs, func(r evidence.Record) bool {
+			origin, _, _ := strings.Cut(r.Node, "/")
+			return !e.Members.Relays(to, origin)
+		})
+	}
+	if len(rs) > maxCounters {
+		rand.Shuffle(len(rs), func(i, j int) { rs[i], rs[j] = rs[j], rs[i] })
+		rs, next = rs[:maxCounters], since
+	}
 	for _, r := range rs {
-		if origin, _, _ := strings.Cut(r.Node, "/"); e.Members != nil && !e.Members.Relays(to, origin) {
-			continue
-		}
-		if len(d.Counters) == maxCounters {
-			return since
-		}
 		d.Counters = append(d.Counters, &peerpb.Counter{
 			Node:     r.Node,
 			Move:     r.Key.Move,
@@ -42,6 +56,7 @@
 			Answered: r.Count.Answered,
 			Failed:   r.Count.Failed,
 			Slow:     r.Count.Slow,
+			Step:     uint32(r.Key.Step),
 		})
 	}
 	return next
@@ -52,12 +67,12 @@
 func (e Evidence) Merge(_ membership.Member, d *peerpb.Digest) (urgent bool) {
 	rs := make([]evidence.Record, 0, len(d.Counters))
 	for _, c := range d.Counters {
-		if c.GetLoad() > uint32(evidence.LoadFull) || e.Known != nil && !e.Known(c.GetMove()) {
+		if c.GetLoad() > uint32(evidence.LoadFull) || c.GetStep() > math.MaxUint8 || e.Known != nil && !e.Known(c.GetMove()) {
 			continue
 		}
 		rs = append(rs, evidence.Record{
 			Node:  c.GetNode(),
-			Key:   evidence.Key{Move: c.GetMove(), Version: c.GetVersion(), Route: c.GetRoute(), Load: uint8(c.GetLoad())},
+			Key:   evidence.Key{Move: c.GetMove(), Version: c.GetVersion(), Route: c.GetRoute(), Load: uint8(c.GetLoad()), Step: uint8(c.GetStep())},
 			Count: evidence.Count{Answered: c.GetAnswered(), Failed: c.GetFailed(), Slow: c.GetSlow()},
 		})
 	}
--- a/internal/peer/journal/bench_test.go
+++ b/internal/peer/journal/bench_test.go
@@ -44,10 +44,10 @@
 			}, nil)
 		})
 		for _, shards := range []uint32{1, 16, 64} {
-			for _, gap := range []time.Duration{time.Millisecond, 10 * time.Millisecond, 50 * time.Millisecond} {
-				b.Run(fmt.Sprintf("rate=%d/shards=%d/gap=%v", rate, shards, gap), func(b *testing.B) {
+			for _, delay := range []time.Duration{0, time.Second} {
+				b.Run(fmt.Sprintf("rate=%d/shards=%d/complete-gap=%v", rate, shards, delay), func(b *testing.B) {
 					store := remote{kvtest.New()}
-					_, js := newMesh(b, 9, journal.Config{Store: store, Shards: shards, Gap: gap})
+					_, js := newMesh(b, 9, journal.Config{Store: store, Shards: shards, CompleteGap: delay})
 					measure(b, store, rate, nil, js)
 				})
 			}
