Keep what nodes send each other from growing with the square of the fleet

Cause: the capacity measurement found load reports, demand and the instance list far over the budget at the target size: each node passed on what its full mesh had delivered already, asked for all live members once per server and poll, and read the whole list every 2 s. Change: load reports and demand are sent by their origin only; demand crosses failure domains as one sum, and is sent when it changes by a tenth or after 4 s; the servers to poll are computed once a second; the list is read with its entity tag, and less often in a large fleet; only the holder of the watch reads and writes vetoes.

--- a/internal/bench/platform/instances.go
+++ b/internal/bench/platform/instances.go
@@ -24,7 +24,7 @@
 	Instances []instances.Instance `json:"instances"`
 }
 
-func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.reap()
 	l := s.listing.Get(s.config.Now())
@@ -32,6 +32,12 @@
 	if l.Instances == nil {
 		l.Instances = []instances.Instance{}
 	}
+	tag := strconv.Quote(strconv.FormatInt(l.Revision, 10))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	respond(w, http.StatusOK, l)
 }
 
@@ -50,8 +56,11 @@
 	if _, ok := s.reclaims[i.ID]; ok {
 		i.State = instances.StateLeaving
 	}
-	s.members[i.ID] = i
-	s.publish()
+	// A registration that is repeated makes no new list.
+	if have, ok := s.members[i.ID]; !ok || have != i {
+		s.members[i.ID] = i
+		s.publish()
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/internal/entry/instance/fleetsync.go
+++ b/internal/entry/instance/fleetsync.go
@@ -66,9 +66,8 @@
 	})
 }
 
-// newReports spreads load reports. In a small fleet they go everywhere, in a
-// large one they stay in the failure domain.
-func newReports(domain string, size func() int, changed func(fleet.Report), now func() time.Time) *exchange.Set[string, fleet.Report] {
+// newReports spreads load reports.
+func newReports(relay func(membership.Member, fleet.Report) bool, changed func(fleet.Report), now func() time.Time) *exchange.Set[string, fleet.Report] {
 	return exchange.NewSet(exchange.SetConfig[string, fleet.Report]{
 		Key: func(r fleet.Report) string { return r.Backend },
 		Join: func(have, offered fleet.Report) (fleet.Report, bool) {
@@ -93,9 +92,7 @@
 			}
 			return rs
 		},
-		Relay: func(to membership.Member, _ fleet.Report) bool {
-			return to.FailureDomain == domain || size() <= relayLimit
-		},
+		Relay:   relay,
 		Changed: changed,
 		Now:     now,
 	})
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -74,6 +74,8 @@
 	registry *prometheus.Registry
 	metrics  *burn.Metrics
 	draining atomic.Bool
+	// polled holds the backend servers that this instance polls.
+	polled atomic.Pointer[map[string]bool]
 
 	members    *membership.Table
 	exchange   *exchange.Node
@@ -130,7 +132,8 @@
 func (i *Instance) newMover(store kv.Store, table *evidence.Table) {
 	i.mover = &mover{
 		policy: i.config.Move, evidence: table, isolated: i.members.Isolated, store: store, now: i.now,
-		log: i.config.Log, metrics: i.metrics, wake: make(chan struct{}, 1), stored: make(map[string]bool),
+		log: i.config.Log, metrics: i.metrics,
+		holder: func() bool { return i.members.Holder(i.now()) == i.config.ID }, wake: make(chan struct{}, 1), stored: make(map[string]bool),
 	}
 	i.mover.vetoes = newVetoes(i.mover.vetoed)
 }
@@ -145,7 +148,7 @@
 		}
 		i.fleet.Notice(l.backend, l.reclaim)
 	}, i.now)
-	i.reports = newReports(i.config.FailureDomain, i.servers, func(r fleet.Report) { i.fleet.Report(r) }, i.now)
+	i.reports = newReports(i.relaysReport, func(r fleet.Report) { i.fleet.Report(r) }, i.now)
 	i.fleet = fleet.New(fleet.Config{
 		Poller: poller{i.engine},
 		Share:  i.polls,
@@ -158,14 +161,42 @@
 	})
 }
 
-// polls reports whether this instance polls a backend server: each server is
-// polled by one live instance of its failure domain.
+// polls reports whether this instance polls a backend server.
 func (i *Instance) polls(id string) bool {
-	domain, ok := i.platform.domains.Load(id)
-	if !ok || domain.(string) != i.config.FailureDomain {
-		return false
+	polled := i.polled.Load()
+	return polled != nil && (*polled)[id]
+}
+
+// assign computes which backend servers this instance polls: each server is
+// polled by one live instance of its failure domain.
+func (i *Instance) assign() {
+	live := i.members.Live(i.config.FailureDomain, i.now())
+	polled := make(map[string]bool)
+	i.platform.domains.Range(func(id, domain any) bool {
+		if domain == i.config.FailureDomain && membership.Owner(xxhash.Sum64String(id.(string)), live) == i.config.ID {
+			polled[id.(string)] = true
+		}
+		return true
+	})
+	i.polled.Store(&polled)
+}
+
+// domainOf returns the failure domain of an entry instance, or "".
+func (i *Instance) domainOf(id string) string {
+	m, _ := i.members.Member(id)
+	return m.FailureDomain
+}
+
+// relaysReport reports whether a member is sent a load report. The members of
+// the failure domain get it from the instance that polls the server. In a small
+// fleet reports also go to other failure domains, and are passed on there.
+func (i *Instance) relaysReport(to membership.Member, r fleet.Report) bool {
+	small := i.servers() <= relayLimit
+	if i.polls(r.Backend) {
+		return small || to.FailureDomain == i.config.FailureDomain
 	}
-	return membership.Owner(xxhash.Sum64String(id), i.members.Live(i.config.FailureDomain, i.now())) == i.config.ID
+	domain, ok := i.platform.domains.Load(r.Backend)
+	return small && ok && domain != i.config.FailureDomain && to.FailureDomain == i.config.FailureDomain
 }
 
 // servers returns the number of backend servers that take work.
@@ -180,10 +211,12 @@
 }
 
 func (i *Instance) newPeers(store kv.Store, table *evidence.Table) error {
-	demands := newDemands(i.now)
+	demands := newDemands(i.config.ID, i.config.FailureDomain, i.now)
 	i.limiter = &limiter{
-		node: i.config.ID, fleet: i.fleet, demands: demands, snapshot: i.mover.Snapshot,
-		nodes: func() int { return len(i.members.Live("", i.now())) },
+		node: i.config.ID, domain: i.config.FailureDomain, fleet: i.fleet, demands: demands, snapshot: i.mover.Snapshot,
+		domainOf: i.domainOf,
+		live:     func(domain string) int { return len(i.members.Live(domain, i.now())) },
+		nodes:    func() int { return len(i.members.Live("", i.now())) },
 	}
 	evidenceExchange := exchange.Evidence{Table: table, Self: i.config.ID, Domain: i.config.FailureDomain, Known: i.mover.known}
 	records := crashes{i.poison}
@@ -359,8 +392,8 @@
 	return nil
 }
 
-// share computes the shares of the limits and samples the counters until ctx
-// ends.
+// share computes once a second which servers to poll and the shares of the
+// limits, and samples the counters, until ctx ends.
 func (i *Instance) share(ctx context.Context) error {
 	t := time.NewTicker(sharePeriod)
 	defer t.Stop()
@@ -369,6 +402,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+			i.assign()
 			i.limiter.share(i.mover.Snapshot(), i.now())
 			i.metrics.Sample()
 		}
--- a/internal/entry/instance/limits.go
+++ b/internal/entry/instance/limits.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"wasabiworks.example/wasabiworks/internal/backend/fleet"
 	"wasabiworks.example/wasabiworks/internal/caller/reply"
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
+	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
@@ -18,8 +20,12 @@
 const (
 	// sharePeriod is the time between two computations of the limits' shares.
 	sharePeriod = time.Second
-	// demandKept is how long a node's demand counts after it was measured.
-	demandKept = 5 * time.Second
+	// demandKept is how long a node's demand counts after it was measured, and
+	// demandRepeat after what time it is sent again though it hardly changed.
+	demandKept   = 10 * time.Second
+	demandRepeat = 4 * time.Second
+	// demandChange is the part by which demand must change to be sent at once.
+	demandChange = 0.1
 	// smoothing is the weight of the last period in the measured demand.
 	smoothing = 0.5
 	// queueFactor is the part of the capacity that may be admitted; what
@@ -32,7 +38,8 @@
 // use identifies a workspace on an entry.
 type use struct{ entry, workspace string }
 
-// demand is one node's use.
+// demand is the use by one node, or by a failure domain if node starts with
+// domainPrefix.
 type demand struct {
 	node string
 	use
@@ -46,7 +53,13 @@
 	use
 }
 
-func newDemands(now func() time.Time) *exchange.Set[demandKey, demand] {
+// domainPrefix marks sums over a failure domain. Instance IDs hold no colon.
+const domainPrefix = "domain:"
+
+// newDemands spreads demand: to the failure domain what this node measured, and
+// to other failure domains the sum over its own, so that what crosses does not
+// grow with the nodes.
+func newDemands(self, domain string, now func() time.Time) *exchange.Set[demandKey, demand] {
 	return exchange.NewSet(exchange.SetConfig[demandKey, demand]{
 		Key: func(d demand) demandKey { return demandKey{d.node, d.use} },
 		Join: func(have, offered demand) (demand, bool) {
@@ -56,6 +69,12 @@
 			return have, false
 		},
 		Deadline: func(d demand) time.Time { return d.at.Add(demandKept) },
+		Relay: func(to membership.Member, d demand) bool {
+			if to.FailureDomain == domain {
+				return d.node == self
+			}
+			return d.node == domainPrefix+domain
+		},
 		Add: func(d *peerpb.Digest, v demand) {
 			d.Demands = append(d.Demands, &peerpb.Demand{
 				Node: v.node, Entry: v.entry, Workspace: v.workspace,
@@ -86,10 +105,15 @@
 // backend servers' capacity.
 type limiter struct {
 	node    string
+	domain  string
 	fleet   *fleet.Fleet
 	demands *exchange.Set[demandKey, demand]
 	nodes   func() int // live entry instances, this one included
 
+	// domainOf returns the failure domain of a node, and live the number of live
+	// nodes of a failure domain.
+	domainOf func(node string) string
+	live     func(domain string) int
 	snapshot func() *catalogue.Snapshot
 
 	gates    sync.Map // use to *gate
@@ -153,18 +177,24 @@
 	others := l.others()
 	capacity := make(map[string]float64)
 	own := make(map[string]float64)
+	sums := l.sums(others)
 	foreign := make(map[string][]float64)
 	l.gates.Range(func(k, v any) bool {
 		u, g := k.(use), v.(*gate)
 		g.rate = smoothing*float64(g.arrived.Swap(0))/sharePeriod.Seconds() + (1-smoothing)*g.rate
 		d := demand{node: l.node, use: u, rate: g.rate, concurrent: float64(g.bucket.Running()), at: now}
 		if d.rate >= 0.01 || d.concurrent > 0 {
-			l.demands.Put(d)
+			l.put(d)
+			sums[u] = sums[u].plus(d)
 		}
 		own[u.entry] += d.rate
 		l.setRate(s, u, g, d, others[u])
 		return true
 	})
+	for u, sum := range sums {
+		sum.node, sum.use, sum.at = domainPrefix+l.domain, u, now
+		l.put(sum)
+	}
 	for u, ds := range others {
 		for _, d := range ds {
 			foreign[u.entry] = append(foreign[u.entry], d.rate)
@@ -179,17 +209,57 @@
 	}
 }
 
-// others returns the demand of the other nodes.
+// put publishes demand that changed notably or was last sent a while ago.
+func (l *limiter) put(d demand) {
+	have, ok := l.demands.Get(demandKey{d.node, d.use})
+	if ok && d.at.Sub(have.at) < demandRepeat &&
+		math.Abs(d.rate-have.rate) <= demandChange*have.rate && math.Abs(d.concurrent-have.concurrent) <= demandChange*have.concurrent {
+		return
+	}
+	l.demands.Put(d)
+}
+
+// others returns the demand of the other nodes. The sum over another failure
+// domain is divided evenly among its live nodes, since limits are shared by
+// node.
 func (l *limiter) others() map[use][]demand {
 	ds := make(map[use][]demand)
 	for _, d := range l.demands.Values() {
-		if d.node != l.node {
+		domain, isSum := strings.CutPrefix(d.node, domainPrefix)
+		switch {
+		case d.node == l.node || isSum && domain == l.domain:
+			continue
+		case !isSum:
+			ds[d.use] = append(ds[d.use], d)
+			continue
+		}
+		n := max(1, l.live(domain))
+		d.rate, d.concurrent = d.rate/float64(n), d.concurrent/float64(n)
+		for range n {
 			ds[d.use] = append(ds[d.use], d)
 		}
 	}
 	return ds
 }
 
+func (d demand) plus(o demand) demand {
+	d.rate, d.concurrent = d.rate+o.rate, d.concurrent+o.concurrent
+	return d
+}
+
+// sums returns the demand of the other nodes of the failure domain by use.
+func (l *limiter) sums(others map[use][]demand) map[use]demand {
+	sums := make(map[use]demand)
+	for u, ds := range others {
+		for _, d := range ds {
+			if l.domainOf(d.node) == l.domain {
+				sums[u] = sums[u].plus(d)
+			}
+		}
+	}
+	return sums
+}
+
 func (l *limiter) setRate(s *catalogue.Snapshot, u use, g *gate, own demand, others []demand) {
 	c, ok := s.LimitOf(u.entry, u.workspace)
 	if !ok {
--- /dev/null
+++ b/internal/entry/instance/limits_test.go
@@ -0,0 +1,124 @@
+package instance
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabiworks.example/wasabiworks/internal/backend/fleet"
+	"wasabiworks.example/wasabiworks/internal/decide/membership"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+	"wasabiworks.example/wasabiworks/internal/peer/exchange"
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+)
+
+// limited is a deployment of limiters that exchange demand as instances do: a
+// full mesh in each failure domain and links to all nodes of the others.
+type limited struct {
+	nodes    []*limiter
+	snapshot *catalogue.Snapshot
+	now      time.Time
+}
+
+func newLimited(domains, perDomain int, limit catalogue.Limit) *limited {
+	s := &limited{now: time.Unix(1000, 0)}
+	s.snapshot = catalogue.NewSnapshot(1, &catalogue.Catalogue{
+		Entries: []catalogue.Entry{{Name: "e", Limits: []catalogue.Limit{limit}}},
+	})
+	for n := range domains * perDomain {
+		id, domain := fmt.Sprintf("d%d-%d", n%domains, n), fmt.Sprintf("d%d", n%domains)
+		s.nodes = append(s.nodes, &limiter{
+			node: id, domain: domain, fleet: fleet.New(fleet.Config{}),
+			demands:  newDemands(id, domain, func() time.Time { return s.now }),
+			nodes:    func() int { return domains * perDomain },
+			live:     func(string) int { return perDomain },
+			domainOf: func(id string) string { d, _, _ := strings.Cut(id, "-"); return d },
+			snapshot: func() *catalogue.Snapshot { return s.snapshot },
+		})
+	}
+	return s
+}
+
+// second lets each node try its arrivals, compute its shares and exchange
+// demand, and returns the number of requests that were admitted.
+func (s *limited) second(arrivals []int) (admitted int) {
+	s.now = s.now.Add(time.Second)
+	for n, l := range s.nodes {
+		for i := range arrivals[n] {
+			at := s.now.Add(time.Duration(i) * time.Second / time.Duration(arrivals[n]))
+			if release, err := l.Admit("w", &s.snapshot.Catalogue.Entries[0], at); err == nil {
+				admitted++
+				release()
+			}
+		}
+		l.share(s.snapshot, s.now)
+	}
+	for _, from := range s.nodes {
+		for _, to := range s.nodes {
+			d := new(peerpb.Digest)
+			from.demands.Digest(membership.Member{ID: to.node, FailureDomain: to.domain}, 0, d)
+			to.demands.Merge(membership.Member{ID: from.node}, d)
+		}
+	}
+	return admitted
+}
+
+// Guards against a limit that is exceeded because each node applies it by
+// itself, or wasted because nodes without demand keep their part.
+func TestLimitHoldsOverAllNodes(t *testing.T) {
+	tests := []struct {
+		name     string
+		arrivals []int
+	}{
+		{"even", []int{20, 20, 20, 20, 20, 20, 20, 20}},
+		{"all at one node", []int{160, 0, 0, 0, 0, 0, 0, 0}},
+		{"all in one failure domain", []int{40, 0, 40, 0, 40, 0, 40, 0}},
+		{"skewed", []int{100, 30, 10, 10, 4, 3, 2, 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			const rate = 40
+			s := newLimited(2, 4, catalogue.Limit{Workspace: "w", RequestsPerSecond: rate})
+			for range 8 {
+				s.second(tt.arrivals)
+			}
+			total := 0
+			for range 10 {
+				total += s.second(tt.arrivals)
+			}
+			t.Logf("arrivals %v: admitted %d in 10 s, limit %d", tt.arrivals, total, 10*rate)
+			is.True(total <= 10*rate*11/10) // a tenth for what moves within a period
+			is.True(total >= 10*rate*8/10)
+		})
+	}
+}
+
+// Guards against demand that is sent each second though it does not change.
+func TestDemandTravelsWhenItChanges(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := &limiter{node: "a", demands: newDemands("a", "d", func() time.Time { return now })}
+	version := func() uint64 {
+		return l.demands.Digest(membership.Member{FailureDomain: "d"}, 0, new(peerpb.Digest))
+	}
+	put := func(rate float64) {
+		now = now.Add(time.Second)
+		l.put(demand{node: "a", use: use{"e", "w"}, rate: rate, at: now})
+	}
+	put(10)
+	first := version()
+	put(10.5)
+	is.Equal(version(), first) // a change of 5%
+	put(12)
+	second := version()
+	is.True(second > first) // a change of 20%
+	for range int(demandRepeat / time.Second) {
+		put(12)
+	}
+	is.True(version() > second) // repeated before it expires
+	var _ exchange.Source = l.demands
+}
--- a/internal/entry/instance/moves.go
+++ b/internal/entry/instance/moves.go
@@ -73,7 +73,10 @@
 	store    kv.Store
 	now      func() time.Time
 	log      *zap.Logger
-	metrics  *burn.Metrics
+	// holder reports whether this instance speaks to the store for its failure
+	// domain; the others learn vetoes from it by exchange.
+	holder  func() bool
+	metrics *burn.Metrics
 
 	// wake asks for a decision before the next period.
 	wake chan struct{}
@@ -260,7 +263,7 @@
 
 func (m *mover) keepOnce(ctx context.Context) {
 	p := m.current.Load()
-	if p == nil {
+	if p == nil || !m.holder() {
 		return
 	}
 	for _, s := range p.moves {
--- a/internal/entry/instance/platform.go
+++ b/internal/entry/instance/platform.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// listPeriod is the time between two reads of the instance list.
+	// listPeriod is the least time between two reads of the instance list, and
+	// listShare the time that each entry instance adds to it, so that all
+	// together make at most 33 reads a second.
 	listPeriod = 2 * time.Second
+	listShare  = 30 * time.Millisecond
 	// registerPeriod is the time between two registrations; the first one may
 	// meet an outage.
 	registerPeriod = 10 * time.Second
@@ -47,7 +50,7 @@
 
 // listen reads the instance list and registers the instance until ctx ends.
 func (p *platform) listen(ctx context.Context) error {
-	list := time.NewTicker(listPeriod)
+	list := time.NewTimer(listPeriod)
 	defer list.Stop()
 	register := time.NewTicker(registerPeriod)
 	defer register.Stop()
@@ -58,6 +61,7 @@
 			available = err == nil
 			p.log.Info("instance list changed its availability", zap.Bool("available", available), zap.Error(err))
 		}
+		list.Reset(max(listPeriod, listShare*time.Duration(len(p.members.Live("", p.now())))))
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/platform/instances/client.go
+++ b/internal/platform/instances/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/platform/rest"
@@ -69,6 +70,13 @@
 type Client struct {
 	rest    *rest.Client
 	timeout time.Duration
+	last    atomic.Pointer[published]
+}
+
+// published is a list with the entity tag that the platform gave it.
+type published struct {
+	tag  string
+	list []Instance
 }
 
 // New returns a client. It makes no call.
@@ -84,18 +92,31 @@
 }
 
 // List returns the instances as the platform last published them; the list
-// lags. The error is ErrUnavailable.
+// lags. It must not be changed: while the platform publishes no other, which
+// the entity tag of the request tells, the same list is returned again. The
+// error is ErrUnavailable.
 func (c *Client) List(ctx context.Context) ([]Instance, error) {
-	p, err := c.do(ctx, rest.Request{Method: http.MethodGet, Path: "/instances"})
+	request := rest.Request{Method: http.MethodGet, Path: "/instances"}
+	last := c.last.Load()
+	if last != nil {
+		request.Header = http.Header{"If-None-Match": {last.tag}}
+	}
+	p, err := c.do(ctx, request)
 	if err != nil {
 		return nil, fmt.Errorf("list instances: %w", err)
 	}
+	if last != nil && p.Status == http.StatusNotModified {
+		return last.list, nil
+	}
 	var body struct {
 		Instances []Instance `json:"instances"`
 	}
 	if err := json.Unmarshal(p.Body, &body); err != nil {
 		return nil, fmt.Errorf("list instances: %w: %w", ErrUnavailable, err)
 	}
+	if tag := p.Header.Get("ETag"); tag != "" {
+		c.last.Store(&published{tag, body.Instances})
+	}
 	return body.Instances, nil
 }
 
@@ -130,6 +151,8 @@
 		return p, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	case p.Status == http.StatusNotFound && r.Method == http.MethodDelete:
 		return p, nil
+	case p.Status == http.StatusNotModified:
+		return p, nil
 	case p.Status == http.StatusBadRequest:
 		return p, fmt.Errorf("%w: %.200s", ErrRejected, p.Body)
 	case p.Status/100 != 2:
