Prove the retry budget and the poison rule by properties

Single examples don't show that the budget holds at any time, that merged suspects agree, or that poison stops in schedules with innocents in flight.

Add rapid properties: retries never exceed a tenth, merge is commutative, associative, idempotent and never weakens a verdict, one poison request crashes at most two processes and no innocent is condemned with it. The rate example of the budget is replaced by the property and a stricter concurrent test.

--- a/internal/decide/poison/placement.go
+++ b/internal/decide/poison/placement.go
@@ -4,7 +4,9 @@
 // many other suspects are in flight. A suspect runs apart from other suspects:
 // were two on a server that crashes, both would be taken for poison, and at
 // most one is. A suspect may run beside clear requests; if it does crash the
-// server, they become suspects only.
+// server, they become suspects only. An innocent request is condemned only if
+// it is in flight at crashes by two different poison requests. A request that
+// runs on several servers at once before its first crash can crash each of them.
 func Allowed(v Verdict, suspects int) bool {
 	switch v {
 	case Clear:
--- a/internal/decide/poison/set_test.go
+++ b/internal/decide/poison/set_test.go
@@ -1,10 +1,14 @@
 package poison
 
 import (
+	"fmt"
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -29,3 +33,128 @@
 	is.Equal(other.Merge(rs), 0)
 	is.Equal(other.Verdict(7, epoch), Poison)
 }
+
+func draw(t *rapid.T, label string) (rs []Record) {
+	for range rapid.IntRange(0, 12).Draw(t, label) {
+		rs = append(rs, Record{
+			Fingerprint: rapid.Uint64Range(1, 2).Draw(t, "fingerprint"),
+			Process:     rapid.SampledFrom([]string{"a/1", "a/2", "b/1", "c/1"}).Draw(t, "process"),
+			Deadline:    epoch.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "deadline")) * time.Minute),
+		})
+	}
+	return rs
+}
+
+func merged(rss ...[]Record) map[uint64][2]crash {
+	var s Set
+	for _, rs := range rss {
+		s.Merge(rs)
+	}
+	rows := make(map[uint64][2]crash)
+	for fp, r := range s.rows {
+		rows[fp] = r.crashes
+	}
+	return rows
+}
+
+// Guards against verdicts that depend on the order, the grouping or the number
+// of deliveries, or that a merge weakens.
+func TestMergeLaws(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := draw(t, "a"), draw(t, "b"), draw(t, "c")
+		want := merged(a, b, c)
+		var bc, one, all Set
+		bc.Merge(b)
+		bc.Merge(c)
+		rs, _ := bc.Since(0)
+		for name, got := range map[string]map[uint64][2]crash{
+			"commutative": merged(c, b, a), "idempotent": merged(a, b, b, c, a), "associative": merged(rs, a),
+		} {
+			if !reflect.DeepEqual(got, want) {
+				t.Fatalf("merge is not %s: got %v, want %v", name, got, want)
+			}
+		}
+		one.Merge(a)
+		all.Merge(a)
+		all.Merge(rs)
+		for minute := range 6 {
+			now := epoch.Add(time.Duration(minute) * time.Minute)
+			for fp := range uint64(3) {
+				if all.Verdict(fp, now) < one.Verdict(fp, now) {
+					t.Fatalf("merge weakened the verdict on %d at minute %d", fp, minute)
+				}
+			}
+		}
+	})
+}
+
+// server is a backend server in the schedules below.
+type server struct {
+	incarnation int
+	running     []uint64
+}
+
+// Guards against a poison request that crashes more than two processes, and
+// against innocents condemned with it, in random schedules in which clients send
+// every request again after a crash.
+func TestPoisonStops(t *testing.T) {
+	const poison = 0
+	rapid.Check(t, func(t *rapid.T) {
+		var s Set
+		servers := make([]server, 4)
+		crashes := 0
+		for range rapid.IntRange(100, 400).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(servers)-1).Draw(t, "server")
+			srv := &servers[i]
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0: // a request ends; the poison crashes instead
+				if n := len(srv.running); n > 0 && srv.running[n-1] != poison {
+					srv.running = srv.running[:n-1]
+				}
+			case 1:
+				if slices.Contains(srv.running, poison) {
+					crashes++
+					s.Crash(fmt.Sprint(i), fmt.Sprint(srv.incarnation), srv.running, epoch.Add(time.Hour))
+					*srv = server{incarnation: srv.incarnation + 1}
+				}
+			default:
+				fp := uint64(rapid.IntRange(0, 6).Draw(t, "request"))
+				if !inFlight(servers, fp) && Allowed(s.Verdict(fp, epoch), suspects(&s, srv.running)) {
+					srv.running = append(srv.running, fp)
+				}
+			}
+			if crashes > 2 {
+				t.Fatalf("the poison request crashed %d processes, want at most 2", crashes)
+			}
+			for fp := uint64(1); fp <= 6; fp++ {
+				if s.Verdict(fp, epoch) == Poison {
+					t.Fatalf("innocent request %d was condemned", fp)
+				}
+			}
+		}
+	})
+}
+
+func inFlight(servers []server, fp uint64) bool {
+	return slices.ContainsFunc(servers, func(s server) bool { return slices.Contains(s.running, fp) })
+}
+
+func suspects(s *Set, running []uint64) (n int) {
+	for _, fp := range running {
+		if s.Verdict(fp, epoch) != Clear {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against records that stay for ever.
+func TestExpire(t *testing.T) {
+	is := is.New(t)
+	var s Set
+	s.Crash("a", "1", []uint64{7}, epoch)
+	s.Crash("a", "1", []uint64{8}, epoch.Add(time.Hour))
+	s.Expire(epoch.Add(time.Minute))
+	is.Equal(len(s.rows), 1)
+	is.Equal(s.Verdict(8, epoch), Suspect)
+}
--- a/internal/decide/retry/budget_test.go
+++ b/internal/decide/retry/budget_test.go
@@ -1,22 +1,65 @@
 package retry
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
-// Guards against retries that add more than a tenth to a failing server.
-func TestBudget(t *testing.T) {
+// Guards against retries that add more than a tenth to a failing server, at any
+// time and in any order.
+func TestBudgetNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Budget
+		attempts, retries := 0, 0
+		for _, deposit := range rapid.SliceOfN(rapid.Bool(), 0, 300).Draw(t, "deposits") {
+			if deposit {
+				b.Deposit()
+				attempts++
+			} else if b.Withdraw() {
+				retries++
+			}
+			if 10*retries > attempts {
+				t.Fatalf("%d retries after %d attempts, want at most a tenth", retries, attempts)
+			}
+		}
+	})
+}
+
+// Guards against concurrent callers that spend the same allowance, and against
+// an allowance that is never spent.
+func TestBudgetConcurrent(t *testing.T) {
 	is := is.New(t)
 	var b Budget
-	is.True(!b.Withdraw()) // an empty budget allows no retry
-	retries := 0
-	for range 1000 {
+	var retries atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 1000 {
+				b.Deposit()
+				if b.Withdraw() {
+					retries.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(retries.Load(), int64(800))
+}
+
+// Guards against a burst of retries after a long good time.
+func TestBudgetBounded(t *testing.T) {
+	is := is.New(t)
+	var b Budget
+	for range 100000 {
 		b.Deposit()
-		if b.Withdraw() {
-			retries++
-		}
 	}
-	is.Equal(retries, 100)
+	retries := 0
+	for b.Withdraw() {
+		retries++
+	}
+	is.Equal(retries, 10)
 }
