--- a/internal/decide/limit/shedder.go
+++ b/internal/decide/limit/shedder.go
@@ -17,9 +17,9 @@
 
 // reach is the multiple of the free capacity that one workspace may hold. A
 // workspace alone reaches reach/(1+reach) of the capacity; what is left free
-// admits the others. Batch stops at three quarters, so that it is rejected
-// before an interactive request is.
-var reach = [...]float64{Interactive: 8, Batch: 3}
+// admits the others. Batch stops at four fifths, so that it is rejected before
+// an interactive request is.
+var reach = [...]float64{Interactive: 12, Batch: 4}
 
 // Shedder rejects requests before queues grow. Each workspace may hold a
 // multiple of the capacity that is still free (the dynamic threshold known from
