--- a/internal/peer/config/config.go
+++ b/internal/peer/config/config.go
@@ -46,7 +46,7 @@
 	// keep data.
 	Decode func(revision int64, data []byte) (T, error)
 	// Changed is told of each accepted value, in the order of revisions, before
-	// the peers are. It may be nil.
+	// the peers are. It must not call Heard or Offer. It may be nil.
 	Changed func(revision int64, value T)
 	// Holder returns the member of the own failure domain that holds the watch.
 	// Nil means the instance itself.
