Report each attempt in at most one crash

Cause: a soak against the engine fakes rejected requests as poison that had been in flight at one crash. The attempts on a server know it by different incarnations, because load reports lag, so the same crash was reported under two names. Change: the first attempt that sees a crash reports all on the server; the others report nothing. The soak uses the decisions and fakes that instances use. Reporting an attempt twice, and reporting waves, each make a test fail.

--- a/internal/caller/openai/attempt.go
+++ b/internal/caller/openai/attempt.go
@@ -349,7 +349,7 @@
 	case errorx.IsOfType(err, engine.Stalled):
 		s.cancel(a)
 	case errorx.IsOfType(err, engine.Lost):
-		if fps := s.flying.crashed(r.backend.ID, s.c.Now()); len(fps) > 0 {
+		if fps := s.flying.crashed(r.backend.ID, r, s.c.Now()); len(fps) > 0 {
 			s.c.Poison.Crash(r.backend.ID, r.backend.Incarnation, fps)
 		}
 	}
--- a/internal/caller/openai/fault_test.go
+++ b/internal/caller/openai/fault_test.go
@@ -226,25 +226,31 @@
 }
 
 // Guards against two suspects on one server, which would both be taken for
-// poison if it crashed.
+// poison if it crashed, and against one crash that counts twice for a request.
 func TestSuspectsRunApart(t *testing.T) {
 	is := is.New(t)
 	var f inFlight
-	is.True(f.begin("a", &run{}, 1, false))
-	first := &run{}
-	is.True(f.begin("a", first, 2, true))
-	is.True(!f.begin("a", &run{}, 3, true))
-	is.True(f.begin("b", &run{}, 3, true))
+	r := make([]*run, 7)
+	for i := range r {
+		r[i] = &run{}
+	}
 	now := time.Unix(100, 0)
-	is.Equal(len(f.crashed("a", now)), 2)
-	f.end("a", first, true)
-	is.True(f.begin("a", &run{}, 4, true))
-	f.crashed("b", now)
-	f.crashed("c", now)
-	is.Equal(len(f.crashed("b", now.Add(time.Second))), 1) // known before the wave
-	f.begin("d", &run{}, 5, false)
-	is.Equal(len(f.crashed("d", now.Add(time.Second))), 0) // a wave, not a request
-	is.Equal(len(f.crashed("d", now.Add(time.Minute))), 1)
+	is.True(f.begin("a", r[0], 1, false))
+	is.True(f.begin("a", r[1], 2, true))
+	is.True(!f.begin("a", r[2], 3, true))
+	is.True(f.begin("b", r[2], 3, true))
+	is.Equal(len(f.crashed("a", r[0], now)), 2)
+	is.Equal(len(f.crashed("a", r[1], now)), 0) // the same crash
+	f.end("a", r[1], true)
+	is.True(f.begin("a", r[1], 2, true))
+	is.Equal(len(f.crashed("a", r[1], now)), 1) // another crash, without the request of the first
+	for i, server := range []string{"c", "d", "e"} {
+		is.True(f.begin(server, r[3+i], 4, false))
+	}
+	is.Equal(len(f.crashed("b", r[2], now)), 1)
+	is.Equal(len(f.crashed("c", r[3], now)), 1)
+	is.Equal(len(f.crashed("d", r[4], now.Add(time.Second))), 0) // a wave, not a request
+	is.Equal(len(f.crashed("e", r[5], now.Add(time.Minute))), 1)
 }
 
 // Guards against attempts on a version that has been rolled back, and against
--- a/internal/caller/openai/inflight.go
+++ b/internal/caller/openai/inflight.go
@@ -14,10 +14,17 @@
 }
 
 type occupancy struct {
-	requests map[*run]uint64 // fingerprints
+	requests map[*run]*flight
 	suspects int
 }
 
+// flight is one attempt on a server.
+type flight struct {
+	fingerprint uint64
+	// reported is true once the attempt was part of a crash.
+	reported bool
+}
+
 type loss struct {
 	backend string
 	at      time.Time
@@ -41,7 +48,7 @@
 		if f.servers == nil {
 			f.servers = make(map[string]*occupancy)
 		}
-		o = &occupancy{requests: make(map[*run]uint64)}
+		o = &occupancy{requests: make(map[*run]*flight)}
 		f.servers[backend] = o
 	}
 	if suspect {
@@ -50,7 +57,7 @@
 		}
 		o.suspects++
 	}
-	o.requests[r] = fingerprint
+	o.requests[r] = &flight{fingerprint: fingerprint}
 	return true
 }
 
@@ -70,21 +77,23 @@
 	}
 }
 
-// crashed returns the fingerprints of the requests on a server that was lost,
-// or none if the loss is one of many at the same time.
-func (f *inFlight) crashed(backend string, now time.Time) []uint64 {
+// crashed returns the fingerprints of the requests on a server that r has
+// lost, or none if the loss is one of many at the same time. Each attempt is
+// returned once: the others on the server lose it too, and may know it by
+// another incarnation, because load reports lag.
+func (f *inFlight) crashed(backend string, r *run, now time.Time) []uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.correlated(backend, now) {
-		return nil
-	}
 	o, ok := f.servers[backend]
-	if !ok {
+	if !ok || o.requests[r] == nil || o.requests[r].reported || f.correlated(backend, now) {
 		return nil
 	}
 	fps := make([]uint64, 0, len(o.requests))
-	for _, fp := range o.requests {
-		fps = append(fps, fp)
+	for _, l := range o.requests {
+		if !l.reported {
+			l.reported = true
+			fps = append(fps, l.fingerprint)
+		}
 	}
 	return fps
 }
--- /dev/null
+++ b/internal/caller/openai/soak_test.go
@@ -0,0 +1,131 @@
+package openai
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/backend/engine"
+	"wasabiworks.example/wasabiworks/internal/backend/fleet"
+	"wasabiworks.example/wasabiworks/internal/bench/answer"
+	benchengine "wasabiworks.example/wasabiworks/internal/bench/engine"
+	benchfault "wasabiworks.example/wasabiworks/internal/bench/fault"
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
+	"wasabiworks.example/wasabiworks/internal/decide/retry"
+	"wasabiworks.example/wasabiworks/internal/decide/route"
+)
+
+var seed = flag.Uint64("seed", 1, "seed of the randomised tests")
+
+// decided adapts the decisions as an instance does.
+type decided struct {
+	set     poison.Set
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+}
+
+func (d *decided) Verdict(fp uint64) Verdict { return Verdict(d.set.Verdict(fp, time.Now())) }
+func (d *decided) Crash(backend, incarnation string, fps []uint64) {
+	d.set.Crash(backend, incarnation, fps, time.Now().Add(time.Hour))
+}
+
+func (d *decided) budget(id string) *retry.Budget {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.budgets[id] == nil {
+		d.budgets[id] = &retry.Budget{}
+		for range 100 {
+			d.budgets[id].Deposit()
+		}
+	}
+	return d.budgets[id]
+}
+
+func (d *decided) Deposit(id string)       { d.budget(id).Deposit() }
+func (d *decided) Withdraw(id string) bool { return d.budget(id).Withdraw() }
+
+// Guards against responses that are not whole or not the request's own when
+// engines fail at random, with the decisions and fakes that instances use. At
+// any time at most one engine has a fault; a crash may break a request that
+// another crash has made suspect, so there is one crash.
+func TestRandomFaults(t *testing.T) {
+	t.Logf("seed %d", *seed)
+	random := rand.New(rand.NewPCG(*seed, 1))
+	var engines []*benchengine.Server
+	var list []fleet.Instance
+	for i := range 4 {
+		e := benchengine.New(benchengine.Config{BetweenTokens: time.Millisecond, LoadLag: 50 * time.Millisecond, Slots: 8, Exit: func() {}})
+		s := httptest.NewServer(e)
+		t.Cleanup(s.Close)
+		engines = append(engines, e)
+		list = append(list, fleet.Instance{ID: fmt.Sprint("b", i), Address: strings.TrimPrefix(s.URL, "http://"), Entry: "sack-assist", Polled: true})
+	}
+	client := engine.New(engine.Config{FirstFrame: 2 * time.Second, Stall: 150 * time.Millisecond})
+	view := fleet.New(fleet.Config{Poller: fleet.Engines{Client: client}, Interval: 50 * time.Millisecond, Backoff: 100 * time.Millisecond})
+	view.SetInstances(list)
+	d := &decided{budgets: make(map[string]*retry.Budget)}
+	s := newSystem(t, 0, func(c *Config) {
+		c.Fleet, c.Engine, c.Router, c.Budget, c.Poison = view, client, route.Affinity{}, d, d
+		c.MoveMargin, c.Patience = 100*time.Millisecond, 5*time.Second
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var background, clients sync.WaitGroup
+	background.Go(func() { view.Run(ctx) })
+	background.Go(func() { disturb(ctx, random, engines, view) })
+	for i := range 16 {
+		clients.Go(func() {
+			for k := range 4 {
+				prompt := fmt.Sprintf("request %d of client %d", k, i)
+				res, b := s.post(t, "/v1/chat/completions", body(prompt, (i+k)%2 == 0))
+				got, _, done := read(t, b)
+				want := answer.For(answer.ChatPrompt([]answer.Message{{Role: "user", Content: prompt}})).Text(0)
+				if got != want || !done {
+					t.Errorf("seed %d, %s: got status %d and %d bytes, want the %d bytes of its response; end %.200q", *seed, prompt, res.StatusCode, len(got), len(want), b[max(0, len(b)-200):])
+				}
+			}
+		})
+	}
+	clients.Wait()
+	cancel()
+	background.Wait()
+	client.Close()
+}
+
+// disturb gives one engine after another a fault.
+func disturb(ctx context.Context, random *rand.Rand, engines []*benchengine.Server, view *fleet.Fleet) {
+	kinds := []benchfault.Fault{
+		{Kind: "stall"}, {Kind: "duplicate-frames"}, {Kind: "late-frames"}, {Kind: "foreign-frames"}, {Kind: "fail"}, {Kind: "slow", Value: "3"}, {Kind: "crash-on", Value: "user"},
+	}
+	random.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+	wait := func(d time.Duration) bool {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(d):
+			return true
+		}
+	}
+	for i, k := range kinds {
+		e := engines[random.IntN(3)]
+		if err := e.Inject(k); err != nil {
+			panic(err)
+		}
+		if !wait(200 * time.Millisecond) {
+			return
+		}
+		e.Clear()
+		if i == 3 {
+			view.Notice("b3", time.Now().Add(400*time.Millisecond))
+			engines[3].Leave()
+		}
+		if !wait(100 * time.Millisecond) {
+			return
+		}
+	}
+}
