Check the guarantees over real processes under faults

The topology of the demo is exported for it. The load tool counts lost responses by the entry instance that had accepted them, and reads runs from files, since the counts of a killed fake are lost.

The demo chose its ports from the ephemeral range; an outgoing connection of another cell took one before its process listened ("address already in use"). Ports now come from below that range.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # SOURCES are the Go files written by hand.
 SOURCES := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build tools generate fmt lint vet test demo bench capacity
+.PHONY: all build tools generate fmt lint vet test demo matrix bench capacity
 
 all: build
 
@@ -32,3 +32,8 @@
 
 demo: build
 	bin/demo
+
+# matrix checks the guarantees while faults are injected. Its timing depends on
+# the machine, so it is not part of test.
+matrix: build
+	bin/matrix --report docs/fault-matrix.md
--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -38,6 +38,8 @@
 	Reclaimable   bool    `long:"reclaimable" env:"WASABIWORKS_STANDIN_RECLAIMABLE" description:"whether the instance can be reclaimed"`
 	Price         float64 `long:"price" env:"WASABIWORKS_STANDIN_PRICE" default:"0.12" description:"price per hour"`
 
+	RunLog string `long:"run-log" env:"WASABIWORKS_STANDIN_RUN_LOG" description:"file that gets a line with the idempotency key or prompt hash at the start of each run; it outlasts a killed process"`
+
 	Faults []string `long:"fault" env:"WASABIWORKS_STANDIN_FAULTS" env-delim:"," description:"fault from the start, as KIND or KIND=VALUE, can be repeated"`
 }
 
@@ -53,6 +55,19 @@
 	return nil
 }
 
+// runLog opens the log of runs. A line is one write, so that nothing is lost if
+// the process is killed.
+func (o instanceOptions) runLog() (func(line string), error) {
+	if o.RunLog == "" {
+		return nil, nil
+	}
+	f, err := os.OpenFile(o.RunLog, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("--run-log: %w", err)
+	}
+	return func(line string) { _, _ = f.WriteString(line + "\n") }, nil
+}
+
 // accompany returns the registration of a backend server, or nil without a
 // platform.
 func (o instanceOptions) accompany(log *zap.Logger, kind string, leaving <-chan struct{}) func(context.Context, string) {
@@ -131,7 +146,16 @@
 		}
 		exit = func() { restart(log, c.Crashes+1) }
 	}
+	runs, err := c.runLog()
+	if err != nil {
+		return err
+	}
+	var ran func(prompt uint64)
+	if runs != nil {
+		ran = func(prompt uint64) { runs(strconv.FormatUint(prompt, 10)) }
+	}
 	s := engine.New(engine.Config{
+		Ran:            ran,
 		Exit:           exit,
 		Entry:          c.Entry,
 		Versions:       c.Versions,
@@ -186,7 +210,11 @@
 	if err != nil {
 		return err
 	}
-	s := service.New(service.Config{Slots: c.Slots, Delay: c.Delay})
+	ran, err := c.runLog()
+	if err != nil {
+		return err
+	}
+	s := service.New(service.Config{Slots: c.Slots, Delay: c.Delay, Ran: ran})
 	if err := c.inject(s); err != nil {
 		return err
 	}
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -38,11 +38,11 @@
 	if err := os.MkdirAll(c.Logs, 0o755); err != nil {
 		return fmt.Errorf("create the log directory: %w", err)
 	}
-	d := &demo{topology: topology{config: c}}
+	d := &demo{config: c, topology: Topology{Layout: demoLayout(c)}}
 	started := time.Now()
 	err := d.run(ctx)
 	d.progress("stopping all processes")
-	faults := d.topology.stop()
+	faults := d.topology.Stop()
 	d.report(time.Since(started))
 	for i, f := range d.tally.faults {
 		if i == maxFaults {
@@ -55,7 +55,8 @@
 }
 
 type demo struct {
-	topology topology
+	config   Config
+	topology Topology
 	tally    tally
 	moved    string
 	totals   totals
@@ -68,21 +69,21 @@
 }
 
 func (d *demo) progress(format string, args ...any) {
-	fmt.Fprintf(d.topology.config.Output, "demo: "+format+"\n", args...)
+	fmt.Fprintf(d.config.Output, "demo: "+format+"\n", args...)
 }
 
 func (d *demo) run(ctx context.Context) error {
-	d.progress("starting platform, backend servers and entry instances in %s", strings.Join(failureDomains, " and "))
-	if err := d.topology.start(ctx); err != nil {
+	d.progress("starting platform, backend servers and entry instances in %s", strings.Join(d.topology.Layout.FailureDomains, " and "))
+	if err := d.topology.Start(ctx); err != nil {
 		return err
 	}
 	d.progress("applying the catalogue (%s on version %s)", languageEntry, oldVersion)
-	out, err := d.topology.applyCatalogue(ctx, oldVersion, 0, time.Time{})
+	out, err := d.topology.ApplyCatalogue(ctx, "demo", catalogueYAML(oldVersion, 0, time.Time{}), "--wait")
 	if err != nil {
 		return err
 	}
 	d.progress("%s", strings.TrimSpace(out))
-	if err := d.topology.ready(ctx); err != nil {
+	if err := d.topology.Ready(ctx); err != nil {
 		return err
 	}
 	d.progress("sending 40 completions, half of them streamed, and 10 bookings, each booking twice")
@@ -113,15 +114,15 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			d.completion(ctx, kind, i, d.topology.entries[i%len(d.topology.entries)], 24)
+			d.completion(ctx, kind, i, d.topology.Entries[i%len(d.topology.Entries)], 24)
 		})
 	}
 	wg.Wait()
 }
 
-func (d *demo) completion(ctx context.Context, kind string, i int, e entryInstance, maxTokens int) {
+func (d *demo) completion(ctx context.Context, kind string, i int, e EntryInstance, maxTokens int) {
 	message := fmt.Sprintf("%s %d: draft a face-painting design with a tiger for a birthday party", kind, i)
-	got, err := newChatter(e.client, demoToken, languageEntry).ask(ctx, message, maxTokens, i%2 == 0)
+	got, err := newChatter(e.Client, demoToken, languageEntry).ask(ctx, message, maxTokens, i%2 == 0)
 	d.tally.record(kind, message, got, expectedAnswer(message, maxTokens), err)
 }
 
@@ -130,11 +131,11 @@
 func (d *demo) bookings(ctx context.Context, n int) {
 	for i := range n {
 		key, body := fmt.Sprintf("booking-%d", i), fmt.Sprintf(`{"slot":%d}`, i)
-		first := d.topology.entries[i%len(d.topology.entries)]
-		second := d.topology.entries[(i+1)%len(d.topology.entries)]
-		want, _, err := book(ctx, first.client, demoToken, serviceEntry, key, body)
+		first := d.topology.Entries[i%len(d.topology.Entries)]
+		second := d.topology.Entries[(i+1)%len(d.topology.Entries)]
+		want, _, err := book(ctx, first.Client, demoToken, serviceEntry, key, body)
 		d.tally.record("booking", key, want, want, err)
-		got, replayed, err := book(ctx, second.client, demoToken, serviceEntry, key, body)
+		got, replayed, err := book(ctx, second.Client, demoToken, serviceEntry, key, body)
 		d.tally.record("booking", key+" again", got, want, err)
 		if err == nil && !replayed {
 			d.tally.fault("booking %s: the second call was not answered from the journal", key)
@@ -151,14 +152,14 @@
 // booking.
 func (d *demo) checkRuns(ctx context.Context) error {
 	runs := make(map[string]int)
-	for _, s := range d.topology.services {
-		data, err := fetch(ctx, "http://"+s.address+"/runs")
+	for _, s := range d.topology.Services {
+		data, err := Fetch(ctx, "http://"+s.Address+"/runs")
 		if err != nil {
 			return err
 		}
 		var counted map[string]int
 		if err := json.Unmarshal(data, &counted); err != nil {
-			return fmt.Errorf("runs of %s: %w", s.id, err)
+			return fmt.Errorf("runs of %s: %w", s.ID, err)
 		}
 		for key, n := range counted {
 			runs[key] += n
@@ -181,7 +182,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := d.topology.applyCatalogue(ctx, newVersion, revision, deadline); err != nil {
+	if _, err := d.topology.ApplyCatalogue(ctx, "demo", catalogueYAML(newVersion, revision, deadline), "--wait"); err != nil {
 		return err
 	}
 	for i := 0; time.Now().Before(deadline.Add(5 * time.Second)); i++ {
@@ -210,35 +211,34 @@
 	var wg sync.WaitGroup
 	for i := range 16 {
 		wg.Go(func() {
-			d.completion(ctx, "during reclaim", i, d.topology.entries[i%len(d.topology.entries)], 800)
+			d.completion(ctx, "during reclaim", i, d.topology.Entries[i%len(d.topology.Entries)], 800)
 		})
 	}
 	time.Sleep(500 * time.Millisecond)
 	body := fmt.Sprintf(`{"kind":"reclaim","target":%q,"until":%q}`,
-		d.topology.engines[0].id, time.Now().Add(reclaimNotice).Format(time.RFC3339Nano))
-	res, err := http.Post("http://"+d.topology.platform+"/faults", "application/json", strings.NewReader(body))
+		d.topology.Engines[0].ID, time.Now().Add(reclaimNotice).Format(time.RFC3339Nano))
+	res, err := http.Post("http://"+d.topology.Platform+"/faults", "application/json", strings.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("announce the reclaim: %w", err)
 	}
 	res.Body.Close()
 	time.Sleep(reclaimNotice)
-	_ = d.topology.engines[0].process.cmd.Process.Kill()
-	<-d.topology.engines[0].process.done
-	d.topology.engines = d.topology.engines[1:]
+	d.topology.Engines[0].Process.Kill()
+	d.topology.Engines = d.topology.Engines[1:]
 	wg.Wait()
 	return nil
 }
 
 // plannedStop stops an entry instance while it streams.
 func (d *demo) plannedStop(ctx context.Context) error {
-	leaving := d.topology.entries[0]
+	leaving := d.topology.Entries[0]
 	var wg sync.WaitGroup
 	for i := range 8 {
 		wg.Go(func() { d.completion(ctx, "planned stop", i, leaving, 40) })
 	}
 	time.Sleep(300 * time.Millisecond)
-	err := leaving.process.stop(time.Now().Add(30 * time.Second))
-	d.topology.entries = d.topology.entries[1:]
+	err := leaving.Process.Stop(time.Now().Add(30 * time.Second))
+	d.topology.Entries = d.topology.Entries[1:]
 	wg.Wait()
 	return err
 }
@@ -256,7 +256,7 @@
 	var s struct {
 		Revision int64 `json:"catalogue-revision"`
 	}
-	err := d.topology.entries[0].status(ctx, &s)
+	err := d.topology.Entries[0].Status(ctx, &s)
 	return s.Revision, err
 }
 
@@ -264,7 +264,7 @@
 	var s struct {
 		Moves []moveStatus `json:"moves"`
 	}
-	if err := d.topology.entries[0].status(ctx, &s); err != nil {
+	if err := d.topology.Entries[0].Status(ctx, &s); err != nil {
 		return moveStatus{}, err
 	}
 	for _, m := range s.Moves {
@@ -276,13 +276,13 @@
 }
 
 func (d *demo) readTotals(ctx context.Context) error {
-	for _, e := range d.topology.entries {
+	for _, e := range d.topology.Entries {
 		var s struct {
 			Generated  int64   `json:"generated-tokens"`
 			Recomputed int64   `json:"recomputed-tokens"`
 			Cost       float64 `json:"cost"`
 		}
-		if err := e.status(ctx, &s); err != nil {
+		if err := e.Status(ctx, &s); err != nil {
 			return err
 		}
 		d.totals.generated += s.Generated
--- a/internal/bench/demo/process.go
+++ b/internal/bench/demo/process.go
@@ -5,26 +5,31 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// process is a started program; its output goes to a log file.
-type process struct {
-	name string
+// Process is a started program; its output goes to a log file.
+type Process struct {
+	Name string
 	cmd  *exec.Cmd
 	log  *os.File
-	done chan error
+	// ended is closed when the program has ended with err.
+	ended chan struct{}
+	err   error
 }
 
-// startProcess starts a program from the directory of binaries.
-func startProcess(binaries, logs, name, program string, args ...string) (*process, error) {
-	log, err := os.Create(filepath.Join(logs, name+".log"))
+// startProcess starts a program from the directory of binaries. Its log is
+// appended to that of an earlier process of the same name.
+func startProcess(binaries, logs, name, program string, args ...string) (*Process, error) {
+	log, err := os.OpenFile(filepath.Join(logs, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, fmt.Errorf("log file of %s: %w", name, err)
 	}
@@ -33,35 +38,55 @@
 	if err := cmd.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", name, errors.Join(err, log.Close()))
 	}
-	p := &process{name: name, cmd: cmd, log: log, done: make(chan error, 1)}
-	go func() { p.done <- cmd.Wait() }()
+	p := &Process{Name: name, cmd: cmd, log: log, ended: make(chan struct{})}
+	go func() {
+		defer close(p.ended)
+		p.err = errors.Join(cmd.Wait(), log.Close())
+	}()
 	return p, nil
 }
 
-// stop sends SIGTERM and waits for the process until deadline, then kills it.
+// Signal sends a signal; the process may have ended.
+func (p *Process) Signal(s syscall.Signal) error {
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("signal %s: %w", p.Name, err)
+	}
+	return nil
+}
+
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} {
+	return p.ended
+}
+
+// Kill kills the process and waits for its end.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.ended
+}
+
+// Stop sends SIGTERM and waits for the process until deadline, then kills it.
 // It returns an error unless the process exited with status 0.
-func (p *process) stop(deadline time.Time) error {
-	defer p.log.Close()
-	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		return fmt.Errorf("signal %s: %w", p.name, err)
+func (p *Process) Stop(deadline time.Time) error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
 	}
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
-	case err := <-p.done:
-		if err != nil {
-			return fmt.Errorf("%s: %w", p.name, err)
+	case <-p.ended:
+		if p.err != nil {
+			return fmt.Errorf("%s: %w", p.Name, p.err)
 		}
 		return nil
 	case <-timer.C:
-		_ = p.cmd.Process.Kill()
-		<-p.done
-		return fmt.Errorf("%s did not stop in time", p.name)
+		p.Kill()
+		return fmt.Errorf("%s did not stop in time", p.Name)
 	}
 }
 
-// runProgram runs a program to its end and returns its output.
-func runProgram(ctx context.Context, binaries, program string, args ...string) (string, error) {
+// RunProgram runs a program to its end and returns its output.
+func RunProgram(ctx context.Context, binaries, program string, args ...string) (string, error) {
 	out, err := exec.CommandContext(ctx, filepath.Join(binaries, program), args...).CombinedOutput()
 	if err != nil {
 		return string(out), fmt.Errorf("%s %v: %w: %s", program, args, err, out)
@@ -69,26 +94,48 @@
 	return string(out), nil
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// Ports are taken from below the usual range of ephemeral ports: between the
+// choice of a port and its use, an outgoing connection could otherwise take it.
+const (
+	firstPort = 12000
+	portCount = 20000
+	portTries = 1000
+)
+
+// nextPort counts from a random start, so that several programs on one machine
+// rarely try the same ports.
+var nextPort = func() *atomic.Uint32 {
+	n := new(atomic.Uint32)
+	n.Store(rand.Uint32N(portCount))
+	return n
+}()
+
+// freeAddress returns a loopback address whose port was free a moment ago. No
+// two calls in a process return the same one, until all ports have been tried.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
+	var last error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			last = err
+			continue
+		}
+		return address, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("find a free port: %w", last)
 }
 
 // waitFor polls url until it answers with status 200 or ctx ends.
 func waitFor(ctx context.Context, url string) error {
-	return poll(ctx, func() error {
-		_, err := fetch(ctx, url)
+	return Poll(ctx, func() error {
+		_, err := Fetch(ctx, url)
 		return err
 	})
 }
 
-// poll calls check until it succeeds or ctx ends.
-func poll(ctx context.Context, check func() error) error {
+// Poll calls check until it succeeds or ctx ends.
+func Poll(ctx context.Context, check func() error) error {
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
 	last := errors.New("no response yet")
@@ -108,8 +155,8 @@
 	}
 }
 
-// fetch returns the body of url if its status is 200.
-func fetch(ctx context.Context, url string) ([]byte, error) {
+// Fetch returns the body of url if its status is 200.
+func Fetch(ctx context.Context, url string) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -119,7 +166,7 @@
 		return nil, err
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	body, err := io.ReadAll(io.LimitReader(res.Body, 64<<20))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/demo/topology.go
+++ b/internal/bench/demo/topology.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
+	"syscall"
 	"time"
 )
 
@@ -19,132 +21,187 @@
 	demoToken     = "demo-token"
 )
 
-var failureDomains = []string{"brno-a", "olomouc"}
+// Layout says what runs where.
+type Layout struct {
+	// Binaries is the directory of the built programs, Logs that for the
+	// output of the processes.
+	Binaries, Logs string
+	Region         string
+	FailureDomains []string
+	// Entries, Engines and Services are numbers per failure domain.
+	Entries, Engines, Services int
+	// LanguageEntry and ServiceEntry are the catalogue entries of the engines
+	// and of the plain services.
+	LanguageEntry, ServiceEntry string
+	// Versions are those that the engines have loaded.
+	Versions []string
+	// PlatformArgs, EngineArgs and ServiceArgs are further arguments of the
+	// fakes.
+	PlatformArgs, EngineArgs, ServiceArgs []string
+	// RunLogs makes the backend servers log their runs, see RunLog.
+	RunLogs bool
+}
+
+// demoLayout is the layout of the demo.
+func demoLayout(c Config) Layout {
+	return Layout{
+		Binaries: c.Binaries, Logs: c.Logs, Region: region, FailureDomains: []string{"brno-a", "olomouc"},
+		Entries: 2, Engines: 2, Services: 1, LanguageEntry: languageEntry, ServiceEntry: serviceEntry,
+		Versions: []string{oldVersion, newVersion},
+	}
+}
 
-// entryInstance is a started instance of `wasabiworks serve`.
-type entryInstance struct {
-	id                       string
-	client, peer, operations string
-	process                  *process
+// EntryInstance is a started instance of `wasabiworks serve`.
+type EntryInstance struct {
+	ID, FailureDomain string
+	// Client, Peer and Operations are addresses.
+	Client, Peer, Operations string
+	Process                  *Process
 }
 
-// backendServer is a started stand-in.
-type backendServer struct {
-	id, address string
-	process     *process
+// BackendServer is a started stand-in.
+type BackendServer struct {
+	ID, FailureDomain, Address string
+	// RunLog is the file with one line per run, or empty.
+	RunLog  string
+	Process *Process
 }
 
-// topology is everything that runs.
-type topology struct {
-	config   Config
-	platform string
-	others   []*process
-	engines  []backendServer
-	services []backendServer
-	entries  []entryInstance
+// Topology is everything that runs.
+type Topology struct {
+	Layout   Layout
+	Platform string
+	Engines  []BackendServer
+	Services []BackendServer
+	Entries  []EntryInstance
+
+	platform *Process
 }
 
-// start starts the platform, the backend servers and the entry instances.
-func (t *topology) start(ctx context.Context) error {
+// Start starts the platform, the backend servers and the entry instances. Stop
+// must be called even if it fails.
+func (t *Topology) Start(ctx context.Context) error {
 	address, err := freeAddress()
 	if err != nil {
 		return err
 	}
-	t.platform = address
-	p, err := startProcess(t.config.Binaries, t.config.Logs, "platform", "standin", "platform", "--listen", address)
-	if err != nil {
+	t.Platform = address
+	args := append([]string{"platform", "--listen", address}, t.Layout.PlatformArgs...)
+	if t.platform, err = startProcess(t.Layout.Binaries, t.Layout.Logs, "platform", "standin", args...); err != nil {
 		return err
 	}
-	t.others = append(t.others, p)
 	if err := waitFor(ctx, "http://"+address+"/calls"); err != nil {
 		return err
 	}
-	for _, domain := range failureDomains {
-		for i := range 2 {
-			if err := t.startEngine(domain, i); err != nil {
-				return err
-			}
+	for _, domain := range t.Layout.FailureDomains {
+		if err := t.startDomain(domain); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Topology) startDomain(domain string) error {
+	for i := range t.Layout.Engines {
+		if err := t.startEngine(domain, i); err != nil {
+			return err
 		}
-		if err := t.startService(domain); err != nil {
+	}
+	for i := range t.Layout.Services {
+		if err := t.startService(domain, i); err != nil {
 			return err
 		}
-		for i := range 2 {
-			if err := t.startEntry(domain, i); err != nil {
-				return err
-			}
+	}
+	for i := range t.Layout.Entries {
+		if _, err := t.StartEntry(domain, i); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func (t *topology) startEngine(domain string, i int) error {
-	address, err := freeAddress()
-	if err != nil {
-		return err
+func (t *Topology) startEngine(domain string, i int) error {
+	args := []string{"--entry", t.Layout.LanguageEntry}
+	for _, v := range t.Layout.Versions {
+		args = append(args, "--version", v)
 	}
-	id := fmt.Sprintf("engine-%s-%d", domain, i)
-	p, err := startProcess(t.config.Binaries, t.config.Logs, id, "standin", "engine",
-		"--id", id, "--listen", address, "--platform", t.platform, "--entry", languageEntry,
-		"--region", region, "--failure-domain", domain, "--version", oldVersion, "--version", newVersion)
+	s, err := t.startBackend("engine", domain, i, append(args, t.Layout.EngineArgs...))
 	if err != nil {
 		return err
 	}
-	t.engines = append(t.engines, backendServer{id, address, p})
+	t.Engines = append(t.Engines, s)
 	return nil
 }
 
-func (t *topology) startService(domain string) error {
-	address, err := freeAddress()
+func (t *Topology) startService(domain string, i int) error {
+	s, err := t.startBackend("service", domain, i, append([]string{"--entry", t.Layout.ServiceEntry}, t.Layout.ServiceArgs...))
 	if err != nil {
 		return err
 	}
-	id := "service-" + domain
-	p, err := startProcess(t.config.Binaries, t.config.Logs, id, "standin", "service",
-		"--id", id, "--listen", address, "--platform", t.platform, "--entry", serviceEntry,
-		"--region", region, "--failure-domain", domain)
-	if err != nil {
-		return err
-	}
-	t.services = append(t.services, backendServer{id, address, p})
+	t.Services = append(t.Services, s)
 	return nil
 }
 
-func (t *topology) startEntry(domain string, i int) error {
-	e := entryInstance{id: fmt.Sprintf("entry-%s-%d", domain, i)}
-	for _, address := range []*string{&e.client, &e.peer, &e.operations} {
+func (t *Topology) startBackend(fake, domain string, i int, args []string) (BackendServer, error) {
+	s := BackendServer{ID: fmt.Sprintf("%s-%s-%d", fake, domain, i), FailureDomain: domain}
+	var err error
+	if s.Address, err = freeAddress(); err != nil {
+		return s, err
+	}
+	all := []string{
+		fake, "--id", s.ID, "--listen", s.Address, "--platform", t.Platform,
+		"--region", t.Layout.Region, "--failure-domain", domain,
+	}
+	if t.Layout.RunLogs {
+		s.RunLog = filepath.Join(t.Layout.Logs, s.ID+".runs")
+		all = append(all, "--run-log", s.RunLog)
+	}
+	s.Process, err = startProcess(t.Layout.Binaries, t.Layout.Logs, s.ID, "standin", append(all, args...)...)
+	return s, err
+}
+
+// StartEntry starts entry instance i of a failure domain. An earlier one with
+// the same ID is replaced in Entries.
+func (t *Topology) StartEntry(domain string, i int) (EntryInstance, error) {
+	e := EntryInstance{ID: fmt.Sprintf("entry-%s-%d", domain, i), FailureDomain: domain}
+	for _, address := range []*string{&e.Client, &e.Peer, &e.Operations} {
 		var err error
 		if *address, err = freeAddress(); err != nil {
-			return err
+			return e, err
 		}
 	}
 	var err error
-	e.process, err = startProcess(t.config.Binaries, t.config.Logs, e.id, "wasabiworks", "serve",
-		"--instance", e.id, "--region", region, "--failure-domain", domain,
-		"--client-address", e.client, "--peer-address", e.peer, "--operations-address", e.operations,
-		"--platform", t.platform)
+	e.Process, err = startProcess(t.Layout.Binaries, t.Layout.Logs, e.ID, "wasabiworks", "serve",
+		"--instance", e.ID, "--region", t.Layout.Region, "--failure-domain", domain,
+		"--client-address", e.Client, "--peer-address", e.Peer, "--operations-address", e.Operations,
+		"--platform", t.Platform)
 	if err != nil {
-		return err
+		return e, err
 	}
-	t.entries = append(t.entries, e)
-	return nil
+	if at := slices.IndexFunc(t.Entries, func(o EntryInstance) bool { return o.ID == e.ID }); at >= 0 {
+		t.Entries[at] = e
+	} else {
+		t.Entries = append(t.Entries, e)
+	}
+	return e, nil
 }
 
-// applyCatalogue writes a catalogue file and applies it with the command that
-// operators use.
-func (t *topology) applyCatalogue(ctx context.Context, version string, basedOn int64, moveBy time.Time) (string, error) {
-	file := filepath.Join(t.config.Logs, "catalogue.yaml")
-	if err := os.WriteFile(file, []byte(catalogueYAML(version, basedOn, moveBy)), 0o600); err != nil {
+// ApplyCatalogue writes a catalogue file and applies it with the command that
+// operators use. It returns the command's output.
+func (t *Topology) ApplyCatalogue(ctx context.Context, author, yaml string, args ...string) (string, error) {
+	file := filepath.Join(t.Layout.Logs, "catalogue-"+author+".yaml")
+	if err := os.WriteFile(file, []byte(yaml), 0o600); err != nil {
 		return "", fmt.Errorf("write the catalogue: %w", err)
 	}
-	return runProgram(ctx, t.config.Binaries, "wasabiworks", "catalogue", "apply", "--platform", t.platform,
-		"--author", "demo", "--wait", file)
+	all := append([]string{"catalogue", "apply", "--platform", t.Platform, "--author", author}, args...)
+	return RunProgram(ctx, t.Layout.Binaries, "wasabiworks", append(all, file)...)
 }
 
-// ready waits until every entry instance accepts requests and knows all
+// Ready waits until every entry instance accepts requests and knows all
 // backend servers, which the instance list names with a lag.
-func (t *topology) ready(ctx context.Context) error {
-	for _, e := range t.entries {
-		if err := waitFor(ctx, "http://"+e.operations+"/readyz"); err != nil {
+func (t *Topology) Ready(ctx context.Context) error {
+	for _, e := range t.Entries {
+		if err := e.Ready(ctx); err != nil {
 			return err
 		}
 		if err := t.knowsBackends(ctx, e); err != nil {
@@ -154,50 +211,79 @@
 	return nil
 }
 
-func (t *topology) knowsBackends(ctx context.Context, e entryInstance) error {
-	return poll(ctx, func() error {
+// Ready waits until the instance accepts requests. It fails at once if the
+// process has ended.
+func (e EntryInstance) Ready(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-e.Process.Ended():
+			cancel(fmt.Errorf("%s ended: %w", e.ID, e.Process.err))
+		case <-ctx.Done():
+		}
+	}()
+	if err := waitFor(ctx, "http://"+e.Operations+"/readyz"); err != nil {
+		return fmt.Errorf("%s: %w: %w", e.ID, err, context.Cause(ctx))
+	}
+	return nil
+}
+
+func (t *Topology) knowsBackends(ctx context.Context, e EntryInstance) error {
+	return Poll(ctx, func() error {
 		var s struct {
 			Backends []json.RawMessage `json:"backends"`
 		}
-		if err := e.status(ctx, &s); err != nil {
+		if err := e.Status(ctx, &s); err != nil {
 			return err
 		}
-		if got, want := len(s.Backends), len(t.engines)+len(t.services); got != want {
-			return fmt.Errorf("%s knows %d backend servers, want %d", e.id, got, want)
+		if got, want := len(s.Backends), len(t.Engines)+len(t.Services); got != want {
+			return fmt.Errorf("%s knows %d backend servers, want %d", e.ID, got, want)
 		}
 		return nil
 	})
 }
 
-// status reads the status of an entry instance.
-func (e entryInstance) status(ctx context.Context, into any) error {
-	data, err := fetch(ctx, "http://"+e.operations+"/status")
+// Status reads the status of an entry instance.
+func (e EntryInstance) Status(ctx context.Context, into any) error {
+	data, err := Fetch(ctx, "http://"+e.Operations+"/status")
 	if err != nil {
 		return err
 	}
 	if err := json.Unmarshal(data, into); err != nil {
-		return fmt.Errorf("status of %s: %w", e.id, err)
+		return fmt.Errorf("status of %s: %w", e.ID, err)
 	}
 	return nil
 }
 
-// stop stops the entry instances first, then everything else, and returns what
-// did not stop cleanly.
-func (t *topology) stop() []error {
+// SignalPlatform sends a signal to the platform fake.
+func (t *Topology) SignalPlatform(s syscall.Signal) error {
+	return t.platform.Signal(s)
+}
+
+// stopTime bounds the stop of all processes.
+const stopTime = 15 * time.Second
+
+// Stop stops the entry instances first, then everything else, and returns what
+// did not stop cleanly. A process that had ended before must have done so with
+// status 0.
+func (t *Topology) Stop() []error {
 	var faults []error
-	deadline := time.Now().Add(15 * time.Second)
-	groups := [][]*process{{}, {}}
-	for _, e := range t.entries {
-		groups[0] = append(groups[0], e.process)
+	deadline := time.Now().Add(stopTime)
+	groups := make([][]*Process, 3)
+	for _, e := range t.Entries {
+		groups[0] = append(groups[0], e.Process)
+	}
+	for _, b := range slices.Concat(t.Engines, t.Services) {
+		groups[1] = append(groups[1], b.Process)
 	}
-	for _, b := range append(append([]backendServer{}, t.engines...), t.services...) {
-		groups[1] = append(groups[1], b.process)
+	if t.platform != nil {
+		groups[2] = append(groups[2], t.platform)
 	}
-	groups = append(groups, t.others)
 	for _, group := range groups {
 		results := make(chan error, len(group))
 		for _, p := range group {
-			go func() { results <- p.stop(deadline) }()
+			go func() { results <- p.Stop(deadline) }()
 		}
 		for range group {
 			if err := <-results; err != nil {
--- a/internal/bench/engine/config.go
+++ b/internal/bench/engine/config.go
@@ -46,6 +46,9 @@
 	ChecksFence bool
 	// Crashes is the number of crashes before this process.
 	Crashes int
+	// Ran is called with the prompt's hash at the start of each run, if not
+	// nil.
+	Ran func(prompt uint64)
 	// Exit ends the process on a poison request. If it returns, the server
 	// behaves like a restarted process: connections break and the cache is
 	// empty. The default exits with status 3.
--- a/internal/bench/engine/generate.go
+++ b/internal/bench/engine/generate.go
@@ -86,6 +86,9 @@
 	}
 	defer s.scheduler.release()
 	s.runs.ran(run)
+	if s.config.Ran != nil {
+		s.config.Ran(a.prompt)
+	}
 	s.run(ctx, w, a)
 }
 
--- a/internal/bench/load/client.go
+++ b/internal/bench/load/client.go
@@ -71,7 +71,7 @@
 	case check.event != "":
 		out.fail(CutOff, "stream was not resumed: %v", err)
 	case sent:
-		out.code = "lost"
+		out.code = lostCode
 		out.outcome = Unknown
 	default:
 		out.code = "unreachable"
@@ -87,7 +87,7 @@
 		if i > 0 {
 			out.failovers++
 		}
-		p, sent, err = c.sendTo(ctx, target, r, event)
+		p, sent, err = c.sendTo(ctx, target, r, event, out)
 		if err == nil || sent || ctx.Err() != nil {
 			break
 		}
@@ -95,8 +95,11 @@
 	return p, sent, err
 }
 
-func (c *client) sendTo(ctx context.Context, target string, r Request, event string) (*http.Response, bool, error) {
+func (c *client) sendTo(ctx context.Context, target string, r Request, event string, out *result) (*http.Response, bool, error) {
 	var connected atomic.Bool
+	if event == "" {
+		out.accepted = target
+	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GetConn: func(string) { connected.Store(false) },
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
--- a/internal/bench/load/config.go
+++ b/internal/bench/load/config.go
@@ -40,6 +40,10 @@
 	Services []string
 	// Engines are addresses of engine fakes whose runs are checked.
 	Engines []string
+	// ServiceRunLogs and EngineRunLogs are files to which fakes log their
+	// runs. If any is given, they replace the counts of the fakes, which are
+	// lost with a process that is killed.
+	ServiceRunLogs, EngineRunLogs []string
 	// Faults are injected during the run.
 	Faults []Fault
 }
--- a/internal/bench/load/outcome.go
+++ b/internal/bench/load/outcome.go
@@ -31,6 +31,9 @@
 	Unsent Outcome = "unsent"
 )
 
+// lostCode is the code of a call whose connection was lost before a response.
+const lostCode = "lost"
+
 // errWrong means that a response has wrong content.
 var errWrong = errors.New("wrong response")
 
@@ -46,8 +49,13 @@
 	first, last time.Time
 	between     []time.Duration
 	usage       tokens
-	resumed     int
-	failovers   int
+	// accepted is the address of the entry instance that accepted the call
+	// before any resumption.
+	accepted string
+	resumed  int
+	// rejectedAndRan is set for a rejected call that ran.
+	rejectedAndRan bool
+	failovers      int
 }
 
 // tokens counts tokens as reported by responses.
--- a/internal/bench/load/recorder.go
+++ b/internal/bench/load/recorder.go
@@ -48,6 +48,7 @@
 			Total:   ClassReport{Outcomes: make(map[Outcome]int)},
 			Classes: make(map[string]*ClassReport),
 			Codes:   make(map[string]int),
+			Lost:    make(map[string]int),
 
 			Workspaces: make(map[string]map[Outcome]int),
 		},
@@ -99,6 +100,12 @@
 	if out.code != "" {
 		r.report.Codes[out.code]++
 	}
+	if out.outcome == CutOff || out.code == lostCode {
+		r.report.Lost[out.accepted]++
+	}
+	if out.rejectedAndRan {
+		r.report.RejectedAndRan++
+	}
 	r.detail(class, out)
 	if out.outcome != Answered {
 		return
@@ -122,6 +129,7 @@
 		o[NotRun]--
 		o[Wrong]++
 	}
+	r.report.RejectedAndRan++
 	r.detail(q.Class.Name, result{outcome: Wrong, detail: fmt.Sprintf("request %d was rejected as not run and ran", q.Index)})
 }
 
@@ -138,6 +146,13 @@
 	r.report.FaultErrors = append(r.report.FaultErrors, fmt.Sprintf("%v: %v", f, err))
 }
 
+// unanswered records the number of plain service requests without an answer.
+func (r *recorder) unanswered(keys int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.UnansweredKeys = keys
+}
+
 // metered records what the run cost.
 func (r *recorder) metered(cost float64, t engine.Totals) {
 	r.mu.Lock()
--- a/internal/bench/load/report.go
+++ b/internal/bench/load/report.go
@@ -42,6 +42,16 @@
 	Failovers int `json:"failovers"`
 	// Codes counts the error codes of rejections and failures.
 	Codes map[string]int `json:"codes,omitempty"`
+	// Lost counts the responses that broke off or never came, by the address
+	// of the entry instance that had accepted the call. A resumption does not
+	// change the address.
+	Lost map[string]int `json:"lost,omitempty"`
+	// RejectedAndRan counts requests that were rejected as not run and ran;
+	// they are counted as wrong, too.
+	RejectedAndRan int `json:"rejected-and-ran"`
+	// UnansweredKeys counts the plain service requests of which neither the
+	// first call nor a later one with the same key was answered.
+	UnansweredKeys int `json:"unanswered-keys"`
 	// RunCheck tells whether the runs that the fakes counted were compared with
 	// the outcomes: "none", "partial" if a fake could not be reached,
 	// "complete".
--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -52,7 +52,7 @@
 	}
 	r := &runner{config: config, client: newClient(b), slots: make(chan struct{}, config.Outstanding)}
 	// A fake whose log cannot be read here counts from 0.
-	r.rejected.before, _ = fetchPrompts(ctx, b.backends(config.Engines, instances.KindLanguage))
+	r.rejected.before, _, _ = r.promptRuns(ctx)
 	m := newMeter(b.list)
 	m.begin(ctx)
 	g.Go(func() error { m.watch(watching); return nil })
@@ -143,20 +143,42 @@
 // checkRuns judges and records the calls of plain services, and judges the
 // requests to engines that were rejected.
 func (r *runner) checkRuns(ctx context.Context) {
-	services := r.client.balancer.backends(r.config.Services, instances.KindService)
-	engines := r.client.balancer.backends(r.config.Engines, instances.KindLanguage)
-	runs, completeRuns := fetchRuns(ctx, services)
-	if len(services) > 0 {
+	runs, services, completeRuns := r.serviceRuns(ctx)
+	if services > 0 {
 		r.services.judge(runs, completeRuns)
 	}
+	r.recorder.unanswered(r.services.unanswered())
 	for _, c := range r.services.list {
 		r.recorder.result(c.request, c.planned, c.ended, c.out, c.resent)
 	}
-	prompts, completePrompts := fetchPrompts(ctx, engines)
+	prompts, engines, completePrompts := r.promptRuns(ctx)
 	for _, q := range r.rejected.ran(prompts) {
 		r.recorder.rejectedAndRan(q)
 	}
-	r.recorder.report.RunCheck = runCheck(len(services)+len(engines), completeRuns && completePrompts)
+	r.recorder.report.RunCheck = runCheck(services+engines, completeRuns && completePrompts)
+}
+
+// serviceRuns returns the runs by idempotency key, the number of fakes that are
+// asked, and whether all of them could be read.
+func (r *runner) serviceRuns(ctx context.Context) (runs map[string]int, fakes int, complete bool) {
+	if logs := r.config.ServiceRunLogs; len(logs) > 0 {
+		runs, complete = readRunLogs(logs)
+		return runs, len(logs), complete
+	}
+	services := r.client.balancer.backends(r.config.Services, instances.KindService)
+	runs, complete = fetchRuns(ctx, services)
+	return runs, len(services), complete
+}
+
+// promptRuns is like serviceRuns for the prompts that engines ran.
+func (r *runner) promptRuns(ctx context.Context) (runs promptRuns, fakes int, complete bool) {
+	if logs := r.config.EngineRunLogs; len(logs) > 0 {
+		runs, complete = readPromptLogs(logs)
+		return runs, len(logs), complete
+	}
+	engines := r.client.balancer.backends(r.config.Engines, instances.KindLanguage)
+	runs, complete = fetchPrompts(ctx, engines)
+	return runs, len(engines), complete
 }
 
 func runCheck(fakes int, complete bool) string {
--- /dev/null
+++ b/internal/bench/load/runlogs_test.go
@@ -0,0 +1,47 @@
+package load
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against runs that are not counted because their process was killed,
+// and against counts that are taken as complete without a log.
+func TestReadRunLogs(t *testing.T) {
+	directory := t.TempDir()
+	a, b := filepath.Join(directory, "a"), filepath.Join(directory, "b")
+	for file, text := range map[string]string{a: "7\n8\n7\n", b: "7\n"} {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	runs, complete := readRunLogs([]string{a, b})
+	if want := map[string]int{"7": 3, "8": 1}; !complete || !cmp.Equal(runs, want) {
+		t.Errorf("readRunLogs = %v, %v, want %v, true", runs, complete, want)
+	}
+	prompts, complete := readPromptLogs([]string{a, b})
+	if want := (promptRuns{a: {7: 2, 8: 1}, b: {7: 1}}); !complete || !cmp.Equal(prompts, want) {
+		t.Errorf("readPromptLogs = %v, %v, want %v, true", prompts, complete, want)
+	}
+	if _, complete := readRunLogs([]string{a, filepath.Join(directory, "absent")}); complete {
+		t.Error("readRunLogs with an absent file is complete, want partial")
+	}
+}
+
+// Guards against bookings that count as unanswered although a repeated call was
+// answered, and the other way round.
+func TestUnanswered(t *testing.T) {
+	var s serviceCalls
+	for _, c := range []struct {
+		key string
+		out Outcome
+	}{{"a", Unknown}, {"a", Answered}, {"b", NotRun}, {"b", Unknown}, {"c", Answered}} {
+		s.add(serviceCall{request: Request{Key: c.key}, out: result{outcome: c.out}})
+	}
+	if got := s.unanswered(); got != 1 {
+		t.Errorf("unanswered() = %d, want 1", got)
+	}
+}
--- a/internal/bench/load/runs.go
+++ b/internal/bench/load/runs.go
@@ -52,6 +52,7 @@
 		case n > 1:
 			c.out.fail(Doubled, "key %s ran %d times", c.request.Key, n)
 		case n == 1 && rejected[c.request.Key]:
+			c.out.rejectedAndRan = true
 			c.out.fail(Wrong, "key %s was rejected as not run and ran", c.request.Key)
 		case n == 0 && c.out.outcome == Answered && complete:
 			c.out.fail(Wrong, "key %s was answered and did not run", c.request.Key)
@@ -59,6 +60,23 @@
 	}
 }
 
+// unanswered returns the number of keys of which no call was answered.
+func (s *serviceCalls) unanswered() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answered := make(map[string]bool)
+	for _, c := range s.list {
+		answered[c.request.Key] = answered[c.request.Key] || c.out.outcome == Answered
+	}
+	n := 0
+	for _, ok := range answered {
+		if !ok {
+			n++
+		}
+	}
+	return n
+}
+
 // fetchRuns adds up the run counts of fakes. It reports whether all of them
 // could be read.
 func fetchRuns(ctx context.Context, addresses []string) (runs map[string]int, complete bool) {
--- /dev/null
+++ b/internal/bench/matrix/cell_test.go
@@ -0,0 +1,45 @@
+package matrix
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against cells that cannot be run again by their name.
+func TestCellNames(t *testing.T) {
+	seen := make(map[string]bool)
+	for _, c := range Cells() {
+		if seen[c.Name] || c.Name == "" || c.Fault == "" {
+			t.Errorf("cell %q (%s): the name is not unique, or a text is missing", c.Name, c.Fault)
+		}
+		seen[c.Name] = true
+	}
+	if _, err := Find("absent"); err == nil {
+		t.Error("Find of an absent cell succeeded, want an error")
+	}
+}
+
+// Guards against a table that shows a broken or unchecked guarantee as proved.
+func TestWriteTable(t *testing.T) {
+	var b strings.Builder
+	results := []Result{
+		{Cell: "a", Fault: "fault a", Seed: 7, Problems: []string{"guarantee 3: cut\noff"}, Verdicts: map[Guarantee]Verdict{OwnResponse: Failed, NotRun: Proved}},
+	}
+	for _, g := range Guarantees {
+		if results[0].Verdicts[g] == "" {
+			results[0].Verdicts[g] = NotCovered
+		}
+	}
+	if err := WriteTable(&b, results, time.Unix(0, 0)); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		"| fault a | - | - | failed | proved | - | - | - | - | - | `bin/matrix --cell a --seed 7` |\n",
+		"  - guarantee 3: cut off\n",
+	} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("the table lacks %q:\n%s", want, &b)
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/matrix/cells_pairs.go
@@ -0,0 +1,3 @@
+package matrix
+
+func pairCells() []*Cell { return nil }
--- /dev/null
+++ b/internal/bench/matrix/cells_version.go
@@ -0,0 +1,92 @@
+package matrix
+
+import (
+	"context"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/bench/fault"
+)
+
+// badVersion is why completions fail in cells with a bad version.
+const badVersion = "some run on the bad version before it is detected"
+
+func versionCells() []*Cell {
+	return []*Cell{
+		versionCell("version-fails", "the new version fails at once", 0, fault.Fault{Kind: fault.Fail}),
+		versionCell("version-fails-later", "the new version fails from 5 s after the start of its move", faultAt+1500*time.Millisecond, fault.Fault{Kind: fault.Fail}),
+		versionCell("version-fails-under-load", "the new version fails while a fifth of the slots are busy", 0, fault.Fault{Kind: fault.FailUnderLoad, Value: "0.2"}),
+		versionCell("version-fails-on-route", "the new version fails on text completions", 0, fault.Fault{Kind: fault.FailRoute, Value: "completions"}),
+		versionCell("version-slow", "the new version is 20 times slower", 0, fault.Fault{Kind: fault.Slow, Value: "20"}),
+	}
+}
+
+// versionCell injects a fault of the new version into all engines at a time.
+func versionCell(name, text string, at time.Duration, f fault.Fault) *Cell {
+	f.Version = newVersion
+	return &Cell{
+		Name: name, Fault: text, completionsFail: badVersion, loadTime: 14 * time.Second,
+		script: func(ctx, _ context.Context, t *trial) error {
+			t.at(at)
+			injected := time.Now()
+			if err := t.breakVersion(ctx, f); err != nil {
+				return err
+			}
+			return t.awaitVeto(ctx, injected)
+		},
+	}
+}
+
+func (t *trial) breakVersion(ctx context.Context, f fault.Fault) error {
+	for _, e := range t.top.Engines {
+		if err := t.inject(ctx, e.Address, f, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitVeto waits until the move is rolled back everywhere and checks that the
+// bad version then gets no new attempt.
+func (t *trial) awaitVeto(ctx context.Context, injected time.Time) error {
+	for time.Now().Before(t.deadline) && !t.allRolledBack() {
+		time.Sleep(samplePeriod)
+	}
+	time.Sleep(settle)
+	before, err := t.attemptsOnNew(ctx)
+	if err != nil {
+		return err
+	}
+	t.vetoed(ctx, injected)
+	time.Sleep(2 * time.Second)
+	after, err := t.attemptsOnNew(ctx)
+	if err != nil {
+		return err
+	}
+	t.check(BadVersion, after == before, "%d new attempts on the bad version in 2 s, from 1 s after the veto on all instances", after-before)
+	t.note("%d attempts on the bad version in all", after)
+	return nil
+}
+
+func (t *trial) allRolledBack() bool {
+	for _, id := range t.watch.ids() {
+		if _, reachable := t.watch.reachable(id, time.Now(), 0); !reachable {
+			continue
+		}
+		if _, ok := t.watch.first(id, time.Time{}, rolledBack); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *trial) attemptsOnNew(ctx context.Context) (int, error) {
+	sum := 0
+	for _, e := range t.top.Engines {
+		n, err := received(ctx, e, newVersion)
+		if err != nil {
+			return 0, err
+		}
+		sum += n
+	}
+	return sum, nil
+}
--- a/internal/bench/service/server.go
+++ b/internal/bench/service/server.go
@@ -32,6 +32,9 @@
 	Slots int
 	// Delay is the duration of a run.
 	Delay time.Duration
+	// Ran is called with the idempotency key at the start of each run, if not
+	// nil.
+	Ran func(key string)
 	// Exit ends the process on a poison request; the default exits with
 	// status 3. If it returns, only the request's connection breaks.
 	Exit func()
@@ -154,6 +157,9 @@
 		return
 	}
 	defer s.end()
+	if s.config.Ran != nil {
+		s.config.Ran(key)
+	}
 	s.run(w, r, key, body, busy)
 }
 
