--- a/internal/bench/demo/topology.go
+++ b/internal/bench/demo/topology.go
@@ -47,7 +47,7 @@
 	return Layout{
 		Binaries: c.Binaries, Logs: c.Logs, Region: region, FailureDomains: []string{"brno-a", "olomouc"},
 		Entries: 2, Engines: 2, Services: 1, LanguageEntry: languageEntry, ServiceEntry: serviceEntry,
-		Versions: []string{oldVersion, newVersion},
+		Versions: []string{oldVersion, newVersion}, EngineArgs: []string{"--between-tokens", "20ms"},
 	}
 }
 
