Scale heartbeats with the failure domain and compute links twice a second

Cause: at the target size a node takes part in 64 exchanges a second and sorts all members for its links every 100 ms, which the capacity measurement puts at 1.5 times the CPU budget. Change: the heartbeat period grows above 33 members of a failure domain, the time to suspicion with it; links are used for 500 ms. Result: TestPeriodGrowsWithFailureDomain; unchanged below 33 members. The capacity figures are to be measured anew.

--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -228,3 +228,37 @@
 		}
 	}
 }
+
+// Guards against heartbeats whose rate grows with the failure domain, and
+// against suspicion that is faster than the heartbeats then are.
+func TestPeriodGrowsWithFailureDomain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		members int
+		period  time.Duration
+	}{
+		{1, time.Second},
+		{33, time.Second},
+		{51, 1530 * time.Millisecond},
+		{400, 3 * time.Second},
+	} {
+		table := NewTable(Member{ID: "self", Incarnation: 1, FailureDomain: "a"})
+		for i := 1; i < tt.members; i++ {
+			table.Heard(Member{ID: fmt.Sprint("m", i), Incarnation: 1, FailureDomain: "a"}, now)
+			table.Heard(Member{ID: fmt.Sprint("r", i), Incarnation: 1, FailureDomain: "b"}, now)
+		}
+		if got := table.Period(); got != tt.period {
+			t.Errorf("%d members: got period %v, want %v", tt.members, got, tt.period)
+		}
+		if tt.members == 1 {
+			continue
+		}
+		last := fmt.Sprint("m", tt.members-1)
+		if !slices.Contains(table.Live("a", now.Add(missedBeats*tt.period-1)), last) {
+			t.Errorf("%d members: %s is suspected before three periods", tt.members, last)
+		}
+		if slices.Contains(table.Live("a", now.Add(missedBeats*tt.period+1)), last) {
+			t.Errorf("%d members: %s is not suspected after three periods", tt.members, last)
+		}
+	}
+}
--- a/internal/decide/membership/table.go
+++ b/internal/decide/membership/table.go
@@ -10,9 +10,18 @@
 )
 
 const (
-	// SuspectAfter is the silence that makes a member of the own failure
-	// domain a suspect: three missed heartbeats.
-	SuspectAfter = 3 * time.Second
+	// HeartbeatPeriod is the least time between two heartbeats of a member of
+	// the own failure domain, and heartbeatShare the time that each member adds
+	// to it. Above 33 members the period grows, so that the exchanges of a node
+	// stay at 33 a second.
+	HeartbeatPeriod = time.Second
+	heartbeatShare  = 30 * time.Millisecond
+	maxPeriod       = 3 * time.Second
+	// missedBeats is the number of heartbeats in a row whose absence makes a
+	// member of the own failure domain a suspect, and SuspectAfter the least
+	// time that this takes.
+	missedBeats  = 3
+	SuspectAfter = missedBeats * HeartbeatPeriod
 	// RemoteSuspectAfter is the same for members of other failure domains.
 	// Only two of them are exchanged with; the others are known from the
 	// instance list and from changes that peers relay.
@@ -37,6 +46,7 @@
 	mu      sync.Mutex
 	version uint64
 	rows    map[string]*row
+	local   int             // rows of the own failure domain
 	listed  map[string]bool // failure domains on the last instance list
 	heard   map[string]time.Time
 }
@@ -58,6 +68,7 @@
 	}
 	t.version = 1
 	t.rows[self.ID] = &row{Member: self, changed: 1}
+	t.local = 1
 	return t
 }
 
@@ -164,6 +175,9 @@
 		m.Forget = now.Add(ForgetAfter)
 		r = &row{Member: m}
 		t.rows[m.ID] = r
+		if m.FailureDomain == t.self.FailureDomain {
+			t.local++
+		}
 		t.touch(r)
 		return true
 	}
@@ -191,11 +205,23 @@
 
 func (t *Table) patience(domain string) time.Duration {
 	if domain == t.self.FailureDomain {
-		return SuspectAfter
+		return missedBeats * t.period()
 	}
 	return RemoteSuspectAfter
 }
 
+// Period returns the time between two heartbeats of a member of the own failure
+// domain.
+func (t *Table) Period() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.period()
+}
+
+func (t *Table) period() time.Duration {
+	return min(maxPeriod, max(HeartbeatPeriod, heartbeatShare*time.Duration(t.local)))
+}
+
 // Since returns at most limit members other than the instance itself that
 // changed after version, oldest change first, and the version to ask from
 // next. Heartbeats alone are not changes.
@@ -280,6 +306,9 @@
 	for id, r := range t.rows {
 		if id != t.self.ID && now.After(r.Forget) && t.suspect(r, now) {
 			delete(t.rows, id)
+			if r.FailureDomain == t.self.FailureDomain {
+				t.local--
+			}
 			forgotten = append(forgotten, id)
 		}
 	}
--- a/internal/peer/exchange/node.go
+++ b/internal/peer/exchange/node.go
@@ -28,10 +28,14 @@
 )
 
 const (
-	// localPeriod and remotePeriod are the times between two exchanges with a
-	// member of the own and of another failure domain.
-	localPeriod  = time.Second
+	// remotePeriod is the time between two exchanges with a member of another
+	// failure domain; membership gives the one for the own failure domain.
 	remotePeriod = 2 * time.Second
+	// probeDelay is how much longer a suspect waits for an exchange.
+	probeDelay = time.Second
+	// linksPeriod is how long the links are used before they are computed
+	// again; in a large fleet that takes as long as an exchange.
+	linksPeriod = 500 * time.Millisecond
 	// handicap is how much longer one side of a link waits. One exchange
 	// carries both directions, so that the side that waits rarely has to call.
 	handicap = 500 * time.Millisecond
@@ -85,6 +89,11 @@
 	urgent  chan struct{}
 	calls   chan struct{}
 
+	// links and probes are the members to exchange with until linksDue; Run
+	// alone uses them.
+	links, probes []string
+	linksDue      time.Time
+
 	mu     sync.Mutex
 	closed bool
 	peers  map[string]*peer
@@ -188,18 +197,21 @@
 // schedule starts the exchanges that are due, or all if urgent.
 func (n *Node) schedule(ctx context.Context, urgent bool, round uint64) {
 	now := n.config.Now()
-	links := n.config.Members.Links(now)
-	for _, id := range links {
+	if !now.Before(n.linksDue) {
+		n.links, n.probes = n.config.Members.Links(now), n.config.Members.Probes(now, round)
+		n.linksDue = now.Add(linksPeriod)
+		for _, id := range n.config.Members.Expire(now) {
+			n.forget(id)
+		}
+	}
+	for _, id := range n.links {
 		n.start(ctx, id, urgent, 0)
 	}
-	for _, id := range n.config.Members.Probes(now, round) {
-		if !slices.Contains(links, id) {
-			n.start(ctx, id, false, remotePeriod-localPeriod)
+	for _, id := range n.probes {
+		if !slices.Contains(n.links, id) {
+			n.start(ctx, id, false, probeDelay)
 		}
 	}
-	for _, id := range n.config.Members.Expire(now) {
-		n.forget(id)
-	}
 }
 
 // start exchanges with a member in the background if its period, lengthened by
@@ -238,7 +250,7 @@
 func (n *Node) period(m membership.Member) time.Duration {
 	period := remotePeriod
 	if m.FailureDomain == n.self.FailureDomain {
-		period = localPeriod
+		period = n.config.Members.Period()
 	}
 	// Both sides agree on who waits, and the choice spreads evenly.
 	low, high := min(n.self.ID, m.ID), max(n.self.ID, m.ID)
