--- a/internal/peer/journal/journal.go
+++ b/internal/peer/journal/journal.go
@@ -258,12 +258,12 @@
 }
 
 func (j *Journal) reserveAt(ctx context.Context, owner string, shard uint32, op journal.Op) (journal.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, j.config.PeerTimeout)
+	limited, cancel := context.WithTimeout(ctx, j.config.PeerTimeout)
 	defer cancel()
-	reply, err := j.config.Peers.Reserve(ctx, owner, &peerpb.ReserveRequest{
+	reply, err := j.config.Peers.Reserve(limited, owner, &peerpb.ReserveRequest{
 		Shard: shard, Key: op.Key[:], Attempt: op.Attempt, Fingerprint: op.Fingerprint,
 	})
-	j.reached(owner, err)
+	j.reached(ctx, owner, err)
 	if err != nil {
 		return journal.Result{}, err
 	}
@@ -271,12 +271,12 @@
 }
 
 func (j *Journal) completeAt(ctx context.Context, owner string, shard uint32, op journal.Op) (*peerpb.CompleteReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, j.config.CompleteGap+j.config.PeerTimeout)
+	limited, cancel := context.WithTimeout(ctx, j.config.CompleteGap+j.config.PeerTimeout)
 	defer cancel()
-	reply, err := j.config.Peers.Complete(ctx, owner, &peerpb.CompleteRequest{
+	reply, err := j.config.Peers.Complete(limited, owner, &peerpb.CompleteRequest{
 		Shard: shard, Key: op.Key[:], Attempt: op.Attempt, NotRun: op.Kind == journal.Remove, Response: toWire(op.Response),
 	})
-	j.reached(owner, err)
+	j.reached(ctx, owner, err)
 	return reply, err
 }
 
@@ -298,8 +298,12 @@
 }
 
 // reached notes whether a call to owner succeeded. An unreachable owner is
-// avoided for a second, so that only a few calls wait for it.
-func (j *Journal) reached(owner string, err error) {
+// avoided for a second, so that only a few calls wait for it. A call that ended
+// because its own context did says nothing about the owner.
+func (j *Journal) reached(ctx context.Context, owner string, err error) {
+	if err != nil && ctx.Err() != nil {
+		return
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if err == nil {
--- a/internal/peer/journal/journal_test.go
+++ b/internal/peer/journal/journal_test.go
@@ -173,3 +173,33 @@
 	}
 	is.True(free) // the key is usable after the outage
 }
+
+// owner is a peer that answers each reservation, unless the call has ended.
+type owner struct {
+	journal.Peers
+	calls int
+}
+
+func (o *owner) Reserve(ctx context.Context, _ string, _ *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	o.calls++
+	return &peerpb.ReserveReply{Status: peerpb.Status_STATUS_RESERVED}, ctx.Err()
+}
+
+// Guards against an owner that is taken for unreachable, and its shard written
+// by two instances, because a client went away.
+func TestOwnerIsKeptAfterCancelledCall(t *testing.T) {
+	is := is.New(t)
+	o := new(owner)
+	c := quick(kvtest.New(), 1)
+	c.Self, c.Incarnation, c.Peers, c.Live = "a", 1, o, func() []string { return []string{"b"} }
+	j, err := journal.New(c)
+	is.NoErr(err)
+	defer j.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = j.Reserve(ctx, keyOf(1), "first", 1)
+	is.True(err != nil)
+	_, err = j.Reserve(t.Context(), keyOf(1), "second", 1)
+	is.NoErr(err)
+	is.Equal(o.calls, 2) // both went to the owner
+}
