--- a/cmd/wasabiworks/serve.go
+++ b/cmd/wasabiworks/serve.go
@@ -10,6 +10,8 @@
 
 	"go.uber.org/zap"
 
+	"wasabiworks.example/wasabiworks/internal/decide/move"
+	"wasabiworks.example/wasabiworks/internal/decide/route"
 	"wasabiworks.example/wasabiworks/internal/entry/instance"
 	"wasabiworks.example/wasabiworks/internal/operator/settings"
 )
@@ -19,6 +21,14 @@
 	app *app
 }
 
+// Policies by the names that the settings allow.
+var (
+	routePolicies = map[string]route.Policy{
+		"combined": new(route.Combined), "affinity": route.Affinity{}, "round-robin": new(route.RoundRobin), "least-loaded": route.LeastLoaded{},
+	}
+	movePolicies = map[string]move.Policy{"sequential": move.Sequential{}, "fixed-steps": move.FixedSteps{}}
+)
+
 // Execute implements flags.Commander.
 func (c *serveCommand) Execute([]string) error {
 	if err := c.Check(); err != nil {
@@ -57,6 +67,7 @@
 		Price: c.Price, Reclaimable: c.Reclaimable, Platform: c.Platform,
 		Client: listeners[0], Peer: listeners[1], Operations: listeners[2],
 		ClientTLS: clientTLS, PeerTLS: peerTLS, DrainNotice: c.DrainNotice, Log: log,
+		Route: routePolicies[c.RoutePolicy], Move: movePolicies[c.MovePolicy],
 	})
 }
 
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -62,7 +62,7 @@
 	DrainNotice time.Duration
 	Log         *zap.Logger
 	// Move and Route are the policies; default move.Sequential and
-	// route.Affinity.
+	// route.Combined.
 	Move  move.Policy
 	Route route.Policy
 }
@@ -101,7 +101,7 @@
 		c.Move = move.Sequential{}
 	}
 	if c.Route == nil {
-		c.Route = route.Affinity{}
+		c.Route = new(route.Combined)
 	}
 	c.Log = c.Log.With(zap.String("instance", c.ID), zap.String("failure-domain", c.FailureDomain))
 	i := &Instance{config: c, now: time.Now, registry: prometheus.NewRegistry(), poison: new(poison.Set)}
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -25,6 +25,8 @@
 var (
 	nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
 	levels   = []string{"debug", "info", "warn", "error"}
+	routes   = []string{"combined", "affinity", "round-robin", "least-loaded"}
+	moves    = []string{"sequential", "fixed-steps"}
 )
 
 // Problem is an error in one setting.
@@ -84,15 +86,21 @@
 		c.add("price", fmt.Sprintf("%v is out of range", s.Price), fmt.Sprintf("0 to %v", maxPrice))
 	}
 	c.files(s)
-	if !slices.Contains(levels, s.LogLevel) {
-		c.add("log-level", fmt.Sprintf("%q is not valid", s.LogLevel), strings.Join(levels, ", "))
-	}
+	c.choice("log-level", s.LogLevel, levels)
+	c.choice("route-policy", s.RoutePolicy, routes)
+	c.choice("move-policy", s.MovePolicy, moves)
 	if len(c.problems) > 0 {
 		return c.problems
 	}
 	return nil
 }
 
+func (c *checker) choice(flag, value string, allowed []string) {
+	if !slices.Contains(allowed, value) {
+		c.add(flag, fmt.Sprintf("%q is not valid", value), strings.Join(allowed, ", "))
+	}
+}
+
 func (c *checker) name(flag, value string) {
 	if value == "" {
 		c.add(flag, "missing", nameRule)
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -21,5 +21,7 @@
 	Certificate       string        `long:"certificate" env:"WASABIWORKS_CERTIFICATE" value-name:"FILE" description:"PEM certificate for clients and peers; without it connections are not encrypted"`
 	Key               string        `long:"key" env:"WASABIWORKS_KEY" value-name:"FILE" description:"PEM private key of the certificate"`
 	PeerCA            string        `long:"peer-ca" env:"WASABIWORKS_PEER_CA" value-name:"FILE" description:"PEM certificates of the authorities that sign the peers' certificates"`
+	RoutePolicy       string        `long:"route-policy" env:"WASABIWORKS_ROUTE_POLICY" value-name:"POLICY" default:"combined" description:"choice of backend servers: combined, or the baselines affinity, round-robin and least-loaded"`
+	MovePolicy        string        `long:"move-policy" env:"WASABIWORKS_MOVE_POLICY" value-name:"POLICY" default:"sequential" description:"decision on version moves: sequential, or the baseline fixed-steps; the same on all instances"`
 	LogLevel          string        `long:"log-level" env:"WASABIWORKS_LOG_LEVEL" value-name:"LEVEL" default:"info" description:"lowest level that is logged: debug, info, warn or error"`
 }
--- a/internal/operator/settings/settings_test.go
+++ b/internal/operator/settings/settings_test.go
@@ -17,7 +17,7 @@
 	return Settings{
 		Instance: "entry-1", Region: "morava", FailureDomain: "brno-a",
 		ClientAddress: "127.0.0.1:8080", PeerAddress: "127.0.0.1:0", OperationsAddress: "127.0.0.1:0",
-		Platform: "127.0.0.1:9000", DrainNotice: 25 * time.Second, Class: "small", LogLevel: "info",
+		Platform: "127.0.0.1:9000", DrainNotice: 25 * time.Second, Class: "small", LogLevel: "info", RoutePolicy: "combined", MovePolicy: "sequential",
 	}
 }
 
@@ -30,7 +30,7 @@
 		want   []string // flags with a problem
 	}{
 		{"valid", func(*Settings) {}, nil},
-		{"empty", func(s *Settings) { *s = Settings{} }, []string{"instance", "region", "failure-domain", "client-address", "peer-address", "operations-address", "platform", "drain-notice", "class", "log-level"}},
+		{"empty", func(s *Settings) { *s = Settings{} }, []string{"instance", "region", "failure-domain", "client-address", "peer-address", "operations-address", "platform", "drain-notice", "class", "log-level", "route-policy", "move-policy"}},
 		{"name", func(s *Settings) { s.Instance = "a b" }, []string{"instance"}},
 		{"address without a port", func(s *Settings) { s.ClientAddress = "127.0.0.1" }, []string{"client-address"}},
 		{"address that peers cannot reach", func(s *Settings) { s.PeerAddress = "0.0.0.0:80" }, []string{"peer-address"}},
@@ -42,6 +42,7 @@
 		{"authorities alone", func(s *Settings) { s.PeerCA = "check.go" }, []string{"peer-ca"}},
 		{"absent files", func(s *Settings) { s.Certificate, s.Key, s.PeerCA = "absent", "absent", "absent" }, []string{"certificate", "key", "peer-ca"}},
 		{"not PEM", func(s *Settings) { s.Certificate, s.Key, s.PeerCA = "check.go", "check.go", "check.go" }, []string{"certificate"}},
+		{"policies", func(s *Settings) { s.RoutePolicy, s.MovePolicy = "random", "" }, []string{"route-policy", "move-policy"}},
 		{"log level", func(s *Settings) { s.LogLevel = "loud" }, []string{"log-level"}},
 	}
 	for _, tt := range tests {
