--- a/internal/caller/openai/fault_test.go
+++ b/internal/caller/openai/fault_test.go
@@ -240,7 +240,9 @@
 	is.True(!f.begin("a", r[2], 3, true))
 	is.True(f.begin("b", r[2], 3, true))
 	is.Equal(len(f.crashed("a", r[0], now)), 2)
+	is.True(f.begin("a", r[6], 5, false))       // on the new process
 	is.Equal(len(f.crashed("a", r[1], now)), 0) // the same crash
+	f.end("a", r[6], false)
 	f.end("a", r[1], true)
 	is.True(f.begin("a", r[1], 2, true))
 	is.Equal(len(f.crashed("a", r[1], now)), 1) // another crash, without the request of the first
--- a/internal/caller/openai/generation.go
+++ b/internal/caller/openai/generation.go
@@ -64,10 +64,18 @@
 	return g.sent
 }
 
-// end records the end of the response, or its failure.
-func (g *generation) end(finish string, err *reply.Error) {
+// complete records the end of the response.
+func (g *generation) complete(finish string, u engine.Usage) {
 	g.mu.Lock()
-	g.finish, g.err = finish, err
+	g.finish, g.usage = finish, u
+	g.wake()
+	g.mu.Unlock()
+}
+
+// fail records that the response will not be completed.
+func (g *generation) fail(err *reply.Error) {
+	g.mu.Lock()
+	g.err = err
 	g.wake()
 	g.mu.Unlock()
 }
