--- a/internal/bench/engine/generate.go
+++ b/internal/bench/engine/generate.go
@@ -52,6 +52,11 @@
 	next atomic.Int64
 }
 
+// PromptHash returns the hash by which the log of attempts names a prompt.
+func PromptHash(prompt string) uint64 {
+	return xxhash.Sum64String(prompt)
+}
+
 func (a *attempt) kvCache() kvCache {
 	return kvCache{Attempt: a.id, Prompt: a.prompt, Tokens: int(a.next.Load())}
 }
@@ -61,7 +66,7 @@
 	if !ok {
 		return
 	}
-	run := s.runs.received(a.body, a.id)
+	run := s.runs.received(a)
 	s.applyLeave()
 	if !s.serves(a.body.Entry, a.body.Version) {
 		reject(w, http.StatusServiceUnavailable, "version")
@@ -81,6 +86,9 @@
 	}
 	defer s.scheduler.release()
 	s.runs.ran(run)
+	if s.config.Ran != nil {
+		s.config.Ran(a.prompt)
+	}
 	s.run(ctx, w, a)
 }
 
@@ -91,7 +99,7 @@
 		return nil, false
 	}
 	a.response = answer.For(a.body.Prompt)
-	a.prompt = xxhash.Sum64String(a.body.Prompt)
+	a.prompt = PromptHash(a.body.Prompt)
 	if err := a.check(); err != nil {
 		http.Error(w, "invalid request: "+err.Error(), http.StatusBadRequest)
 		return nil, false
@@ -193,6 +201,8 @@
 		return
 	}
 	u := s.usage(a)
+	s.runs.began(u)
+	defer func() { s.runs.ended(int(a.next.Load()) - a.body.From) }()
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	out := newFrames(w, s, a)
 	if out.flush() != nil {
--- a/internal/caller/openai/attempt.go
+++ b/internal/caller/openai/attempt.go
@@ -74,7 +74,11 @@
 		u = *f.Usage
 	}
 	r.record.Prompt, r.record.Cached = u.Prompt, r.record.Cached+u.Cached
-	r.record.Recomputed += u.Recomputed
+	if r.interrupted {
+		// The engine reports every token that it computed for the prompt; only
+		// after an interrupted attempt were they computed before.
+		r.record.Recomputed += u.Recomputed
+	}
 	r.g.complete(f.Finish, u)
 }
 
--- a/internal/caller/openai/choose.go
+++ b/internal/caller/openai/choose.go
@@ -44,12 +44,12 @@
 		return
 	}
 	have := r.g.lastVersion()
-	version, move := r.s.c.Versions.Version(e, r.g.conversation)
+	version, move, step := r.s.c.Versions.Version(e, r.g.conversation)
 	if have != "" && version != have && len(r.g.reached()) > 0 && !r.versionFailed && r.served(have) {
 		r.version = have
 		return
 	}
-	r.version, r.move = version, move
+	r.version, r.move, r.step = version, move, step
 	r.g.setVersion(version)
 }
 
--- a/internal/caller/openai/drive.go
+++ b/internal/caller/openai/drive.go
@@ -26,6 +26,7 @@
 	// crowded is true if a server was passed over for another suspect there.
 	crowded       bool
 	version, move string
+	step          uint8
 	// versionFailed is true if an attempt of the version failed or was lost
 	// without another reason.
 	versionFailed bool
@@ -34,6 +35,9 @@
 	// free is true if the next attempt is not charged to the retry budget:
 	// an announced reclaim must not fail a request.
 	free bool
+	// interrupted is true once an attempt ended before its last frame, though
+	// the server had begun it.
+	interrupted bool
 
 	// These belong to the attempt under way.
 	backend route.Backend
--- a/internal/caller/openai/fault_test.go
+++ b/internal/caller/openai/fault_test.go
@@ -286,4 +286,6 @@
 
 type versionsFunc func() string
 
-func (f versionsFunc) Version(*catalogue.Entry, uint64) (string, string) { return f(), "" }
+func (f versionsFunc) Version(*catalogue.Entry, uint64) (string, string, uint8) {
+	return f(), "", 0
+}
--- a/internal/caller/openai/outcome.go
+++ b/internal/caller/openai/outcome.go
@@ -17,6 +17,7 @@
 	switch {
 	case errors.Is(err, errMoved):
 		s.cancel(a)
+		r.interrupted = true
 		r.free = true
 		r.exclude = append(r.exclude, r.backend.ID)
 		r.report(false, ExcusedReclaim)
@@ -47,6 +48,7 @@
 // lost notes an attempt that failed after bytes were sent.
 func (r *run) lost(a *engine.Attempt, err error) {
 	s := r.s
+	r.interrupted = true
 	r.exclude = append(r.exclude, r.backend.ID)
 	if a.From > 0 && a.Import == "" && errorx.IsOfType(err, engine.Lost) {
 		r.record.Recomputed += a.From // its own count is lost with it
@@ -92,7 +94,7 @@
 	slow := o.FirstToken > 0 && r.first > o.FirstToken || o.BetweenTokens > 0 && between > o.BetweenTokens
 	r.record.Slow = r.record.Slow || slow
 	r.s.c.Recorder.Attempt(&Attempt{
-		Workspace: r.g.workspace, Entry: r.g.entry, Move: r.move, Version: r.version, Route: r.g.route, Backend: r.backend.ID,
+		Workspace: r.g.workspace, Entry: r.g.entry, Move: r.move, Step: r.step, Version: r.version, Route: r.g.route, Backend: r.backend.ID,
 		Load: loadLevel(&r.backend), Failed: failed, Slow: slow, Excused: excused,
 		FirstToken: r.first, Between: between, Tokens: r.tokens,
 	})
