Spend forced steps where evidence is and measure moves

Without evidence, half of a move's time went to shares that say little about the version. A wave at the deadline kept good versions in comparison, since each place needed 30 requests of the old version before its rate counted.

Forced steps stay longest at 25% and 35%; the comparison after completion also uses the old version's rate over all places.

--- a/internal/decide/move/schedule.go
+++ b/internal/decide/move/schedule.go
@@ -28,10 +28,8 @@
 	// plenty of evidence takes all steps. What remains is for finding faults
 	// that appear late while the owner still expects the move to run.
 	early = 0.7
-	// late is the part of the time up to the margin after which a version
-	// without evidence must begin to take its steps.
-	late = 0.1
-	// later is the same for a version under suspicion.
+	// later is the part of the time up to the margin after which a version
+	// under suspicion must begin to take its steps.
 	later = 0.7
 	// recheckShare is the share while a version that looks bad at share 1 is
 	// compared with the old one again.
@@ -44,6 +42,11 @@
 // s ln(1/s), is highest between 0.2 and 0.5.
 var stepShares = [...]float64{0.02, 0.05, 0.1, 0.15, 0.25, 0.35, 0.5, 0.7}
 
+// forcedAt are the parts of the time up to the margin at which a version without
+// enough evidence takes the steps after the first one. Most of the time goes to
+// the shares that yield evidence fastest and still spare most clients.
+var forcedAt = [...]float64{0.05, 0.12, 0.2, 0.3, 0.55, 0.85, 0.93, 1}
+
 // ShareOf returns the share of the new version in a step, and 0 for step 0 and
 // steps that don't exist.
 func ShareOf(step uint8) float64 {
@@ -91,6 +94,20 @@
 	return firstStep
 }
 
+// forcedStep returns the step that is due without evidence.
+func forcedStep(progress float64) uint8 {
+	step := uint8(firstStep)
+	for _, at := range forcedAt {
+		if progress >= at {
+			step++
+		}
+	}
+	if step == probeStep {
+		return watchStep
+	}
+	return step
+}
+
 // watchSlot returns the part of the time from the earliest completion to
 // KeepUntil that now is in. Each part begins with a clean slate, so that a
 // version that turns bad is not excused by the good hours before.
--- a/internal/decide/move/sequential.go
+++ b/internal/decide/move/sequential.go
@@ -82,7 +82,7 @@
 		return decision(step, "under suspicion, deadline near")
 	}
 	by := min(stepBetween(part, 0, early), supported(covered(cells)))
-	if forced := stepBetween(part, late, 1); forced > by {
+	if forced := forcedStep(part); forced > by {
 		return decision(forced, "deadline near")
 	}
 	return decision(by, "evidence")
--- a/internal/decide/move/watch.go
+++ b/internal/decide/move/watch.go
@@ -68,7 +68,7 @@
 // higher, since.
 func accepted(cells []cell, step uint8, kind int) (rates [places]float64) {
 	var before, since [places][2]float64 // requests, bad
-	var all [2]float64
+	var all, again [2]float64
 	for i := range cells {
 		x := &cells[i]
 		n := [2]float64{x.n[0], x.bad[kind][0]}
@@ -78,10 +78,11 @@
 			add(&all, n)
 		case x.step > step:
 			add(&since[x.place], n)
+			add(&again, n)
 		}
 	}
 	for p := range rates {
-		rate := max(rateOf(all, 1), rateOf(before[p], few), rateOf(since[p], few))
+		rate := max(rateOf(all, 1), rateOf(again, few), rateOf(before[p], few), rateOf(since[p], few))
 		rates[p] = outOfLine*rate + criteria[kind].floor
 	}
 	return rates
