Test routing on the model of workers

The routing model ran only as a benchmark, so a change that lost the affinity of long prefixes would have passed.

TestCombined compares Combined with round robin on both mixes at one rate: at most a quarter of the recomputed tokens, latencies within a tenth.

Seen to fail first: affinity for no request (4,537 tokens recomputed, at most 1,134 wanted) and for every request with a prefix (first token after 2.02 s instead of 0.007 s).

--- a/internal/decide/routetest/measure_test.go
+++ b/internal/decide/routetest/measure_test.go
@@ -3,8 +3,36 @@
 import (
 	"os"
 	"testing"
+
+	"wasabiworks.example/wasabiworks/internal/decide/route"
 )
 
+// Guards against routing that recomputes long prefixes, or that slows short
+// questions down where round robin does not.
+func TestCombined(t *testing.T) {
+	const seed, workers = 4, 20
+	t.Logf("seed %d", seed)
+	tests := []struct {
+		mix        Mix
+		rate       float64
+		recomputed float64 // per request of round robin's
+	}{
+		{LongPrefixes, 15, 0.25},
+		{ShortQuestions, 60, 1},
+	}
+	for _, test := range tests {
+		base := Simulate(new(route.RoundRobin), test.mix, workers, test.rate, seed)
+		got := Simulate(new(route.Combined), test.mix, workers, test.rate, seed)
+		if most := test.recomputed * base.Recomputed; got.Recomputed > most {
+			t.Errorf("%s: %.0f tokens recomputed per request, want at most %.0f", test.mix.Name, got.Recomputed, most)
+		}
+		if got.FirstToken > 1.1*base.FirstToken || got.BetweenTokens > 1.1*base.BetweenTokens {
+			t.Errorf("%s: latencies are %.3f s and %.4f s, want at most a tenth above %.3f s and %.4f s",
+				test.mix.Name, got.FirstToken, got.BetweenTokens, base.FirstToken, base.BetweenTokens)
+		}
+	}
+}
+
 // BenchmarkRouting prints the table of docs/decisions/routing.md.
 func BenchmarkRouting(b *testing.B) {
 	for range b.N {
