--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -82,8 +82,8 @@
 func (c *Client) Generate(ctx context.Context, a *Attempt, yield func(Frame) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := time.AfterFunc(c.firstFrame, func() { cancel(errStalled) })
-	defer watch.Stop()
+	watch := newWatchdog(c.firstFrame, func() { cancel(errStalled) })
+	defer watch.stop()
 	var sent tcp.Sent
 	res, err := c.post(sent.Context(ctx), a)
 	if err != nil {
@@ -162,7 +162,7 @@
 	next     int
 	yield    func(Frame) error
 	yieldErr error
-	watch    *time.Timer
+	watch    *watchdog
 	ahead    []Frame
 }
 
@@ -256,12 +256,12 @@
 // deliver passes f on. The time that yield takes does not count as a stall of
 // the engine.
 func (r *reader) deliver(f Frame) (done bool, err error) {
-	r.watch.Stop()
+	r.watch.stop()
 	r.next++
 	if r.yieldErr = r.yield(f); r.yieldErr != nil {
 		return false, r.yieldErr
 	}
-	r.watch.Reset(r.client.stall)
+	r.watch.start(r.client.stall)
 	return f.Finish != "", nil
 }
 
--- a/internal/bench/matrix/cells.go
+++ b/internal/bench/matrix/cells.go
@@ -13,7 +13,7 @@
 
 // Cells returns all cells: the faults singly, then pairs.
 func Cells() []*Cell {
-	return slices.Concat(instanceCells(), reclaimCells(), storeCells(), operatorCells(), versionCells(), shutdownCells(), pairCells())
+	return slices.Concat(instanceCells(), reclaimCells(), storeCells(), operatorCells(), versionCells(), poisonCells(), shutdownCells(), pairCells())
 }
 
 const (
@@ -21,6 +21,7 @@
 	outageTime = 6 * time.Second
 	// These say why requests may fail.
 	retryBudget = "attempts resume elsewhere within the retry budget"
+	mayHaveRun  = "a call that may have run is not repeated"
 	journalDown = "no new booking while the store is unavailable"
 	ownerLost   = "calls at the owner of a journal shard are lost with it"
 )
@@ -56,6 +57,14 @@
 				p := t.engine().Process
 				return during(func() error { return t.freeze(freezeTime, p) }, func() { t.touch(ctx, "operator") })
 			}},
+		{Name: "service-killed", Fault: "kill a plain service", bookingsFail: mayHaveRun,
+			script: func(_, _ context.Context, t *trial) error {
+				return t.dropBackend(t.top.Services[t.random.IntN(len(t.top.Services))], true)
+			}},
+		{Name: "service-frozen", Fault: "freeze a plain service for 5 s", bookingsFail: mayHaveRun,
+			script: func(_, _ context.Context, t *trial) error {
+				return t.freeze(freezeTime, t.top.Services[t.random.IntN(len(t.top.Services))].Process)
+			}},
 		{Name: "engine-frames", Fault: "duplicate, late and foreign frames from all engines",
 			script: func(ctx, _ context.Context, t *trial) error {
 				for _, e := range t.top.Engines {
--- a/internal/bench/matrix/cells_shutdown.go
+++ b/internal/bench/matrix/cells_shutdown.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/bench/demo"
 	"wasabiworks.example/wasabiworks/internal/bench/fault"
 	"wasabiworks.example/wasabiworks/internal/bench/platform"
+	"wasabiworks.example/wasabiworks/internal/platform/instances"
 )
 
 func shutdownCells() []*Cell {
@@ -18,12 +21,15 @@
 				return during(func() error { t.stopEntry(e); return nil }, func() { t.touch(ctx, "operator") })
 			}},
 		{Name: "rolling-restart", Fault: "planned restart of all entry instances, one per failure domain at a time", loadTime: 18 * time.Second,
-			script: func(ctx, watching context.Context, t *trial) error { return t.rollingRestart(ctx, watching) }},
+			script: func(ctx, watching context.Context, t *trial) error { return t.rollingRestart(ctx, watching, true) }},
 		{Name: "entry-started-in-outage", Fault: "a new entry instance starts during a store outage of 6 s", bookingsFail: journalDown, script: startInOutage},
 	}
 }
 
-func (t *trial) rollingRestart(ctx, watching context.Context) error {
+// rollingRestart restarts one entry instance of each failure domain, waits until
+// the load balancer knows the new ones, and goes on with the next. touch applies
+// a revision after each round.
+func (t *trial) rollingRestart(ctx, watching context.Context, touch bool) error {
 	for i := range t.top.Layout.Entries {
 		var es []demo.EntryInstance
 		for _, domain := range failureDomains {
@@ -53,11 +59,35 @@
 			t.watch.away(e.ID, began, time.Now())
 			t.watch.add(watching, again)
 		}
-		t.touch(ctx, "operator")
+		if touch {
+			t.touch(ctx, "operator")
+		}
+		if err := t.listed(ctx); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+// listed waits until the instance list has the addresses of all entry instances.
+func (t *trial) listed(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	client := instances.New(instances.Config{Address: t.top.Platform})
+	return demo.Poll(ctx, func() error {
+		all, err := client.List(ctx)
+		if err != nil {
+			return err
+		}
+		for _, e := range t.top.Entries {
+			if !slices.ContainsFunc(all, func(i instances.Instance) bool { return i.Address == e.Client && i.State == instances.StateLive }) {
+				return fmt.Errorf("%s is not listed", e.ID)
+			}
+		}
+		return nil
+	})
+}
+
 // awaitReady returns how long an instance took to be ready.
 func (t *trial) awaitReady(ctx context.Context, e demo.EntryInstance) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTime)
--- a/internal/bench/matrix/cells_version.go
+++ b/internal/bench/matrix/cells_version.go
@@ -7,6 +7,10 @@
 	"wasabiworks.example/wasabiworks/internal/bench/fault"
 )
 
+// watchTime is how long the load goes on after the deadline of a move to a bad
+// version.
+const watchTime = 8 * time.Second
+
 // badVersion is why completions fail in cells with a bad version.
 const badVersion = "some run on the bad version before it is detected"
 
@@ -24,7 +28,7 @@
 func versionCell(name, text string, at time.Duration, f fault.Fault) *Cell {
 	f.Version = newVersion
 	return &Cell{
-		Name: name, Fault: text, completionsFail: badVersion, loadTime: 14 * time.Second,
+		Name: name, Fault: text, completionsFail: badVersion, loadTime: loadTime + watchTime,
 		script: func(ctx, _ context.Context, t *trial) error {
 			t.at(at)
 			injected := time.Now()
@@ -48,7 +52,8 @@
 // awaitVeto waits until the move is rolled back everywhere and checks that the
 // bad version then gets no new attempt.
 func (t *trial) awaitVeto(ctx context.Context, injected time.Time) error {
-	for time.Now().Before(t.deadline) && !t.allRolledBack() {
+	// A version is watched after its deadline, too; the load goes on.
+	for time.Now().Before(t.deadline.Add(watchTime)) && !t.allRolledBack() {
 		time.Sleep(samplePeriod)
 	}
 	time.Sleep(settle)
@@ -63,7 +68,7 @@
 		return err
 	}
 	t.check(BadVersion, after == before, "%d new attempts on the bad version in 2 s, from 1 s after the veto on all instances", after-before)
-	t.note("%d attempts on the bad version in all", after)
+	t.note("%d attempts on the bad version in all; its deadline was %v after the fault", after, t.deadline.Sub(injected).Round(10*time.Millisecond))
 	return nil
 }
 
--- a/internal/bench/matrix/check.go
+++ b/internal/bench/matrix/check.go
@@ -68,7 +68,8 @@
 }
 
 // checkAnswered checks that requests that the fault does not concern are
-// answered.
+// answered. A request that is rejected was not accepted, so it counts against
+// SurvivesReclaim only if its outcome is unknown.
 func (t *trial) checkAnswered(atKilled int) {
 	g := OwnResponse
 	if t.cell.reclaims {
@@ -83,14 +84,16 @@
 	}
 	booked := t.report.Classes["booking"].Outcomes
 	if t.cell.completionsFail == "" {
-		t.check(g, notRun+unknown <= atKilled, "%d completions not run, %d unknown; codes %v", notRun, unknown, t.report.Codes)
+		t.check(g, unknown <= atKilled, "%d completions have an unknown outcome; codes %v", unknown, t.report.Codes)
+		t.check(OwnResponse, notRun <= atKilled, "%d completions were rejected; codes %v", notRun, t.report.Codes)
 	}
 	if t.cell.bookingsFail == "" {
 		// A call is truly unknown while an earlier one with its key runs; its
 		// caller repeats it.
 		pending := t.report.Codes["call_pending"]
-		t.check(g, booked[load.NotRun]+booked[load.Unknown]-pending <= atKilled, "%d bookings not run, %d unknown; codes %v", booked[load.NotRun], booked[load.Unknown], t.report.Codes)
-		t.check(g, t.report.UnansweredKeys <= atKilled, "%d bookings were never answered; codes %v", t.report.UnansweredKeys, t.report.Codes)
+		t.check(g, booked[load.Unknown]-pending <= atKilled, "%d bookings have an unknown outcome; codes %v", booked[load.Unknown], t.report.Codes)
+		t.check(OwnResponse, booked[load.NotRun] <= atKilled, "%d bookings were rejected; codes %v", booked[load.NotRun], t.report.Codes)
+		t.check(OwnResponse, t.report.UnansweredKeys <= atKilled, "%d bookings were never answered; codes %v", t.report.UnansweredKeys, t.report.Codes)
 	}
 }
 
@@ -168,6 +171,11 @@
 		if !ok {
 			continue
 		}
+		done, complete := t.watch.first(id, time.Time{}, func(s sample) bool {
+			m, ok := s.move()
+			return ok && m.Phase == admin.PhaseDone
+		})
+		t.check(BadVersion, !complete || at.Before(done), "%s gave the bad version all requests for %v before it rolled back", id, at.Sub(done).Round(10*time.Millisecond))
 		if first.IsZero() || at.Before(first) {
 			first = at
 		}
--- a/internal/bench/matrix/trial.go
+++ b/internal/bench/matrix/trial.go
@@ -285,7 +285,7 @@
 	t.top.Entries = slices.DeleteFunc(t.top.Entries, func(o demo.EntryInstance) bool { return o.ID == e.ID })
 }
 
-// killBackend kills a backend server or waits for its end if it is reclaimed.
+// dropBackend kills a backend server or waits for its end if it is reclaimed.
 func (t *trial) dropBackend(s demo.BackendServer, kill bool) error {
 	if kill {
 		s.Process.Kill()
--- a/internal/caller/openai/attempt.go
+++ b/internal/caller/openai/attempt.go
@@ -328,7 +328,9 @@
 	} else {
 		r.exclude = append(r.exclude, r.backend.ID)
 	}
-	r.free = reason == engine.ReasonLeaving
+	// A server that could not be reached received nothing, so another attempt
+	// adds no load to it.
+	r.free = reason == engine.ReasonLeaving || reason == engine.ReasonDial
 	if reason == engine.ReasonVersion {
 		r.s.c.Fleet.RefusedVersion(r.backend.ID, r.version)
 		return
--- a/internal/caller/openai/fault_test.go
+++ b/internal/caller/openai/fault_test.go
@@ -165,6 +165,19 @@
 	is.Equal(s.engines[1].runs.Load()+s.engines[2].runs.Load(), int64(0))
 }
 
+// Guards against a request that is rejected because the server that it was
+// sent to had just ended, while others have capacity.
+func TestServerEnded(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 3, nil)
+	s.budget.Store(0)
+	s.engines[0].Close()
+	res, b := s.post(t, "/v1/chat/completions", body("a", false))
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.True(strings.Contains(b, expected("a")))
+	is.Equal(s.lastRequest(t).Attempts, 2)
+}
+
 // Guards against an announced reclaim that fails a request: with time the KV
 // cache is moved, without it the response is resumed, and a short rest is
 // finished where it is. None is charged to the retry budget.
