--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -10,6 +11,10 @@
 	"pgregory.net/rapid"
 )
 
+// The seed is fixed, so that every run gives the same verdict; -rapid.seed and
+// -rapid.checks search further.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 var epoch = time.Unix(1_000_000, 0)
 
 func drawMember(t *rapid.T) Member {
@@ -165,6 +170,27 @@
 	}
 }
 
+// Guards against counters that flood the full mesh, and against ones that do
+// not cross failure domains.
+func TestRelays(t *testing.T) {
+	table, ms := grid(3, 2) // the own ID is e0-0
+	for _, c := range []struct {
+		to     int
+		origin string
+		want   bool
+	}{
+		{1, "e0-0", true}, {2, "e0-0", true}, // own
+		{1, "e0-1", false}, {2, "e0-1", true}, // of the own failure domain
+		{1, "e1-0", true}, {4, "e1-0", true}, // of another one
+		{2, "e1-0", false}, {3, "e1-0", false}, // back to where it came from
+		{1, "gone", true}, // of a forgotten member
+	} {
+		if got := table.Relays(ms[c.to], c.origin); got != c.want {
+			t.Errorf("what %s originated, to %s: got %v, want %v", c.origin, ms[c.to].ID, got, c.want)
+		}
+	}
+}
+
 // Guards against a partitioned instance that does not notice it.
 func TestIsolated(t *testing.T) {
 	for heard, want := range []bool{true, false, false, false} { // of 4 domains, beyond the own one
@@ -202,3 +228,37 @@
 		}
 	}
 }
+
+// Guards against heartbeats whose rate grows with the failure domain, and
+// against suspicion that is faster than the heartbeats then are.
+func TestPeriodGrowsWithFailureDomain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		members int
+		period  time.Duration
+	}{
+		{1, time.Second},
+		{33, time.Second},
+		{51, 1530 * time.Millisecond},
+		{400, 3 * time.Second},
+	} {
+		table := NewTable(Member{ID: "self", Incarnation: 1, FailureDomain: "a"})
+		for i := 1; i < tt.members; i++ {
+			table.Heard(Member{ID: fmt.Sprint("m", i), Incarnation: 1, FailureDomain: "a"}, now)
+			table.Heard(Member{ID: fmt.Sprint("r", i), Incarnation: 1, FailureDomain: "b"}, now)
+		}
+		if got := table.Period(); got != tt.period {
+			t.Errorf("%d members: got period %v, want %v", tt.members, got, tt.period)
+		}
+		if tt.members == 1 {
+			continue
+		}
+		last := fmt.Sprint("m", tt.members-1)
+		if !slices.Contains(table.Live("a", now.Add(missedBeats*tt.period-1)), last) {
+			t.Errorf("%d members: %s is suspected before three periods", tt.members, last)
+		}
+		if slices.Contains(table.Live("a", now.Add(missedBeats*tt.period+1)), last) {
+			t.Errorf("%d members: %s is not suspected after three periods", tt.members, last)
+		}
+	}
+}
--- a/internal/peer/journal/journal.go
+++ b/internal/peer/journal/journal.go
@@ -54,6 +54,11 @@
 	// Gap is the minimal time between the starts of two writes of a shard.
 	// Default 10 ms.
 	Gap time.Duration
+	// CompleteGap is how long a completion or a removal waits for a reservation
+	// to be written with. It saves up to half of the writes, but Complete takes
+	// that much longer, so that it suits callers that answer the client first.
+	// Default 0: it is written at once.
+	CompleteGap time.Duration
 	// StoreTimeout limits each call of the store. Default 1 s.
 	StoreTimeout time.Duration
 	// PeerTimeout limits a call to the owner, after which the instance writes
@@ -192,8 +197,9 @@
 
 // Complete records the response to a call that attempt reserved. If notRun is
 // true, the backend server proved that it did not run the call, and the
-// reservation is removed. An error has the type Lost; the key then stays
-// reserved, and a repeated call is answered as pending.
+// reservation is removed. It returns when that is durable. An error has the
+// type Lost; the key then stays reserved, and a repeated call is answered as
+// pending.
 func (j *Journal) Complete(ctx context.Context, k journal.Key, attempt string, notRun bool, response *journal.Response) (recorded bool, err error) {
 	op := journal.Op{Kind: journal.Complete, Key: k, Attempt: attempt, Response: response}
 	if notRun {
@@ -252,12 +258,12 @@
 }
 
 func (j *Journal) reserveAt(ctx context.Context, owner string, shard uint32, op journal.Op) (journal.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, j.config.PeerTimeout)
+	limited, cancel := context.WithTimeout(ctx, j.config.PeerTimeout)
 	defer cancel()
-	reply, err := j.config.Peers.Reserve(ctx, owner, &peerpb.ReserveRequest{
+	reply, err := j.config.Peers.Reserve(limited, owner, &peerpb.ReserveRequest{
 		Shard: shard, Key: op.Key[:], Attempt: op.Attempt, Fingerprint: op.Fingerprint,
 	})
-	j.reached(owner, err)
+	j.reached(ctx, owner, err)
 	if err != nil {
 		return journal.Result{}, err
 	}
@@ -265,12 +271,12 @@
 }
 
 func (j *Journal) completeAt(ctx context.Context, owner string, shard uint32, op journal.Op) (*peerpb.CompleteReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, j.config.PeerTimeout)
+	limited, cancel := context.WithTimeout(ctx, j.config.CompleteGap+j.config.PeerTimeout)
 	defer cancel()
-	reply, err := j.config.Peers.Complete(ctx, owner, &peerpb.CompleteRequest{
+	reply, err := j.config.Peers.Complete(limited, owner, &peerpb.CompleteRequest{
 		Shard: shard, Key: op.Key[:], Attempt: op.Attempt, NotRun: op.Kind == journal.Remove, Response: toWire(op.Response),
 	})
-	j.reached(owner, err)
+	j.reached(ctx, owner, err)
 	return reply, err
 }
 
@@ -292,8 +298,12 @@
 }
 
 // reached notes whether a call to owner succeeded. An unreachable owner is
-// avoided for a second, so that only a few calls wait for it.
-func (j *Journal) reached(owner string, err error) {
+// avoided for a second, so that only a few calls wait for it. A call that ended
+// because its own context did says nothing about the owner.
+func (j *Journal) reached(ctx context.Context, owner string, err error) {
+	if err != nil && ctx.Err() != nil {
+		return
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if err == nil {
@@ -331,7 +341,7 @@
 	defer j.mu.Unlock()
 	w, ok := j.writers[shard]
 	if !ok {
-		w = &writer{j: j, shard: shard, wake: make(chan struct{}, 1)}
+		w = &writer{j: j, shard: shard, wake: make(chan struct{}, 1), nudge: make(chan struct{}, 1)}
 		j.writers[shard] = w
 		if j.ctx.Err() == nil {
 			j.wg.Go(w.run)
