Route by the first thousand tokens of the prompt, with turns kept per entry

Cause: routing was given the hash of the conversation, so that clients with the same long system prompt spread over all servers, and no length, so that short questions were sent by affinity too.

--- a/cmd/wasabiworks/serve.go
+++ b/cmd/wasabiworks/serve.go
@@ -24,7 +24,8 @@
 // Policies by the names that the settings allow.
 var (
 	routePolicies = map[string]route.Policy{
-		"combined": new(route.Combined), "affinity": route.Affinity{}, "round-robin": new(route.RoundRobin), "least-loaded": route.LeastLoaded{},
+		"combined": new(route.ByEntry[route.Combined, *route.Combined]), "affinity": route.Affinity{},
+		"round-robin": new(route.ByEntry[route.RoundRobin, *route.RoundRobin]), "least-loaded": route.LeastLoaded{},
 	}
 	movePolicies = map[string]move.Policy{"sequential": move.Sequential{}, "fixed-steps": move.FixedSteps{}}
 )
--- a/internal/caller/openai/choose.go
+++ b/internal/caller/openai/choose.go
@@ -95,8 +95,9 @@
 		}
 		r.imported = ""
 	}
+	prefix, tokens := prefixOf(r.g.prompt)
 	return r.s.c.Router.Pick(view, route.Request{
-		Entry: r.g.entry, Version: r.version, FailureDomain: r.s.c.FailureDomain, Prefix: r.g.conversation,
+		Entry: r.g.entry, Version: r.version, FailureDomain: r.s.c.FailureDomain, Prefix: prefix, PrefixTokens: tokens,
 		Interactive: r.g.interactive, Exclude: exclude,
 	}, r.s.c.Now(), r.s.c.Random())
 }
--- a/internal/caller/openai/request.go
+++ b/internal/caller/openai/request.go
@@ -17,6 +17,14 @@
 	RouteCompletions = "completions"
 )
 
+const (
+	// bytesPerToken is the usual mean of tokenizers for English text.
+	bytesPerToken = 4
+	// prefixBytes is the length of the beginning that routing goes by. It is
+	// 1,000 tokens, from which a prefix is worth affinity.
+	prefixBytes = 1000 * bytesPerToken
+)
+
 // completion is a decoded request for a completion.
 type completion struct {
 	id, route, model, key, resume string
@@ -204,6 +212,14 @@
 	return nil
 }
 
+// prefixOf returns the hash of the beginning of a prompt and its length in
+// tokens. Prompts that share more than that, such as a long system prompt or
+// the turns of a long conversation, have the same hash.
+func prefixOf(prompt string) (hash uint64, tokens int) {
+	n := min(len(prompt), prefixBytes)
+	return hashConversation(prompt[:n]), max(1, n/bytesPerToken)
+}
+
 func hashConversation(s string) uint64 {
 	if h := xxhash.Sum64String(s); h != 0 {
 		return h
--- /dev/null
+++ b/internal/decide/route/byentry.go
@@ -0,0 +1,45 @@
+package route
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// ByEntry keeps a policy P for each catalogue entry, so that the turns of one
+// entry don't depend on the requests of another. The zero value is ready; a
+// ByEntry must not be copied.
+type ByEntry[P any, PP interface {
+	*P
+	Policy
+}] struct {
+	policies atomic.Pointer[map[string]PP]
+	mu       sync.Mutex // serialises additions
+}
+
+// Pick returns the choice of the entry's policy.
+func (p *ByEntry[P, PP]) Pick(bs []Backend, r Request, now time.Time, random uint64) (index int, ok bool) {
+	return p.of(r.Entry).Pick(bs, r, now, random)
+}
+
+func (p *ByEntry[P, PP]) of(entry string) PP {
+	if m := p.policies.Load(); m != nil {
+		if policy, ok := (*m)[entry]; ok {
+			return policy
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[string]PP)
+	if m := p.policies.Load(); m != nil {
+		if policy, ok := (*m)[entry]; ok {
+			return policy
+		}
+		next = maps.Clone(*m)
+	}
+	policy := PP(new(P))
+	next[entry] = policy
+	p.policies.Store(&next)
+	return policy
+}
