Let a new instance learn vetoes before it is ready, and compress pulls

Change: an instance is ready once all vetoes were looked for in the store, or a peer has told its own, or 5 s have passed with neither; pulls carry the catalogue compressed.

--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -133,7 +133,8 @@
 	i.mover = &mover{
 		policy: i.config.Move, evidence: table, isolated: i.members.Isolated, store: store, now: i.now,
 		log: i.config.Log, metrics: i.metrics,
-		holder: func() bool { return i.members.Holder(i.now()) == i.config.ID }, wake: make(chan struct{}, 1), stored: make(map[string]bool),
+		holder: func() bool { return i.members.Holder(i.now()) == i.config.ID }, wake: make(chan struct{}, 1), accepted: make(chan struct{}, 1),
+		stored: make(map[string]bool),
 	}
 	i.mover.vetoes = newVetoes(i.mover.vetoed)
 }
@@ -240,6 +241,10 @@
 		Revision: func() int64 { return i.propagator.Revision() },
 		Watching: func() bool { return i.propagator.Watching() },
 		Heard: func(from membership.Member, revision int64, watching bool) {
+			// The digest of a peer with a catalogue held its vetoes.
+			if revision > 0 {
+				i.mover.settled.Store(true)
+			}
 			i.propagator.Heard(from.ID, from.FailureDomain, revision, watching)
 		},
 		TLS:        i.config.PeerTLS,
--- a/internal/entry/instance/moves.go
+++ b/internal/entry/instance/moves.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +25,10 @@
 	decidePeriod = 250 * time.Millisecond
 	// vetoRetry is the time between two attempts to write or read a veto.
 	vetoRetry = 2 * time.Second
-	storeCall = time.Second
+	// settleTime is how long a new instance waits for vetoes when it reaches
+	// neither the store nor a peer.
+	settleTime = 5 * time.Second
+	storeCall  = time.Second
 )
 
 // veto rolls a move back. It is sticky: there is no opposite.
@@ -78,8 +82,15 @@
 	holder  func() bool
 	metrics *burn.Metrics
 
+	// settled is true once the vetoes of the moves are known: all were looked
+	// for in the store, a peer has told its own, or settleTime has passed with
+	// neither. Before, a new instance could send requests to a version that was
+	// rolled back.
+	settled atomic.Bool
 	// wake asks for a decision before the next period.
 	wake chan struct{}
+	// accepted tells keep of a new catalogue.
+	accepted chan struct{}
 
 	current atomic.Pointer[published]
 
@@ -135,6 +146,10 @@
 	defer m.mu.Unlock()
 	previous := m.current.Load()
 	m.publish(s)
+	select {
+	case m.accepted <- struct{}{}:
+	default:
+	}
 	if previous == nil {
 		return
 	}
@@ -249,6 +264,8 @@
 // keep writes vetoes to the store and reads those that others wrote, until ctx
 // ends. The store may be away; peers spread vetoes without it.
 func (m *mover) keep(ctx context.Context) error {
+	settle := time.NewTimer(settleTime)
+	defer settle.Stop()
 	retry := time.NewTicker(vetoRetry)
 	defer retry.Stop()
 	for {
@@ -256,6 +273,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-settle.C:
+			m.settled.Store(true)
+		case <-m.accepted:
 		case <-retry.C:
 		}
 	}
@@ -263,17 +283,19 @@
 
 func (m *mover) keepOnce(ctx context.Context) {
 	p := m.current.Load()
-	if p == nil || !m.holder() {
+	if p == nil || m.settled.Load() && !m.holder() {
 		return
 	}
 	for _, s := range p.moves {
-		if m.stored[s.record.ID] || m.now().After(s.record.KeepUntil) {
+		if m.stored[s.record.ID] {
 			continue
 		}
 		if err := m.keepVeto(ctx, s.record.ID); err != nil {
 			return // the store is away; the next round tries again
 		}
 	}
+	m.settled.Store(true)
+	maps.DeleteFunc(m.stored, func(id string, _ bool) bool { return !m.known(id) })
 }
 
 // keepVeto makes the store and the veto set agree on one move. A veto is
--- /dev/null
+++ b/internal/entry/instance/moves_test.go
@@ -0,0 +1,119 @@
+package instance
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
+	"wasabiworks.example/wasabiworks/internal/decide/move"
+	"wasabiworks.example/wasabiworks/internal/operator/burn"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+	"wasabiworks.example/wasabiworks/internal/platform/kv"
+	"wasabiworks.example/wasabiworks/internal/platform/kv/kvtest"
+)
+
+var moveStart = time.Unix(100_000, 0)
+
+// testMove is a move of an hour whose old version is kept for another.
+var testMove = catalogue.Move{
+	ID: "e-1", Entry: "e", From: "old", To: "new",
+	Start: moveStart, Deadline: moveStart.Add(time.Hour), KeepUntil: moveStart.Add(2 * time.Hour),
+}
+
+func newTestMover(t *testing.T, store kv.Store, now *time.Time) *mover {
+	t.Helper()
+	metrics, err := burn.New(burn.Config{Registry: prometheus.NewRegistry()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &mover{
+		policy: move.Sequential{}, evidence: new(evidence.Table), isolated: func(time.Time) bool { return false },
+		store: store, now: func() time.Time { return *now }, log: zap.NewNop(), metrics: metrics,
+		holder: func() bool { return false },
+		wake:   make(chan struct{}, 1), accepted: make(chan struct{}, 1), stored: make(map[string]bool),
+	}
+	m.vetoes = newVetoes(m.vetoed)
+	return m
+}
+
+func (m *mover) accepts(revision int64, moves ...catalogue.Move) {
+	m.accept(catalogue.NewSnapshot(revision, &catalogue.Catalogue{
+		Entries: []catalogue.Entry{{Name: "e", Version: "new"}}, Moves: moves,
+	}))
+}
+
+func (m *mover) versionOf(conversation uint64) string {
+	version, _, _ := m.Version(&m.Snapshot().Catalogue.Entries[0], conversation)
+	return version
+}
+
+// Guards against a new instance that sends requests to a version that was
+// rolled back, because nobody has told it of the veto, also after the old
+// version is no longer compared.
+func TestNewInstanceLearnsVetoFromStore(t *testing.T) {
+	for name, at := range map[string]time.Time{
+		"during the move":  moveStart.Add(30 * time.Minute),
+		"after keep-until": moveStart.Add(3 * time.Hour),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := kvtest.New()
+			data, err := json.Marshal(veto{Move: testMove.ID, Reason: "more failures than the old version", At: moveStart})
+			is.NoErr(err)
+			_, err = store.Put(t.Context(), "vetoes/"+testMove.ID, data, 0)
+			is.NoErr(err)
+			m := newTestMover(t, store, &at)
+			m.accepts(1, testMove)
+			is.True(!m.settled.Load())
+			m.keepOnce(t.Context())
+			is.True(m.settled.Load())
+			m.decide()
+			for conversation := range uint64(100) {
+				is.Equal(m.versionOf(conversation<<56), "old")
+			}
+		})
+	}
+}
+
+// Guards against an instance that takes part before it knows the vetoes while
+// the store is down.
+func TestNewInstanceIsNotSettledDuringOutage(t *testing.T) {
+	is := is.New(t)
+	store, now := kvtest.New(), moveStart.Add(time.Minute)
+	store.SetOutage(true)
+	m := newTestMover(t, store, &now)
+	m.accepts(1, testMove)
+	m.keepOnce(t.Context())
+	is.True(!m.settled.Load())
+	store.SetOutage(false)
+	m.keepOnce(t.Context())
+	is.True(m.settled.Load())
+}
+
+// Guards against a veto that is lost with the instances that know it: the
+// holder writes it to the store once.
+func TestHolderWritesVeto(t *testing.T) {
+	is := is.New(t)
+	store, now := kvtest.New(), moveStart.Add(time.Minute)
+	m := newTestMover(t, store, &now)
+	m.accepts(1, testMove)
+	m.keepOnce(t.Context())
+	m.vetoes.Put(veto{Move: testMove.ID, Reason: "more failures than the old version", At: now})
+	m.keepOnce(t.Context())
+	_, err := store.Get(t.Context(), "vetoes/"+testMove.ID)
+	is.Equal(err, kv.ErrAbsent) // this instance is not the holder
+	m.holder = func() bool { return true }
+	m.keepOnce(t.Context())
+	m.keepOnce(t.Context())
+	value, err := store.Get(t.Context(), "vetoes/"+testMove.ID)
+	is.NoErr(err)
+	is.True(json.Valid(value.Data))
+	is.Equal(store.Calls().Put, 1)
+	m.decide()
+	is.Equal(m.versionOf(0), "old")
+}
--- a/internal/entry/instance/operations.go
+++ b/internal/entry/instance/operations.go
@@ -35,6 +35,8 @@
 		return "instance is shutting down"
 	case !i.propagator.Ready():
 		return "instance has no catalogue yet"
+	case !i.mover.settled.Load():
+		return "instance does not know yet which versions were rolled back"
 	}
 	return ""
 }
--- a/internal/peer/config/config.go
+++ b/internal/peer/config/config.go
@@ -69,9 +69,11 @@
 // Snapshot is an accepted value of the catalogue.
 type Snapshot[T any] struct {
 	Revision int64
-	// Data is the encoded value, as peers pull it.
+	// Data is the encoded value.
 	Data  []byte
 	Value T
+
+	packed []byte // Data as peers pull it
 }
 
 // Propagator keeps the instance's catalogue current. Its methods are safe for
@@ -167,7 +169,7 @@
 	if s == nil || s.Revision <= r.GetHaveRevision() {
 		return &peerpb.Snapshot{}, nil
 	}
-	return &peerpb.Snapshot{Revision: s.Revision, Catalogue: s.Data}, nil
+	return &peerpb.Snapshot{Revision: s.Revision, Catalogue: s.packed}, nil
 }
 
 // Offer takes a value from the store, for instance the caller's own write, and
@@ -192,7 +194,7 @@
 			zap.Int64("revision", revision), zap.String("source", source), zap.Error(err))
 		return false
 	}
-	p.current.Store(&Snapshot[T]{Revision: revision, Data: data, Value: value})
+	p.current.Store(&Snapshot[T]{Revision: revision, Data: data, Value: value, packed: pack(data)})
 	p.metrics.accepted.WithLabelValues(source).Inc()
 	p.metrics.revision.Set(float64(revision))
 	if p.config.Changed != nil {
@@ -233,7 +235,12 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s, err := p.config.Pull(ctx, id, &peerpb.PullRequest{HaveRevision: p.Revision()})
-	accepted := err == nil && s.GetRevision() > 0 && p.receive("peer", s.GetRevision(), s.GetCatalogue())
+	accepted := false
+	if err == nil && s.GetRevision() > 0 {
+		var data []byte
+		data, err = unpack(s.GetCatalogue())
+		accepted = err == nil && p.receive("peer", s.GetRevision(), data)
+	}
 	if err != nil {
 		p.metrics.failed.WithLabelValues("pull").Inc()
 	}
