Measure the slopes of an entry instance and write the capacity page

Cause: nothing showed what a node costs at the target scale of 360 nodes and 2,000 workers, and the page that DEVELOPERS.md refers to was missing.

Change: cmd/slopes measures one real process against light peers, light workers and the platform fake, fits lines by least squares and writes docs/CAPACITY.md with plots and raw results. make capacity runs it.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,7 @@
 
 demo: build
 	bin/demo
+
+# capacity measures for about three minutes and writes docs/CAPACITY.md.
+capacity: build
+	bin/slopes
--- /dev/null
+++ b/internal/bench/slopes/local.go
@@ -0,0 +1,296 @@
+package slopes
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"runtime"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"google.golang.org/protobuf/proto"
+
+	"wasabiworks.example/wasabiworks/internal/backend/fleet"
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
+	"wasabiworks.example/wasabiworks/internal/decide/journal"
+	"wasabiworks.example/wasabiworks/internal/decide/membership"
+	"wasabiworks.example/wasabiworks/internal/decide/route"
+	"wasabiworks.example/wasabiworks/internal/operator/burn"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+	peerjournal "wasabiworks.example/wasabiworks/internal/peer/journal"
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+	"wasabiworks.example/wasabiworks/internal/platform/instances"
+)
+
+// responseSize is the size of the body of a plain service's response.
+const responseSize = 100
+
+// Local holds the measurements of single packages in the measuring process.
+type Local struct {
+	// Memory holds the heap in bytes by the number of elements.
+	Memory map[string]Line `json:"memory"`
+	// CPU holds seconds per call at the target scale; other work on the
+	// machine can only raise it, so the least of several is taken.
+	CPU map[string]float64 `json:"cpu"`
+	// Sizes holds encoded sizes in bytes and counts.
+	Sizes map[string]float64 `json:"sizes"`
+}
+
+// local measures single packages.
+func local() (*Local, error) {
+	l := &Local{Memory: make(map[string]Line), CPU: make(map[string]float64), Sizes: make(map[string]float64)}
+	for name, m := range map[string]struct {
+		largest int
+		build   func(n int) any
+	}{
+		"member":        {Target.Peers, func(n int) any { return newTable(n) }},
+		"evidence row":  {nodes * countersPerNode, func(n int) any { return newEvidence(n) }},
+		"worker":        {Target.Workers, func(n int) any { return newFleet(n) }},
+		"burn series":   {800, func(n int) any { return newMetrics(n) }},
+		"journal entry": {4000, func(n int) any { return newShard(n) }},
+	} {
+		l.Memory[name] = perElement(m.largest, m.build)
+	}
+	l.decisions()
+	l.metrics()
+	return l, errors.Join(l.list(), l.journal(), l.catalogue())
+}
+
+// perElement fits the heap of a structure over its number of elements.
+func perElement(largest int, build func(n int) any) Line {
+	var ps []Point
+	for _, n := range []int{largest / 4, largest / 2, largest} {
+		before := heap()
+		kept := build(n)
+		ps = append(ps, Point{float64(n), heap() - before})
+		runtime.KeepAlive(kept)
+	}
+	return Fit(ps)
+}
+
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC() // the first one only queues finalizers and cleanups
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// perCall returns the seconds that a call of f takes, the least of five
+// batches.
+func perCall(f func()) float64 {
+	f()
+	best := time.Duration(1 << 62)
+	for range 5 {
+		n, start := 0, time.Now()
+		for time.Since(start) < 40*time.Millisecond {
+			f()
+			n++
+		}
+		best = min(best, time.Since(start)/time.Duration(n))
+	}
+	return best.Seconds()
+}
+
+func newTable(n int) *membership.Table {
+	t := membership.NewTable(membership.Member{ID: "entry-self", Incarnation: 1, FailureDomain: domainName(0)})
+	var ms []membership.Member
+	for i := range n {
+		ms = append(ms, membership.Member{
+			ID: peerID(i), Incarnation: 1764837000000000000, FailureDomain: domainName(peerDomain(i)),
+			PeerAddress: fmt.Sprintf("10.0.%d.%d:9001", i/250, i%250), OperationsAddress: fmt.Sprintf("10.0.%d.%d:9002", i/250, i%250),
+		})
+	}
+	t.Merge(ms, time.Now())
+	return t
+}
+
+func newEvidence(rows int) *evidence.Table {
+	t := new(evidence.Table)
+	var rs []evidence.Record
+	for i := range rows {
+		version := oldVersion
+		if i%2 == 1 {
+			version = newVersion
+		}
+		rs = append(rs, evidence.Record{
+			Node:  fmt.Sprintf("%s/1764837000000000000", peerID(i/countersPerNode)),
+			Key:   evidence.Key{Move: moveID, Version: version, Route: "chat", Load: uint8(i % countersPerNode / 2)},
+			Count: evidence.Count{Answered: 1000},
+		})
+	}
+	t.Merge(rs)
+	return t
+}
+
+func fleetList(n int) (list []fleet.Instance) {
+	for i := range n {
+		w := newWorker(i, fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250))
+		list = append(list, fleet.Instance{ID: w.ID, Address: w.Address, Entry: w.Entry, FailureDomain: w.FailureDomain, Class: w.Class, Polled: true, Price: w.Price})
+	}
+	return list
+}
+
+func newFleet(n int) *fleet.Fleet {
+	f := fleet.New(fleet.Config{})
+	f.SetInstances(fleetList(n))
+	for i := range n {
+		f.Report(fleet.Report{Backend: workerID(i), Incarnation: fmt.Sprint(i), Running: 6, Queued: 1, Capacity: 16, Versions: []string{oldVersion, newVersion}, At: time.Now()})
+	}
+	return f
+}
+
+// newMetrics returns metrics whose history is full.
+func newMetrics(n int) *burn.Metrics { return scraped(n, prometheus.NewRegistry()) }
+
+func scraped(n int, r *prometheus.Registry) *burn.Metrics {
+	now := time.Now()
+	m, err := burn.New(burn.Config{Registry: r, Now: func() time.Time { return now }})
+	if err != nil {
+		panic(err) // a new registry has no collectors that could be in the way
+	}
+	for i := range n {
+		m.Outcome(entryName(i%30), workspaceName(i/30), burn.Good)
+	}
+	for range 25 * 60 {
+		now = now.Add(time.Minute)
+		m.Sample()
+	}
+	return m
+}
+
+func journalKey(i int) (k journal.Key) {
+	binary.LittleEndian.PutUint64(k[:], xxhash.Sum64String(fmt.Sprint(i)))
+	return k
+}
+
+// newShard returns a shard with completed calls.
+func newShard(n int) *journal.Shard {
+	s := new(journal.Shard)
+	for i := range n {
+		complete(s, i)
+	}
+	return s
+}
+
+// complete records a call and reports whether the shard had room.
+func complete(s *journal.Shard, i int) bool {
+	k, attempt := journalKey(i), fmt.Sprintf("%s/1764837000000000000/%d", peerID(i%360), i)
+	if status, _ := s.Reserve(k, attempt, uint64(i), time.Now()); status != journal.Reserved {
+		return false
+	}
+	return s.Complete(k, attempt, &journal.Response{Status: 200, ContentType: "application/json", Body: make([]byte, responseSize)})
+}
+
+// decisions measures what is computed periodically over the whole fleet.
+func (l *Local) decisions() {
+	now := time.Now()
+	t := newTable(Target.Peers)
+	l.CPU["links"] = perCall(func() { t.Links(now); t.Probes(now, 0); t.Expire(now) })
+	l.CPU["live and owner"] = perCall(func() { membership.Owner(1, t.Live(domainName(0), now)) })
+	l.CPU["live"] = perCall(func() { t.Live("", now) })
+	rows := newEvidence(nodes * countersPerNode)
+	l.Sizes["counter"] = float64(proto.Size(&peerpb.Digest{Counters: evidenceOf(peerID(0), 1000)})) / countersPerNode
+	l.CPU["evidence totals"] = perCall(func() { rows.Totals(moveID) })
+	f, list := newFleet(Target.Workers), fleetList(Target.Workers)
+	l.CPU["fleet rebuild"] = perCall(func() { f.SetInstances(list) })
+	view := f.View(entryName(0))
+	l.Sizes["servers per entry"] = float64(len(view))
+	l.CPU["pick"] = perCall(func() {
+		route.Affinity{}.Pick(view, route.Request{Entry: entryName(0), FailureDomain: domainName(0), Prefix: 7, Interactive: true}, now, 1)
+	})
+}
+
+// metrics measures one scrape.
+func (l *Local) metrics() {
+	r := prometheus.NewRegistry()
+	scraped(120, r)
+	h := promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+	l.CPU["scrape"] = perCall(func() {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+		n, _ := io.Copy(io.Discard, w.Body)
+		l.Sizes["scrape"] = float64(n)
+	})
+}
+
+// list measures the decoding of the instance list.
+func (l *Local) list() error {
+	var body struct {
+		Instances []instances.Instance `json:"instances"`
+	}
+	for i := range Target.Peers {
+		p := lightPeer{id: peerID(i), address: "10.0.100.100:9001", domain: peerDomain(i)}
+		body.Instances = append(body.Instances, p.listed())
+	}
+	for i := range Target.Workers {
+		body.Instances = append(body.Instances, newWorker(i, "10.1.100.100:8000"))
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	l.Sizes["instance list"] = float64(len(data))
+	l.CPU["list decode"] = perCall(func() {
+		body.Instances = nil
+		err = errors.Join(err, json.Unmarshal(data, &body))
+	})
+	return err
+}
+
+// journal measures how much a shard holds.
+func (l *Local) journal() error {
+	s := new(journal.Shard)
+	for n := 0; ; n++ {
+		if s.Size()+responseSize+256 > journal.MaxValue && l.Sizes["journal entries with response"] == 0 {
+			l.Sizes["journal entries with response"] = float64(n)
+		}
+		if !complete(s, n) {
+			l.Sizes["journal entries"] = float64(n)
+			break
+		}
+	}
+	data, err := peerjournal.Encode(s)
+	if err != nil {
+		return err
+	}
+	l.Sizes["journal shard"] = float64(len(data))
+	l.CPU["journal encode"] = perCall(func() {
+		_, e := peerjournal.Encode(s.Clone())
+		err = errors.Join(err, e)
+	})
+	return err
+}
+
+// catalogue measures the catalogue of the measurements.
+func (l *Local) catalogue() error {
+	data, err := encoded(0, true)
+	if err != nil {
+		return err
+	}
+	l.Sizes["catalogue"] = float64(len(data))
+	before := heap()
+	c, err := catalogue.Decode(data)
+	if err != nil {
+		return err
+	}
+	s := catalogue.NewSnapshot(1, c)
+	l.Sizes["catalogue heap"] = heap() - before
+	runtime.KeepAlive(s)
+	c.History = nil
+	short, err := catalogue.Encode(c)
+	l.Sizes["catalogue without history"] = float64(len(short))
+	l.CPU["catalogue decode"] = perCall(func() {
+		c, e := catalogue.Decode(data)
+		if e == nil {
+			catalogue.NewSnapshot(1, c)
+		}
+		err = errors.Join(err, e)
+	})
+	return err
+}
