Measure the pulls that the holder of the watch serves

Cause: the bytes that the holder of the watch sends to its failure domain were computed, and the size of a bare exchange included load reports, so that it seemed to shrink with the fleet.

Change: light peers of the holder's failure domain pull a new catalogue from the measured process. The slope of the CPU over the exchanges and the values measured at the target are on the page. Load reports are taken off the size of a bare exchange.

--- a/internal/bench/slopes/figures.go
+++ b/internal/bench/slopes/figures.go
@@ -50,6 +50,15 @@
 	}
 }
 
+// bareBytes is the size on the wire of an exchange without load reports, which
+// the process has of its own polls even if its peers send none.
+func bareBytes(w *Window) float64 {
+	if w.Rates["exchanges"] == 0 {
+		return 0
+	}
+	return (w.Rates["peers.sent"] - w.Rates["digest.loads"]) / w.Rates["exchanges"]
+}
+
 func peak(w *Window) float64 { return w.Peak }
 
 // Spread is the mean of the repeats with the least and the largest of them.
@@ -83,39 +92,57 @@
 	File          string // of the plot
 	Points        []Point
 	Line          Line
-	// Target is the size at the target scale.
-	Target float64
+	// Target is the size at the target scale, Measured the mean of the points
+	// there or 0.
+	Target, Measured float64
 }
 
 // slope fits a value over the runs that keep accepts. Values are multiplied by
 // scale before.
-func (r *Results) slope(s Slope, keep func(Shape) bool, x func(Shape) int, p phase, m measure, scale float64) Slope {
+func (r *Results) slope(s Slope, keep func(Shape) bool, x func(*Run) float64, p phase, m measure, scale float64) Slope {
 	for i := range r.Runs {
 		run := &r.Runs[i]
 		if w := p(run); keep(run.Shape) && w.Seconds > 0 {
-			s.Points = append(s.Points, Point{float64(x(run.Shape)), m(w) * scale})
+			s.Points = append(s.Points, Point{x(run), m(w) * scale})
 		}
 	}
-	s.Line = Fit(s.Points)
+	s.finish()
 	return s
 }
 
+// finish fits the line and takes the mean of the points at the target.
+func (s *Slope) finish() {
+	s.Line = Fit(s.Points)
+	n := 0.0
+	for _, p := range s.Points {
+		if p.X == s.Target {
+			s.Measured += p.Y
+			n++
+		}
+	}
+	if n > 0 {
+		s.Measured /= n
+	}
+}
+
 func byPeers(s Shape) bool   { return s.Workers == 20 && !s.Bare }
 func bareFleet(s Shape) bool { return s.Bare }
 func byWorkers(s Shape) bool { return s.Peers == Target.Peers && !s.Bare && !s.Holder }
 func notBare(s Shape) bool   { return !s.Bare }
 
-func peerCount(s Shape) int   { return s.Peers }
-func workerCount(s Shape) int { return s.Workers }
-func listed(s Shape) int      { return s.Peers + s.Workers + 1 }
+func peerCount(r *Run) float64     { return float64(r.Shape.Peers) }
+func workerCount(r *Run) float64   { return float64(r.Shape.Workers) }
+func listed(r *Run) float64        { return float64(r.Shape.Peers + r.Shape.Workers + 1) }
+func exchangeCount(r *Run) float64 { return r.Idle.Rates["exchanges"] }
 
 // Slopes returns all fits.
 func (r *Results) Slopes() []Slope {
 	peers, workers := float64(Target.Peers), float64(Target.Workers)
 	return []Slope{
 		r.slope(Slope{Name: "exchanges that the process starts", Unit: "1/s", X: "peers", File: "exchanges", Target: peers}, byPeers, peerCount, idle, rate("exchanges"), 1),
-		r.slope(Slope{Name: "bytes of a bare exchange on the wire, sent", Unit: "B", X: "peers", File: "heartbeat", Target: peers}, bareFleet, peerCount, idle, per("peers.sent", "exchanges"), 1),
+		r.slope(Slope{Name: "bytes of a bare exchange on the wire, sent", Unit: "B", X: "peers", File: "heartbeat", Target: peers}, bareFleet, peerCount, idle, bareBytes, 1),
 		r.slope(Slope{Name: "CPU of bare exchanges and of the idle process", Unit: "% of a core", X: "peers", File: "cpu-bare", Target: peers}, bareFleet, peerCount, idle, rate("cpu"), 100),
+		r.exchangeSlope(),
 		r.slope(Slope{Name: "CPU, 20 workers", Unit: "% of a core", X: "peers", File: "cpu-peers", Target: peers}, byPeers, peerCount, idle, rate("cpu"), 100),
 		r.slope(Slope{Name: "CPU, 359 peers", Unit: "% of a core", X: "workers", File: "cpu-workers", Target: workers}, byWorkers, workerCount, idle, rate("cpu"), 100),
 		r.slope(Slope{Name: "CPU with one version move, 20 workers", Unit: "% of a core", X: "peers", File: "cpu-move", Target: peers}, byPeers, peerCount, move, rate("cpu"), 100),
@@ -130,6 +157,12 @@
 	}
 }
 
+// exchangeSlope is the CPU of a process whose digests are bare.
+func (r *Results) exchangeSlope() Slope {
+	return r.slope(Slope{Name: "CPU of bare exchanges", Unit: "% of a core", X: "exchanges/s", File: "cpu-exchange", Target: realExchanges},
+		bareFleet, exchangeCount, idle, rate("cpu"), 100)
+}
+
 // pathSlope is the CPU of a request over the tokens of its response.
 func (r *Results) pathSlope() Slope {
 	s := Slope{Name: "CPU of a request", Unit: "ms", X: "tokens per request", File: "request", Target: tokensPerSecond / requestsPerSecond}
@@ -138,7 +171,7 @@
 			s.Points = append(s.Points, Point{p.Tokens / p.Requests, 1e3 * p.CPU / p.Requests})
 		}
 	}
-	s.Line = Fit(s.Points)
+	s.finish()
 	return s
 }
 
--- a/internal/bench/slopes/measure.go
+++ b/internal/bench/slopes/measure.go
@@ -68,6 +68,7 @@
 	Command string `json:"command"`
 	// Seconds is the time that the measurements took.
 	Seconds float64            `json:"seconds"`
+	Repeats int                `json:"repeats"`
 	Runs    []Run              `json:"runs"`
 	Path    []PathWindow       `json:"path"`
 	Journal map[string]float64 `json:"journal"`
@@ -80,7 +81,7 @@
 		return nil, err
 	}
 	start := time.Now()
-	r := &Results{Command: "make capacity"}
+	r := &Results{Command: "make capacity", Repeats: c.repeats()}
 	var err error
 	if r.Local, err = local(); err != nil {
 		return nil, err
@@ -93,16 +94,23 @@
 	return r, err
 }
 
+func (c Config) repeats() int {
+	if c.Quick {
+		return 1
+	}
+	return repeats
+}
+
 // runs measures all shapes, the same shape at different times.
 func (c Config) runs(ctx context.Context) (runs []Run, err error) {
-	plan, times := shapes, repeats
+	plan := shapes
 	if c.Quick {
-		plan, times = []Shape{shapes[0], shapes[len(shapes)-1]}, 1
+		plan = []Shape{shapes[0], shapes[len(shapes)-1]}
 	}
 	var mu sync.Mutex
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(parallel)
-	for repeat := range times {
+	for repeat := range c.repeats() {
 		for _, s := range plan {
 			g.Go(func() error {
 				start := time.Now()
@@ -154,11 +162,11 @@
 		return r, err
 	}
 	time.Sleep(warmUp)
-	return r, w.change(ctx, pid, &r)
+	return r, w.measureChanges(ctx, pid, &r)
 }
 
-// change measures catalogue changes.
-func (w *world) change(ctx context.Context, pid int, r *Run) error {
+// measureChanges measures catalogue changes.
+func (w *world) measureChanges(ctx context.Context, pid int, r *Run) error {
 	var errs []error
 	var err error
 	r.Change, err = w.counters.window(pid, changes*changePause, func() {
@@ -166,7 +174,7 @@
 			start := time.Now()
 			err := w.apply(ctx, 3+i, false)
 			if err == nil {
-				err = w.peers.announce(ctx, w.self.PeerAddress)
+				err = w.peers.announce(ctx)
 			}
 			if err == nil {
 				err = w.inEffect(ctx)
@@ -179,7 +187,9 @@
 	return errors.Join(append(errs, err)...)
 }
 
-// apply writes a catalogue to the store and gives it to the light peers.
+// apply writes a catalogue to the store and gives it to the light peers. The
+// write counts as sent to the platform, which no figure of a window with
+// changes uses.
 func (w *world) apply(ctx context.Context, change int, moving bool) error {
 	data, err := encoded(change, moving)
 	if err != nil {
--- a/internal/bench/slopes/page.go
+++ b/internal/bench/slopes/page.go
@@ -23,7 +23,7 @@
 
 	CPUIdle, CPUMove, MemoryIdle, MemoryMove, BytesIdle, BytesMove, InEffect Spread
 
-	Peers, Workers, Nodes, Domains, SaturatedNodes, Uses, Counters, Engines, Clients, Repeats, Parallel int
+	Peers, Workers, Nodes, Domains, SaturatedNodes, Uses, Counters, Engines, Clients, Parallel int
 
 	Minutes, HolderReads, JournalWrites, Exchanges, RealExchanges, Scale, CatalogueKB float64
 }
@@ -71,7 +71,7 @@
 		MemoryIdle: r.at(Target, idle, peak).times(1e-6), MemoryMove: r.at(Target, move, peak).times(1e-6),
 		BytesIdle: r.total(idle), BytesMove: r.total(move), InEffect: r.inEffect(),
 		Peers: Target.Peers, Workers: Target.Workers, Nodes: nodes, Domains: domains, SaturatedNodes: 256 / usesPerNode,
-		Uses: usesPerNode, Counters: countersPerNode, Engines: engines, Clients: pathClients, Repeats: repeats, Parallel: parallel,
+		Uses: usesPerNode, Counters: countersPerNode, Engines: engines, Clients: pathClients, Parallel: parallel,
 		Minutes: r.Seconds / 60, HolderReads: domains * r.at(holder, idle, rate("calls.GET-kv")).Mean, JournalWrites: r.Journal["calls.PUT-kv"],
 		Exchanges: r.at(Target, idle, rate("exchanges")).Mean, RealExchanges: realExchanges, Scale: r.scale(),
 		CatalogueKB: r.Local.Sizes["catalogue"] / 1e3,
@@ -110,7 +110,15 @@
 }
 
 func formatSpread(s Spread) string {
-	return fmt.Sprintf("%.3g (%.3g to %.3g)", s.Mean, s.Least, s.Largest)
+	return fmt.Sprintf("%s (%s to %s)", formatNumber(s.Mean), formatNumber(s.Least), formatNumber(s.Largest))
+}
+
+// formatNumber returns a number with at least three significant digits.
+func formatNumber(x float64) string {
+	if x >= 1000 {
+		return fmt.Sprintf("%.0f", x)
+	}
+	return fmt.Sprintf("%.3g", x)
 }
 
 // formatBytes returns a number of bytes with three significant digits.
--- a/internal/bench/slopes/path.go
+++ b/internal/bench/slopes/path.go
@@ -54,7 +54,7 @@
 	if err := w.backends(ctx, c.Binaries); err != nil {
 		return nil, nil, err
 	}
-	for repeat := range repeats {
+	for repeat := range c.repeats() {
 		for _, n := range pathTokens {
 			p, err := w.pathWindow(ctx, n)
 			if err != nil {
@@ -73,14 +73,14 @@
 func (w *world) backends(ctx context.Context, binaries string) error {
 	common := []string{"--platform", w.address, "--region", w.self.Region, "--failure-domain", w.self.FailureDomain}
 	for i := range engines {
-		cmd, err := w.run(binaries, "standin", append([]string{"engine", "--id", fmt.Sprintf("engine-%d", i), "--entry", entryName(0),
+		cmd, err := w.launch(binaries, "standin", append([]string{"engine", "--id", fmt.Sprintf("engine-%d", i), "--entry", entryName(0),
 			"--version", oldVersion, "--slots", "64", "--first-token", "5ms", "--between-tokens", "2ms"}, common...)...)
 		if err != nil {
 			return err
 		}
 		w.others = append(w.others, cmd)
 	}
-	cmd, err := w.run(binaries, "standin", append([]string{"service", "--id", "service-0", "--entry", entryName(languageEntries)}, common...)...)
+	cmd, err := w.launch(binaries, "standin", append([]string{"service", "--id", "service-0", "--entry", entryName(languageEntries)}, common...)...)
 	if err != nil {
 		return err
 	}
--- a/internal/bench/slopes/peers.go
+++ b/internal/bench/slopes/peers.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +53,8 @@
 	holder   *lightPeer // of domain 0, nil if it is the measured process
 
 	bare      bool
+	node      atomic.Pointer[grpc.ClientConn] // to the measured process
+	pulling   sync.WaitGroup
 	moving    atomic.Bool
 	catalogue atomic.Pointer[peerpb.Snapshot]
 }
@@ -63,8 +65,9 @@
 	domain      int
 	incarnation int64
 	beat        atomic.Uint64
-	carried     []string // nodes whose demand and evidence it sends
-	workers     []string // workers whose load reports it sends
+	revision    atomic.Int64 // heard from the measured process
+	carried     []string     // nodes whose demand and evidence it sends
+	workers     []string     // workers whose load reports it sends
 }
 
 // newPeers starts the light peers of a shape.
@@ -132,6 +135,9 @@
 		return nil, err
 	}
 	ps.count(d)
+	if ps.holder == nil && p.domain == 0 && p.revision.Swap(d.CatalogueRevision) < d.CatalogueRevision {
+		ps.pulling.Go(ps.pull)
+	}
 	return ps.digest(p), nil
 }
 
@@ -225,23 +231,53 @@
 	return cs
 }
 
+// connect opens the connection to the measured process.
+func (ps *peers) connect(address string) error {
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return conn{c, ps.counters, "served"}, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithNoProxy(), grpc.WithContextDialer(dial), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(4<<20)))
+	ps.node.Store(c)
+	return err
+}
+
 // announce lets the holder of the watch tell the process of a new revision, as
 // a real holder does at once.
-func (ps *peers) announce(ctx context.Context, address string) error {
+func (ps *peers) announce(ctx context.Context) error {
 	if ps.holder == nil {
 		return nil
 	}
-	c, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy())
-	if err != nil {
-		return err
+	_, err := peerpb.NewPeerClient(ps.node.Load()).Exchange(ctx, ps.digest(ps.holder))
+	return err
+}
+
+// pull pulls the catalogue from the process, as a peer of its failure domain
+// does that hears of a new revision from it.
+func (ps *peers) pull() {
+	node := ps.node.Load()
+	if node == nil {
+		return // the first revisions are heard before the address is known
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTime)
+	defer cancel()
+	if _, err := peerpb.NewPeerClient(node).Pull(ctx, &peerpb.PullRequest{}); err == nil {
+		ps.counters.add("pulls.served", 1)
 	}
-	_, err = peerpb.NewPeerClient(c).Exchange(ctx, ps.digest(ps.holder))
-	return errors.Join(err, c.Close())
 }
 
-func (ps *peers) stop() {
+func (ps *peers) stop() error {
 	ps.server.Stop()
+	ps.pulling.Wait()
 	_ = ps.serving.Wait() // Serve returns nil after Stop
+	if node := ps.node.Load(); node != nil {
+		return node.Close()
+	}
+	return nil
 }
 
 func workerID(i int) string { return fmt.Sprintf("worker-%04d", i) }
--- a/internal/bench/slopes/roles.go
+++ b/internal/bench/slopes/roles.go
@@ -81,14 +81,16 @@
 
 func (r *Results) membership() Role {
 	bare := Shape{Peers: Target.Peers, Workers: 20, Bare: true}
-	wire := r.at(bare, idle, per("peers.sent", "exchanges")).Mean
+	wire := r.at(bare, idle, bareBytes).Mean
+	line := r.exchangeSlope().Line
 	return Role{
 		Name: "membership: heartbeats", Mechanism: "peer/exchange, decide/membership: full mesh in the failure domain, two links to each other one", Control: true,
 		State:    fmt.Sprintf("%d members of %.0f B", nodes, r.Local.Memory["member"].Slope),
 		Messages: fmt.Sprintf("%.0f exchanges/s over %d links", realExchanges, localLinks+remoteLinks),
-		Bytes:    2 * wire * realExchanges, CPU: r.at(bare, idle, rate("cpu")).Mean, Memory: nodes * r.Local.Memory["member"].Slope, Store: "0",
-		Limit:  fmt.Sprintf("CPU: %d links in a failure domain at one exchange a second; membership.Table.Links sorts all members every 100 ms (%.2f ms a call)", localLinks, 1e3*r.Local.CPU["links"]),
-		Build:  "compute Links when the table changes, not per tick; a sparse mesh (8 links in the failure domain) before 50 nodes per failure domain",
+		Bytes:    2 * wire * realExchanges, CPU: line.At(realExchanges) / 100, Memory: nodes * r.Local.Memory["member"].Slope, Store: "0",
+		Limit: fmt.Sprintf("CPU: an exchange takes %.2f ms beside %.2f%% of a core of the idle process, so that the budget allows %.0f exchanges/s; the full mesh of a failure domain has %d links. membership.Table.Links sorts all members every 100 ms (%.2f ms a call)",
+			10*line.Slope, line.Intercept, (100*budgetCores-line.Intercept)/line.Slope, localLinks, 1e3*r.Local.CPU["links"]),
+		Build:  "compute Links when the table changes, not per tick; at most 8 links in the failure domain, with relays, before 20 nodes per failure domain",
 		Source: "runs[] with shape.bare, local.memory.member, local.cpu.links",
 	}
 }
@@ -111,7 +113,7 @@
 func (r *Results) configuration() Role {
 	size := r.Local.Sizes["catalogue"]
 	extra := r.exchangesPerChange()
-	bare := r.at(Shape{Peers: Target.Peers, Workers: 20, Bare: true}, idle, per("peers.sent", "exchanges")).Mean
+	bare := r.at(Shape{Peers: Target.Peers, Workers: 20, Bare: true}, idle, bareBytes).Mean
 	return Role{
 		Name: "configuration: every node", Mechanism: "peer/config: push of the revision by exchange, pull of the catalogue from the peer that offers it", Control: true,
 		State:    fmt.Sprintf("%.0f KB encoded, %.0f KB of it history", size/1e3, (size-r.Local.Sizes["catalogue without history"])/1e3),
@@ -133,19 +135,22 @@
 func (r *Results) watchHolder() Role {
 	holder := Target
 	holder.Holder = true
-	size := r.Local.Sizes["catalogue"]
 	gets := r.at(holder, idle, rate("calls.GET-kv")).Mean
 	reads := r.at(holder, idle, rate("body.kv")).Mean
-	served := changesPerSecond * size * localLinks
+	// The bytes of a change are told apart from those of the digests by the
+	// connection.
+	served := changesPerSecond * r.at(holder, change, rate("served.received")).times(changePause.Seconds()).Mean
+	served += changesPerSecond * r.at(holder, change, rate("served.sent")).times(changePause.Seconds()).Mean
+	pulls := r.at(holder, change, rate("pulls.served")).times(changePause.Seconds()).Mean
 	return Role{
 		Name: "configuration: holder of the watch", Mechanism: "peer/config: one node per failure domain watches the store, reads it every 2 s and serves the pulls of its failure domain", Control: true,
 		State:    "as every node",
-		Messages: fmt.Sprintf("%.2f reads/s, %.1f pulls/s served", gets, changesPerSecond*localLinks),
+		Messages: fmt.Sprintf("%.2f reads/s, %.0f pulls served per change", gets, pulls),
 		Bytes:    reads + served, CPU: changesPerSecond * r.Local.CPU["catalogue decode"], Memory: 0,
 		Store:  fmt.Sprintf("%.1f reads/s and %d pending watches", gets*domains, domains),
 		Limit:  fmt.Sprintf("bytes: %.0f KB/s of reads that change nothing and %.0f KB/s of pulls", reads/1e3, served/1e3),
 		Build:  "read a small key with the revision instead of the catalogue; pull from a peer chosen by hash among those that offer the revision, after a short random delay, so that copies spread as a tree",
-		Source: "runs[] with shape.holder: idle.rates calls.GET-kv, body.kv; pulls served are computed",
+		Source: "runs[] with shape.holder: idle.rates calls.GET-kv, body.kv; change.rates served.*, pulls.served",
 	}
 }
 
@@ -175,7 +180,7 @@
 		Limit: fmt.Sprintf("room: the shards hold the calls of 24 h at %.0f calls/s on average (%.1f with their responses), then calls are rejected; each write of a full shard carries %.0f KB and takes %.1f ms to encode",
 			perDay("journal entries"), perDay("journal entries with response"), r.Local.Sizes["journal shard"]/1e3, 1e3*r.Local.CPU["journal encode"]),
 		Build:  "a log of small values per shard and hour instead of one value per shard, so that a write carries its batch only; batches across shards before 150 calls/s, which make 300 writes/s",
-		Source: "journal, local.sizes journal entries, local.cpu journal encode",
+		Source: "journal (bytes to and from the store; CPU with the call itself; all shards owned by the process), local.sizes journal entries, local.cpu journal encode",
 	}
 }
 
--- a/internal/bench/slopes/world.go
+++ b/internal/bench/slopes/world.go
@@ -131,30 +131,37 @@
 	if w.log, err = os.Create(filepath.Join(logs, name+".log")); err != nil {
 		return err
 	}
-	if w.process, err = w.run(binaries, "wasabiworks", "serve", "--instance", w.self.ID,
+	if w.process, err = w.launch(binaries, "wasabiworks", "serve", "--instance", w.self.ID,
 		"--region", w.self.Region, "--failure-domain", w.self.FailureDomain, "--platform", w.address,
 		"--client-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0", "--operations-address", "127.0.0.1:0"); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, readyTime)
 	defer cancel()
+	if err := poll(ctx, 100*time.Millisecond, w.registered); err != nil {
+		return err
+	}
 	return poll(ctx, 100*time.Millisecond, w.complete)
 }
 
-// complete reports what is missing until the process knows the fleet.
-func (w *world) complete(ctx context.Context) error {
-	if w.self.OperationsAddress == "" {
-		list, err := instances.New(instances.Config{Address: w.address}).List(ctx)
-		if err != nil {
-			return err
-		}
-		for _, in := range list {
-			if in.ID == w.self.ID {
-				w.self = in
-			}
+// registered reports an error until the process is on the instance list, from
+// which its addresses are taken.
+func (w *world) registered(ctx context.Context) error {
+	list, err := instances.New(instances.Config{Address: w.address}).List(ctx)
+	if err != nil {
+		return err
+	}
+	for _, in := range list {
+		if in.ID == w.self.ID {
+			w.self = in
+			return w.peers.connect(in.PeerAddress)
 		}
-		return errors.New("process has not registered")
 	}
+	return errors.New("process has not registered")
+}
+
+// complete reports what is missing until the process knows the fleet.
+func (w *world) complete(ctx context.Context) error {
 	s, err := w.read(ctx)
 	if err != nil {
 		return err
@@ -185,8 +192,8 @@
 	return s, json.NewDecoder(p.Body).Decode(&s)
 }
 
-// run starts a program of this project.
-func (w *world) run(binaries, program string, args ...string) (*exec.Cmd, error) {
+// launch starts a program of this project.
+func (w *world) launch(binaries, program string, args ...string) (*exec.Cmd, error) {
 	cmd := exec.Command(filepath.Join(binaries, program), args...)
 	cmd.Stdout, cmd.Stderr = w.log, w.log
 	if err := cmd.Start(); err != nil {
@@ -205,7 +212,7 @@
 		errs = append(errs, end(cmd))
 	}
 	if w.peers != nil {
-		w.peers.stop()
+		errs = append(errs, w.peers.stop())
 	}
 	w.platform.Close()
 	for _, s := range w.http {
