Stop the measured processes when the output of slopes is closed

Cause: slopes | head ended slopes by SIGPIPE and left five processes running. The page also listed the reads and writes of vetoes as measured, which follow from the code.

Change: SIGPIPE cancels the run like SIGTERM, and a cancelled run of the request path returns its error. The page tells measured from computed values.

--- a/cmd/slopes/main.go
+++ b/cmd/slopes/main.go
@@ -39,7 +39,9 @@
 }
 
 func (s settings) run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// Without SIGPIPE, a reader that closes the output early would end this
+	// process at once and leave those that it started running.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGPIPE)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, s.Limit)
 	defer cancel()
--- a/internal/bench/slopes/path.go
+++ b/internal/bench/slopes/path.go
@@ -92,12 +92,12 @@
 }
 
 // pathWindow sends streamed requests from a fixed number of clients.
-func (w *world) pathWindow(ctx context.Context, maxTokens int) (p PathWindow, err error) {
+func (w *world) pathWindow(parent context.Context, maxTokens int) (p PathWindow, err error) {
 	p.MaxTokens = maxTokens
 	var requests, tokens, received atomic.Int64
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: pathClients}}
 	defer client.CloseIdleConnections()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	var wg sync.WaitGroup
 	var failed atomic.Pointer[error]
@@ -130,7 +130,7 @@
 	if f := failed.Load(); f != nil {
 		err = errors.Join(err, *f)
 	}
-	return p, errors.Join(err, err2)
+	return p, errors.Join(err, err2, parent.Err())
 }
 
 // stream sends a request and reads its response to the end.
--- a/internal/bench/slopes/roles.go
+++ b/internal/bench/slopes/roles.go
@@ -90,7 +90,7 @@
 		Bytes:    2 * wire * realExchanges, CPU: line.At(realExchanges) / 100, Memory: nodes * r.Local.Memory["member"].Slope, Store: "0",
 		Limit: fmt.Sprintf("CPU: an exchange takes %.2f ms beside %.2f%% of a core of the idle process, so that the budget allows %.0f exchanges/s; the full mesh of a failure domain has %d links. membership.Table.Links sorts all members every 100 ms (%.2f ms a call)",
 			10*line.Slope, line.Intercept, (100*budgetCores-line.Intercept)/line.Slope, localLinks, 1e3*r.Local.CPU["links"]),
-		Build:  "compute Links when the table changes, not per tick; at most 8 links in the failure domain, with relays, before 20 nodes per failure domain",
+		Build:  "before 20 nodes per failure domain: a datagram as the heartbeat and an exchange every few seconds, at once only for what is urgent; compute Links when the table changes, not per tick",
 		Source: "runs[] with shape.bare, local.memory.member, local.cpu.links",
 	}
 }
@@ -162,8 +162,8 @@
 		Messages: fmt.Sprintf("%.0f counters in a digest, %.0f exchanges/s", r.at(Target, move, per("sent.counters", "exchanges")).Mean, realExchanges),
 		Bytes:    r.bothWays(move, "digest.evidence").Mean,
 		CPU:      r.at(Target, move, rate("cpu")).Mean - r.at(Target, idle, rate("cpu")).Mean, Memory: rows * r.Local.Memory["evidence row"].Slope,
-		Store: fmt.Sprintf("%d reads within 2 s of a move's start, %d writes within 2 s of a veto", nodes, nodes),
-		Limit: fmt.Sprintf("message size: a peer that starts anew is sent all counters at once, %.0f KB a move; with %.0f moves in the catalogue, ended ones included, the digest exceeds the 1.1 MB of a message and no peer can exchange with it. Bytes: exchange.Evidence.Digest sends every node's counters to every link",
+		Store: fmt.Sprintf("%d reads within 2 s of a move's start, %d writes within 2 s of a veto (from the code)", nodes, nodes),
+		Limit: fmt.Sprintf("message size (computed): a peer that starts anew is sent all counters at once, %.0f KB a move; with %.0f moves in the catalogue, ended ones included, the digest exceeds the 1.1 MB of a message and no peer can exchange with it. Bytes: exchange.Evidence.Digest sends every node's counters to every link",
 			rows*r.Local.Sizes["counter"]/1e3, math.Ceil((1<<20+64<<10)/(rows*r.Local.Sizes["counter"]))),
 		Build:  "bound the counters in a digest as other sources do, and forget evidence at keep-until; send sums per failure domain to other failure domains (evidence.SinceDomains exists and is not used) and only own counters within the failure domain; let the holder of the watch alone read and write vetoes",
 		Source: "runs[].move.rates digest.evidence, sent.counters, cpu; local.memory evidence row",
