--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # SOURCES are the Go files written by hand.
 SOURCES := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build tools generate fmt lint vet test demo matrix bench capacity
+.PHONY: all build tools generate fmt lint vet test demo matrix capacity
 
 all: build
 
@@ -37,3 +37,7 @@
 # the machine, so it is not part of test.
 matrix: build
 	bin/matrix --report docs/fault-matrix.md
+
+# capacity measures for about three minutes and writes docs/CAPACITY.md.
+capacity: build
+	bin/slopes
--- a/internal/backend/fleet/fleet.go
+++ b/internal/backend/fleet/fleet.go
@@ -52,7 +52,10 @@
 	OnLeaving func(Mark)
 	// OnReport is called with each report of a server that this node polls.
 	OnReport func(Report)
-	Now      func() time.Time
+	// Nodes returns the number of nodes that choose among the same servers,
+	// this one included; nil means one.
+	Nodes func() int
+	Now   func() time.Time
 	// Interval is the time between polls, 500 ms by default.
 	Interval time.Duration
 	// PollTimeout bounds one poll, 300 ms by default.
@@ -81,9 +84,19 @@
 	cleared map[string]time.Time
 }
 
+// maxWeight bounds what one request of this node stands for. More would make a
+// server look full after a single request.
+const maxWeight = 5
+
+// weight returns the number of requests that one of this node stands for
+// between two load reports. Nodes route alike, so that others send to the same
+// server meanwhile; not all do, so that each counts half.
+func (f *Fleet) weight() int { return min(maxWeight, (f.c.Nodes()+1)/2) }
+
 // entry holds the published slice of one catalogue entry.
 type entry struct {
-	view atomic.Pointer[[]route.Backend]
+	weight func() int
+	view   atomic.Pointer[[]route.Backend]
 	// stale is true if a server has changed since view was made, and expired
 	// if time has passed that may change any server.
 	stale, expired atomic.Bool
@@ -97,6 +110,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Nodes == nil {
+		c.Nodes = func() int { return 1 }
+	}
 	if c.Share == nil {
 		c.Share = func(string) bool { return true }
 	}
@@ -154,7 +170,7 @@
 			e.publish(now)
 			return
 		}
-		bs[i] = s.backend(now)
+		bs[i] = s.backend(now, e.weight())
 	}
 	e.view.Store(&bs)
 }
@@ -165,12 +181,12 @@
 	bs := make([]route.Backend, 0, len(e.members))
 	for _, s := range e.members {
 		if !s.avoided(now) {
-			bs = append(bs, s.backend(now))
+			bs = append(bs, s.backend(now, e.weight()))
 		}
 	}
 	if len(bs) == 0 {
 		for _, s := range e.members {
-			bs = append(bs, s.backend(now))
+			bs = append(bs, s.backend(now, e.weight()))
 		}
 	}
 	e.view.Store(&bs)
@@ -224,7 +240,7 @@
 	for id, s := range servers {
 		e, ok := byEntry[s.in().Entry]
 		if !ok {
-			e = &entry{}
+			e = &entry{weight: f.weight}
 			byEntry[s.in().Entry] = e
 		}
 		s.entry.Store(e)
--- a/internal/backend/fleet/server.go
+++ b/internal/backend/fleet/server.go
@@ -82,9 +82,10 @@
 }
 
 // backend returns the server as the routing policies see it. The report lags,
-// so the node's own requests since the report are added to it, and the sum is
-// never below the node's own requests in flight.
-func (s *server) backend(now time.Time) route.Backend {
+// so the node's own requests since the report are added to it, times others for
+// those of other nodes, and the sum is never below the node's own requests in
+// flight.
+func (s *server) backend(now time.Time, others int) route.Backend {
 	own := s.inFlight.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,7 +100,7 @@
 	return route.Backend{
 		ID: s.in().ID, Address: s.in().Address, FailureDomain: s.in().FailureDomain,
 		Class: s.in().Class, Price: s.in().Price, Versions: s.versions(),
-		Running: max(s.report.Running+int(own-s.counted), int(own)), Queued: queued, Capacity: s.report.Capacity,
+		Running: max(s.report.Running+others*int(own-s.counted), int(own)), Queued: queued, Capacity: s.report.Capacity,
 		Reported: reported, Joined: s.joined, Incarnation: s.report.Incarnation,
 	}
 }
--- a/internal/decide/route/combined.go
+++ b/internal/decide/route/combined.go
@@ -10,6 +10,10 @@
 // without cause.
 const crowded = 1.5
 
+// spare is the load up to which a server has room at once. A request that
+// queues behind others at a server of a long prefix waits for whole responses.
+const spare = 0.9
+
 // Combined is Affinity for requests with a long prefix and takes turns among
 // the servers with room for the others: their cost is the unevenness of the
 // load, and a node's own turns are even without any report. The zero value is
@@ -22,12 +26,11 @@
 		return Affinity{}.Pick(bs, r, now, random)
 	}
 	m := survey(bs, &r, now)
-	limit := max(crowded, crowded*m.load)
-	room := 0
-	for i := range bs {
-		if eligible(&bs[i], &r) && bs[i].estimate(m.load, now) <= limit {
-			room++
-		}
+	limit := spare
+	room := count(bs, &r, &m, now, limit)
+	if room == 0 {
+		limit = max(crowded, crowded*m.load)
+		room = count(bs, &r, &m, now, limit)
 	}
 	if room == 0 {
 		return Affinity{}.Pick(bs, r, now, random)
@@ -44,3 +47,14 @@
 	}
 	return 0, false
 }
+
+// count returns the number of eligible servers with at most a load.
+func count(bs []Backend, r *Request, m *mean, now time.Time, limit float64) int {
+	n := 0
+	for i := range bs {
+		if eligible(&bs[i], r) && bs[i].estimate(m.load, now) <= limit {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -74,6 +74,8 @@
 	registry *prometheus.Registry
 	metrics  *burn.Metrics
 	draining atomic.Bool
+	// live is the number of live entry instances, this one included.
+	live atomic.Int64
 	// polled holds the backend servers that this instance polls.
 	polled atomic.Pointer[map[string]bool]
 
@@ -153,6 +155,7 @@
 	i.fleet = fleet.New(fleet.Config{
 		Poller: poller{i.engine},
 		Share:  i.polls,
+		Nodes:  func() int { return int(i.live.Load()) },
 		OnLeaving: func(m fleet.Mark) {
 			if i.leavings.Put(leaving{backend: m.Backend, until: m.Deadline}) {
 				i.exchange.Notify()
@@ -407,6 +410,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+			i.live.Store(int64(len(i.members.Live("", i.now()))))
 			i.assign()
 			i.limiter.share(i.mover.Snapshot(), i.now())
 			i.metrics.Sample()
