Retry bookings after a refused connection and judge unknown outcomes strictly

As for completions, an attempt after a refused connection was charged to a retry budget that is empty after the start.

Change: such an attempt is free in caller/services too; the server received nothing. The cells that lose an engine no longer accept unknown outcomes as beyond the retry budget: retries of all requests are far below the tenth that the design allows, so these cells fail with their cause in the table.

--- a/internal/bench/matrix/cell.go
+++ b/internal/bench/matrix/cell.go
@@ -26,8 +26,10 @@
 	// the design allows requests of the kind to fail. If empty, all must be
 	// answered, but for those lost with a killed entry instance.
 	completionsFail, bookingsFail string
-	loadTime                      time.Duration
-	platformArgs, engineArgs      []string
+	// cause explains why the cell fails, as far as it is known.
+	cause                    string
+	loadTime                 time.Duration
+	platformArgs, engineArgs []string
 }
 
 // Config configures Run.
@@ -43,8 +45,10 @@
 // Result is what a cell showed.
 type Result struct {
 	Cell, Fault string
-	Seed        uint64
-	Verdicts    map[Guarantee]Verdict
+	// Cause explains a failure, as far as it is known.
+	Cause    string
+	Seed     uint64
+	Verdicts map[Guarantee]Verdict
 	// Problems are the broken guarantees, Notes further measurements.
 	Problems, Notes []string
 	// Err is a failure of the runner; then nothing was checked.
@@ -69,7 +73,7 @@
 
 // Run runs a cell.
 func Run(ctx context.Context, c *Cell, config Config) Result {
-	result := Result{Cell: c.Name, Fault: c.Fault, Seed: config.Seed, Verdicts: make(map[Guarantee]Verdict)}
+	result := Result{Cell: c.Name, Fault: c.Fault, Cause: c.cause, Seed: config.Seed, Verdicts: make(map[Guarantee]Verdict)}
 	for _, g := range Guarantees {
 		result.Verdicts[g] = NotCovered
 	}
--- a/internal/bench/matrix/cells.go
+++ b/internal/bench/matrix/cells.go
@@ -8,6 +8,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/bench/demo"
 	"wasabiworks.example/wasabiworks/internal/bench/fault"
+	"wasabiworks.example/wasabiworks/internal/bench/load"
 	"wasabiworks.example/wasabiworks/internal/bench/platform"
 )
 
@@ -20,12 +21,17 @@
 	freezeTime = 5 * time.Second
 	outageTime = 6 * time.Second
 	// These say why requests may fail.
-	retryBudget = "attempts resume elsewhere within the retry budget"
 	mayHaveRun  = "a call that may have run is not repeated"
 	journalDown = "no new booking while the store is unavailable"
 	ownerLost   = "calls at the owner of a journal shard are lost with it"
 )
 
+// budgetCause is that of completions with an unknown outcome after the loss of
+// an engine.
+const budgetCause = `an entry instance earns a tenth of a retry on an engine with each first attempt there, and
+starts with none. With 36 pairs of instance and engine and 33 completions/s, each pair has about 0.4 of a retry
+when the fault begins, so streams are given up though the retries of all are far below a tenth of the load.`
+
 func instanceCells() []*Cell {
 	return []*Cell{
 		{Name: "none", Fault: "no fault", script: func(ctx, _ context.Context, t *trial) error {
@@ -46,13 +52,13 @@
 			script: func(ctx, _ context.Context, t *trial) error {
 				return during(func() error { return t.freezeEntries(freezeTime, t.domainEntries(failureDomains[0])...) }, func() { t.touch(ctx, "operator") })
 			}},
-		{Name: "engine-killed", Fault: "kill an engine", completionsFail: retryBudget,
+		{Name: "engine-killed", Fault: "kill an engine", cause: budgetCause,
 			script: func(ctx, _ context.Context, t *trial) error {
 				err := t.dropBackend(t.engine(), true)
 				t.touch(ctx, "operator")
 				return err
 			}},
-		{Name: "engine-frozen", Fault: "freeze an engine for 5 s",
+		{Name: "engine-frozen", Fault: "freeze an engine for 5 s", cause: budgetCause,
 			script: func(ctx, _ context.Context, t *trial) error {
 				p := t.engine().Process
 				return during(func() error { return t.freeze(freezeTime, p) }, func() { t.touch(ctx, "operator") })
@@ -60,6 +66,10 @@
 		{Name: "service-killed", Fault: "kill a plain service", bookingsFail: mayHaveRun,
 			script: func(_, _ context.Context, t *trial) error {
 				return t.dropBackend(t.top.Services[t.random.IntN(len(t.top.Services))], true)
+			},
+			verify: func(_ context.Context, t *trial) {
+				n := t.report.Classes["booking"].Outcomes[load.NotRun]
+				t.check(OwnResponse, n == 0, "%d bookings were rejected while two services could run them; codes %v", n, t.report.Codes)
 			}},
 		{Name: "service-frozen", Fault: "freeze a plain service for 5 s", bookingsFail: mayHaveRun,
 			script: func(_, _ context.Context, t *trial) error {
--- a/internal/bench/matrix/cells_version.go
+++ b/internal/bench/matrix/cells_version.go
@@ -16,19 +16,23 @@
 
 func versionCells() []*Cell {
 	return []*Cell{
-		versionCell("version-fails", "the new version fails at once", 0, fault.Fault{Kind: fault.Fail}),
-		versionCell("version-fails-later", "the new version fails from 5 s after the start of its move", faultAt+1500*time.Millisecond, fault.Fault{Kind: fault.Fail}),
-		versionCell("version-fails-under-load", "the new version fails while a fifth of the slots are busy", 0, fault.Fault{Kind: fault.FailUnderLoad, Value: "0.2"}),
-		versionCell("version-fails-on-route", "the new version fails on text completions", 0, fault.Fault{Kind: fault.FailRoute, Value: "completions"}),
-		versionCell("version-slow", "the new version is 6 times slower", 0, fault.Fault{Kind: fault.Slow, Value: "6"}),
+		versionCell("version-fails", "the new version fails at once", 0, fault.Fault{Kind: fault.Fail}, ""),
+		versionCell("version-fails-later", "the new version fails from 5 s after the start of its move", faultAt+1500*time.Millisecond, fault.Fault{Kind: fault.Fail}, ""),
+		versionCell("version-fails-under-load", "the new version fails while a fifth of the slots are busy", 0, fault.Fault{Kind: fault.FailUnderLoad, Value: "0.2"}, ""),
+		versionCell("version-fails-on-route", "the new version fails on text completions", 0, fault.Fault{Kind: fault.FailRoute, Value: "completions"}, routeCause),
+		versionCell("version-slow", "the new version is 6 times slower", 0, fault.Fault{Kind: fault.Slow, Value: "6"}, ""),
 	}
 }
 
+const routeCause = `the route has 3.6 requests/s. In a move of 10.5 s, near the shortest that a catalogue may
+have, the shares leave too few of them on the new version for the test, and the owner's deadline takes
+precedence (section 9).`
+
 // versionCell injects a fault of the new version into all engines at a time.
-func versionCell(name, text string, at time.Duration, f fault.Fault) *Cell {
+func versionCell(name, text string, at time.Duration, f fault.Fault, cause string) *Cell {
 	f.Version = newVersion
 	return &Cell{
-		Name: name, Fault: text, completionsFail: badVersion, loadTime: loadTime + watchTime,
+		Name: name, cause: cause, Fault: text, completionsFail: badVersion, loadTime: loadTime + watchTime,
 		script: func(ctx, _ context.Context, t *trial) error {
 			t.at(at)
 			injected := time.Now()
--- a/internal/bench/matrix/table.go
+++ b/internal/bench/matrix/table.go
@@ -76,6 +76,9 @@
 		for _, p := range r.Problems {
 			fmt.Fprintf(&b, "  - %s\n", oneLine(p))
 		}
+		if r.Cause != "" {
+			fmt.Fprintf(&b, "  - Cause: %s\n", oneLine(r.Cause))
+		}
 	}
 	b.WriteString(notCovered)
 	b.WriteString("\n## Measurements\n\n")
@@ -96,6 +99,10 @@
 - A network cut between failure domains: the fake cannot cut them off from each
   other. Freezing all entry instances of a failure domain stands in for it, but
   the frozen side serves nothing meanwhile.
+- A response that breaks off at an entry instance that is killed: it is counted
+  and not taken as a failure, since the design allows it (section 8).
+- The bound on a killed instance's bookings: a booking whose owner is lost may
+  stay unknown to its client.
 - Isolation of a failure domain that keeps serving (guarantees 2 and 8 there).
 - Loss of the store's data: the fake keeps it in memory, so its process cannot be
   restarted; an outage that breaks all calls stands in for a restart.
@@ -103,5 +110,4 @@
   under a lease.
 - Replacement instances that are refused, and regions cut off from each other.
 - Fences that an engine ignores.
-- A lost log of a client: outcomes are those that the load tool saw.
 `
--- a/internal/caller/services/attempt.go
+++ b/internal/caller/services/attempt.go
@@ -26,7 +26,9 @@
 	}
 	a.exclude = append(a.exclude, backend)
 	if service.IsNotRun(err) {
-		a.free = service.Reason(err) == "leaving"
+		// A server that could not be reached received nothing, so another
+		// attempt adds no load to it.
+		a.free = service.Reason(err) == "leaving" || service.Reason(err) == service.ReasonDial
 		if ctx.Err() == nil {
 			s.c.Fleet.Refused(backend, service.Reason(err))
 		}
--- a/internal/caller/services/boundary_test.go
+++ b/internal/caller/services/boundary_test.go
@@ -178,6 +178,20 @@
 	}
 }
 
+// Guards against calls that are rejected because a server has just ended, while
+// others could run them.
+func TestServiceEnded(t *testing.T) {
+	is := is.New(t)
+	first, second := newCutServer(t, "dial refused"), newCutServer(t, "none")
+	url, d := newSystem(t, first.Addr().String(), second.Addr().String())
+	d.broke = true
+	res, _, err := send(t, "POST", url+"/v1/services/kalendar-app/deposits", "10", "Idempotency-Key", "k")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+	_, ran := second.arrived()
+	is.Equal(ran, 1)
+}
+
 // Guards against a repeatable call that fails though another server runs it.
 func TestRepeatableMovesOn(t *testing.T) {
 	for _, b := range boundaries {
--- a/internal/caller/services/fake_test.go
+++ b/internal/caller/services/fake_test.go
@@ -29,6 +29,8 @@
 
 // deps stands in for the rest of an instance, with open limits.
 type deps struct {
+	// broke is true if the retry budgets are empty.
+	broke     bool
 	mu        sync.Mutex
 	entries   map[services.Key]*journalEntry
 	down      bool
@@ -51,7 +53,7 @@
 }
 func (d *deps) Version(*catalogue.Entry, uint64) (string, string, uint8) { return "v1", "", 0 }
 func (d *deps) Deposit(string)                                           {}
-func (d *deps) Withdraw(string) bool                                     { return true }
+func (d *deps) Withdraw(string) bool                                     { return !d.broke }
 func (d *deps) Verdict(uint64) openai.Verdict                            { return openai.Clear }
 func (d *deps) Crash(string, string, []uint64)                           {}
 func (d *deps) Attempt(*openai.Attempt)                                  {}
