Compare whole sessions of clients and operators with golden files

Cause: packages are tested on their own and the fault matrix checks guarantees statistically; nothing showed when a response, a header or an error message that clients and operators see changes as a whole.

Change: internal/bench/sessions runs two entry instances, two fake engines, a fake service and the fake platform in one process. Each session is a table of steps, whose transcript is compared with a golden file: completions, a resumed stream, a booking sent again, rejections, a store outage, the death of an engine in a stream, a version that is rolled back and a conflict of two operators. Steps wait for conditions, never for fixed times.

--- /dev/null
+++ b/internal/bench/sessions/operator_test.go
@@ -0,0 +1,145 @@
+package sessions
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/operator/admin"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+)
+
+// Tokens of the workspaces in the catalogue. That of the mills may make one
+// request in a quarter of an hour.
+const (
+	fairsToken = "fairs-token"
+	millsToken = "mills-token"
+)
+
+// settings are the parts of the catalogue that sessions change.
+type settings struct {
+	basedOn int64
+	version string
+	moveBy  time.Time
+	owner   string
+}
+
+// yaml returns the catalogue as operators write it. The objectives are far
+// above what a busy machine takes, so that no response counts as slow.
+func (s settings) yaml() string {
+	hash := func(token string) string {
+		sum := sha256.Sum256([]byte(token))
+		return hex.EncodeToString(sum[:])
+	}
+	if s.version == "" {
+		s.version = oldVersion
+	}
+	if s.owner == "" {
+		s.owner = "Jana"
+	}
+	move := ""
+	if !s.moveBy.IsZero() {
+		move = ", move-by: " + s.moveBy.UTC().Format(time.RFC3339)
+	}
+	return fmt.Sprintf(`based-on: %d
+workspaces:
+  - {name: fairs, owner: Jana, token-hashes: [%s]}
+  - {name: mills, owner: Asha, token-hashes: [%s]}
+entries:
+  - {name: %s, owner: %s, kind: language, class: interactive, version: "%s"%s,
+     objective: {first-token: 5m, between-tokens: 5m, success: 0.99},
+     limits: [{workspace: mills, requests-per-second: 0.002, concurrent: 2}]}
+  - {name: %s, owner: Jana, kind: service, class: interactive, version: "1",
+     objective: {first-token: 5m, success: 0.99}}
+`, s.basedOn, hash(fairsToken), hash(millsToken), languageEntry, s.owner, s.version, move, serviceEntry)
+}
+
+// propose checks a catalogue against the store.
+func (d *deployment) propose(author, yaml string) (*admin.Proposal, error) {
+	f, err := catalogue.ParseFile("catalogue.yaml", []byte(yaml))
+	if err != nil {
+		return nil, err
+	}
+	return d.store.Propose(context.Background(), f, author, "session")
+}
+
+// apply replaces the catalogue and returns its revision.
+func (d *deployment) apply(author, yaml string) (int64, error) {
+	p, err := d.propose(author, yaml)
+	if err != nil {
+		return 0, err
+	}
+	return d.store.Apply(context.Background(), p)
+}
+
+// apply is a step in which an operator applies a catalogue made from the
+// revision at hand, and waits until it is in effect.
+func apply(author string, s settings) step {
+	return func(x *session) {
+		s.basedOn = x.revision
+		p, err := x.propose(author, s.yaml())
+		if err != nil {
+			x.t.Fatal(err)
+		}
+		x.conclude(author, p)
+		for _, e := range x.entries {
+			x.eventually(e.id+" has the catalogue", func() bool { return x.status(e).CatalogueRevision >= x.revision })
+		}
+	}
+}
+
+// conclude writes a checked proposal to the store.
+func (x *session) conclude(author string, p *admin.Proposal) {
+	x.printf("$ %s applies\n", author)
+	for _, line := range p.Diff {
+		x.printf("  %s\n", line)
+	}
+	revision, err := x.store.Apply(context.Background(), p)
+	if err != nil {
+		x.printf("! %s\n\n", strings.ReplaceAll(err.Error(), "\n", "\n! "))
+		return
+	}
+	x.revision = revision
+	x.printf("applied\n\n")
+}
+
+// conflict is a step in which two operators edit the same revision. Both files
+// pass the checks before either is written.
+func conflict(first, second settings) step {
+	return func(x *session) {
+		first.basedOn, second.basedOn = x.revision, x.revision
+		a, err := x.propose("Jana", first.yaml())
+		if err != nil {
+			x.t.Fatal(err)
+		}
+		b, err := x.propose("Asha", second.yaml())
+		if err != nil {
+			x.t.Fatal(err)
+		}
+		x.conclude("Jana", a)
+		x.conclude("Asha", b)
+		if _, err := x.propose("Asha", second.yaml()); err != nil {
+			x.printf("$ Asha applies again\n! %s\n\n", strings.ReplaceAll(err.Error(), "\n", "\n! "))
+		}
+	}
+}
+
+// showMoves is a step that prints the moves in the status of all entry
+// instances once each is in a phase.
+func showMoves(phase string) step {
+	return func(x *session) {
+		for _, e := range x.entries {
+			x.eventually(e.id+" shows the move as "+phase, func() bool {
+				s := x.status(e)
+				return len(s.Moves) == 1 && s.Moves[0].Phase == phase
+			})
+			for _, m := range x.status(e).Moves {
+				x.printf("/status of %s: %s from %s to %s, share %v, %s: %s\n", e.id, m.Entry, m.From, m.To, m.Share, m.Phase, m.Reason)
+			}
+		}
+		x.printf("\n")
+	}
+}
