--- a/internal/caller/openai/handover.go
+++ b/internal/caller/openai/handover.go
@@ -87,7 +87,7 @@
 		maxTokens: q.MaxTokens, digest: q.Digest, fingerprint: fingerprint(h.Workspace, h.Entry, q.Prompt),
 		conversation: h.Prefix, interactive: q.Interactive, sent: true, tokens: h.Tokens, version: h.Version,
 	}
-	_, known := s.byID.LoadOrStore(g.id, g, g.weight(), now)
+	_, known := s.byID.LoadOrStore(g.id, g, g.weight()+int64(size+len(h.Workspace)+len(h.Entry)+len(h.Version)), now)
 	return !known
 }
 
