--- a/internal/entry/instance/fleetsync.go
+++ b/internal/entry/instance/fleetsync.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/backend/fleet"
@@ -11,8 +13,13 @@
 )
 
 const (
-	// reportKept is how long a load report counts.
-	reportKept = 10 * time.Second
+	// reportKept is how long a load report counts, and reportRepeat after what
+	// time it is sent again though the load hardly changed.
+	reportKept   = 10 * time.Second
+	reportRepeat = 2 * time.Second
+	// loadChange is the part of a server's capacity by which its load must
+	// change to be sent at once.
+	loadChange = 0.1
 	// relayLimit is the number of backend servers up to which load reports
 	// travel to other failure domains; above it they would exceed the budget of
 	// 22 KB/s for control.
@@ -98,6 +105,13 @@
 	})
 }
 
+// sameLoad reports whether two reports of a server lead to the same choices.
+func sameLoad(a, b fleet.Report) bool {
+	change := math.Abs(float64(a.Running + a.Queued - b.Running - b.Queued))
+	return a.Incarnation == b.Incarnation && a.Leaving == b.Leaving && a.Capacity == b.Capacity &&
+		slices.Equal(a.Versions, b.Versions) && change <= loadChange*float64(a.Capacity)
+}
+
 // crashes is the source and sink of the crash records.
 type crashes struct{ set *poison.Set }
 
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -161,7 +161,7 @@
 				i.exchange.Notify()
 			}
 		},
-		OnReport: func(r fleet.Report) { i.reports.Put(r) },
+		OnReport: i.publishReport,
 	})
 }
 
@@ -191,6 +191,15 @@
 	return m.FailureDomain
 }
 
+// publishReport spreads a report of a server that this instance polls, if it
+// says something new or the last one is getting old.
+func (i *Instance) publishReport(r fleet.Report) {
+	have, ok := i.reports.Get(r.Backend)
+	if !ok || r.At.Sub(have.At) >= reportRepeat || !sameLoad(have, r) {
+		i.reports.Put(r)
+	}
+}
+
 // relaysReport reports whether a member is sent a load report. The members of
 // the failure domain get it from the instance that polls the server. In a small
 // fleet reports also go to other failure domains, and are passed on there.
