Keep the retry budget by entry and start it with five retries

Change: one budget for each entry on an instance, filled with five retries; servers that left the instance list are forgotten.

--- a/internal/bench/slopes/measure.go
+++ b/internal/bench/slopes/measure.go
@@ -200,7 +200,7 @@
 	if err != nil {
 		return err
 	}
-	w.peers.catalogue.Store(&peerpb.Snapshot{Revision: revision, Catalogue: data})
+	w.peers.catalogue.Store(&peerpb.Snapshot{Revision: revision, Catalogue: compress(data)})
 	return nil
 }
 
--- a/internal/bench/slopes/peers.go
+++ b/internal/bench/slopes/peers.go
@@ -1,6 +1,8 @@
 package slopes
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"net"
@@ -316,3 +318,12 @@
 	fmt.Fprintf(w, `{"running":6,"queued":1,"capacity":16,"versions":[%q,%q],"state":"live","crashes":0,"incarnation":"1764837000000000000","at":%q}`,
 		oldVersion, newVersion, time.Now().Format(time.RFC3339Nano))
 }
+
+// compress returns a catalogue as peers send it.
+func compress(data []byte) []byte {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, _ = w.Write(data) // a bytes.Buffer does not fail
+	_ = w.Close()
+	return b.Bytes()
+}
--- a/internal/decide/retry/budget.go
+++ b/internal/decide/retry/budget.go
@@ -15,6 +15,14 @@
 // empty budget; the methods are safe for concurrent use.
 type Budget struct{ tenths atomic.Int64 }
 
+// initial is the number of retries that Fill allows.
+const initial = 5
+
+// Fill gives a new budget the allowance of a few retries. Without it a node
+// that has just started, or that has little traffic, could not replace an
+// attempt whose server is lost.
+func (b *Budget) Fill() { b.tenths.Store(initial * cost) }
+
 // Deposit records a first attempt.
 func (b *Budget) Deposit() {
 	for {
--- a/internal/decide/retry/budget_test.go
+++ b/internal/decide/retry/budget_test.go
@@ -63,3 +63,16 @@
 	}
 	is.Equal(retries, 10)
 }
+
+// Guards against a new budget that allows no retry, or a burst.
+func TestFill(t *testing.T) {
+	var b Budget
+	b.Fill()
+	got := 0
+	for b.Withdraw() {
+		got++
+	}
+	if got != initial {
+		t.Errorf("a filled budget allows %d retries, want %d", got, initial)
+	}
+}
--- a/internal/entry/instance/adapters.go
+++ b/internal/entry/instance/adapters.go
@@ -18,14 +18,24 @@
 // suspectKept is how long a crash record counts.
 const suspectKept = time.Hour
 
-// budgets holds the retry budget of each backend server.
-type budgets struct{ byBackend sync.Map }
+// budgets holds the retry budget of each entry. A budget for each backend
+// server would be empty when it is needed: in a large fleet a node sends a
+// server few requests, and those that it loses with one server need retries on
+// others. Routing spreads the retries like the requests, so that each server
+// receives at most a tenth extra.
+type budgets struct {
+	entryOf func(backend string) string
+	byEntry sync.Map // entry name to *retry.Budget
+}
 
 func (b *budgets) of(backend string) *retry.Budget {
-	if v, ok := b.byBackend.Load(backend); ok {
+	entry := b.entryOf(backend)
+	if v, ok := b.byEntry.Load(entry); ok {
 		return v.(*retry.Budget)
 	}
-	v, _ := b.byBackend.LoadOrStore(backend, new(retry.Budget))
+	fresh := new(retry.Budget)
+	fresh.Fill()
+	v, _ := b.byEntry.LoadOrStore(entry, fresh)
 	return v.(*retry.Budget)
 }
 
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -333,7 +333,7 @@
 
 func (i *Instance) newRequestPath() {
 	node := i.recorder.node
-	budget := new(budgets)
+	budget := &budgets{entryOf: i.platform.entryOf}
 	i.openai = openai.New(openai.Config{
 		Node: node, FailureDomain: i.config.FailureDomain, Snapshots: i.mover, Limiter: i.limiter, Versions: i.mover,
 		Router: i.config.Route, Fleet: i.fleet, Engine: i.engine, Budget: budget,
--- a/internal/entry/instance/platform.go
+++ b/internal/entry/instance/platform.go
@@ -44,8 +44,9 @@
 	now    func() time.Time
 	log    *zap.Logger
 
-	// domains maps each backend server's ID to its failure domain.
-	domains sync.Map
+	// domains maps each backend server's ID to its failure domain, and entries
+	// to its catalogue entry.
+	domains, entries sync.Map
 }
 
 // listen reads the instance list and registers the instance until ctx ends.
@@ -91,6 +92,7 @@
 	}
 	var entries []membership.Member
 	var servers []fleet.Instance
+	listed := make(map[any]bool)
 	for _, in := range all {
 		switch in.Role {
 		case instances.RoleEntry:
@@ -103,15 +105,33 @@
 				ID: in.ID, Address: in.Address, Entry: in.Entry, FailureDomain: in.FailureDomain, Class: in.Class,
 				Polled: in.Kind == instances.KindLanguage, Leaving: in.State == instances.StateLeaving, Price: in.Price,
 			})
+			listed[in.ID] = true
 			p.prices(in.ID, in.Price)
 			p.domains.Store(in.ID, in.FailureDomain)
+			p.entries.Store(in.ID, in.Entry)
 		}
 	}
+	p.domains.Range(func(id, _ any) bool {
+		if !listed[id] {
+			p.domains.Delete(id)
+			p.entries.Delete(id)
+		}
+		return true
+	})
 	p.members.List(entries, p.now())
 	p.fleet.SetInstances(servers)
 	return nil
 }
 
+// entryOf returns the catalogue entry of a backend server, or "".
+func (p *platform) entryOf(backend string) string {
+	entry, ok := p.entries.Load(backend)
+	if !ok {
+		return ""
+	}
+	return entry.(string)
+}
+
 // notices waits for reclaim notices while this instance is the one of its
 // failure domain that does so; the peers learn them by exchange.
 func (p *platform) notices(ctx context.Context) error {
