--- a/internal/backend/fleet/server.go
+++ b/internal/backend/fleet/server.go
@@ -128,6 +128,7 @@
 	if r.Incarnation == s.report.Incarnation && r.At.Before(s.report.At) {
 		return
 	}
+	r.Running, r.Queued, r.Capacity = max(r.Running, 0), max(r.Queued, 0), max(r.Capacity, 0)
 	s.report = r
 	s.counted = s.inFlight.Load()
 	s.without, s.fullUntil = nil, time.Time{}
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -393,7 +393,7 @@
 }
 
 // share computes once a second which servers to poll and the shares of the
-// limits, and samples the counters, until ctx ends.
+// limits, samples the counters and drops lapsed crash records, until ctx ends.
 func (i *Instance) share(ctx context.Context) error {
 	t := time.NewTicker(sharePeriod)
 	defer t.Stop()
@@ -405,6 +405,7 @@
 			i.assign()
 			i.limiter.share(i.mover.Snapshot(), i.now())
 			i.metrics.Sample()
+			i.poison.Expire(i.now())
 		}
 	}
 }
