--- a/internal/bench/slopes/peers.go
+++ b/internal/bench/slopes/peers.go
@@ -62,10 +62,10 @@
 	catalogue atomic.Pointer[peerpb.Snapshot]
 }
 
-// Load and demand that do not change are sent again with every second and every
-// third exchange, which is about the 2 s and 4 s of an instance.
+// Load and demand that do not change are sent again with every third exchange,
+// which is about the 4 s of an instance.
 const (
-	reportBeats = 2
+	reportBeats = 3
 	demandBeats = 3
 )
 
--- a/internal/entry/instance/fleetsync.go
+++ b/internal/entry/instance/fleetsync.go
@@ -16,7 +16,7 @@
 	// reportKept is how long a load report counts, and reportRepeat after what
 	// time it is sent again though the load hardly changed.
 	reportKept   = 10 * time.Second
-	reportRepeat = 2 * time.Second
+	reportRepeat = 4 * time.Second
 	// loadChange is the part of a server's capacity by which its load must
 	// change to be sent at once.
 	loadChange = 0.1
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -76,6 +76,8 @@
 	draining atomic.Bool
 	// live is the number of live entry instances, this one included.
 	live atomic.Int64
+	// small is true while load reports travel to all failure domains.
+	small atomic.Bool
 	// polled holds the backend servers that this instance polls.
 	polled atomic.Pointer[map[string]bool]
 
@@ -204,7 +206,7 @@
 // the failure domain get it from the instance that polls the server. In a small
 // fleet reports also go to other failure domains, and are passed on there.
 func (i *Instance) relaysReport(to membership.Member, r fleet.Report) bool {
-	small := i.servers() <= relayLimit
+	small := i.small.Load()
 	if i.polls(r.Backend) {
 		return small || to.FailureDomain == i.config.FailureDomain
 	}
@@ -420,6 +422,7 @@
 			return nil
 		case <-t.C:
 			i.live.Store(int64(len(i.members.Live("", i.now()))))
+			i.small.Store(i.servers() <= relayLimit)
 			i.assign()
 			i.limiter.share(i.mover.Snapshot(), i.now())
 			i.metrics.Sample()
