Send crash records in bounded digests and bound what peers can name

Cause: a digest held all changed crash records, of which the receiver took 1,024 while the sender counted all as delivered: of 2,000 the rest was lost. Records had no limit in number, and a peer's deadline could keep them forever.

--- a/internal/decide/poison/set.go
+++ b/internal/decide/poison/set.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -41,6 +43,10 @@
 	Deadline time.Time
 }
 
+// maxRows bounds the memory that peers can make a set use, to about 10 MB. A
+// request beyond it is not known to be a suspect.
+const maxRows = 1 << 16
+
 // Set holds the requests that were in flight at crashes. The zero value is
 // empty; the methods are safe for concurrent use.
 type Set struct {
@@ -99,21 +105,34 @@
 }
 
 // Since returns the records of the fingerprints that changed after version and
-// the version to ask from next.
-func (s *Set) Since(version uint64) (rs []Record, next uint64) {
+// the version to ask from next. It returns those of at most limit fingerprints,
+// the earliest changes first; 0 is no limit.
+func (s *Set) Since(version uint64, limit int) (rs []Record, next uint64) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
+	if version == s.version {
+		return nil, version
+	}
+	var changed []uint64
 	for fp, r := range s.rows {
-		if r.changed <= version {
-			continue
+		if r.changed > version {
+			changed = append(changed, fp)
 		}
-		for _, c := range r.crashes {
+	}
+	slices.SortFunc(changed, func(a, b uint64) int { return cmp.Compare(s.rows[a].changed, s.rows[b].changed) })
+	next = s.version
+	if limit > 0 && len(changed) > limit {
+		changed = changed[:limit]
+		next = s.rows[changed[limit-1]].changed
+	}
+	for _, fp := range changed {
+		for _, c := range s.rows[fp].crashes {
 			if c.process != "" {
 				rs = append(rs, Record{Fingerprint: fp, Process: c.process, Deadline: c.deadline})
 			}
 		}
 	}
-	return rs, s.version
+	return rs, next
 }
 
 // Expire drops the requests all of whose records lapsed before now.
@@ -131,7 +150,10 @@
 	if rec.Process == "" {
 		return false
 	}
-	have := s.rows[rec.Fingerprint]
+	have, known := s.rows[rec.Fingerprint]
+	if !known && len(s.rows) >= maxRows {
+		return false
+	}
 	crashes, changed := latest(have.crashes, crash{rec.Process, rec.Deadline})
 	if !changed {
 		return false
--- a/internal/entry/instance/fleetsync.go
+++ b/internal/entry/instance/fleetsync.go
@@ -24,8 +24,13 @@
 	// travel to other failure domains; above it they would exceed the budget of
 	// 22 KB/s for control.
 	relayLimit = 200
-	// maxFingerprints bounds the crash records in one digest.
-	maxFingerprints = 1024
+	// maxFingerprints bounds the requests in the crash records of one digest,
+	// each with at most two records.
+	maxFingerprints = 512
+	// maxVersions bounds the versions in a load report.
+	maxVersions = 64
+	// maxName bounds the names that a peer's digest may bring, in bytes.
+	maxName = 256
 )
 
 // leaving is the mark of a backend server that gets no new work.
@@ -63,7 +68,9 @@
 				if w.GetReclaim() != 0 {
 					l.reclaim = time.Unix(0, w.GetReclaim())
 				}
-				ls = append(ls, l)
+				if named(l.backend) {
+					ls = append(ls, l)
+				}
 			}
 			return ls
 		},
@@ -92,6 +99,9 @@
 		},
 		Take: func(d *peerpb.Digest) (rs []fleet.Report) {
 			for _, l := range d.GetLoads() {
+				if !named(l.GetBackend(), l.GetIncarnation()) || len(l.GetVersions()) > maxVersions || !named(l.GetVersions()...) {
+					continue
+				}
 				rs = append(rs, fleet.Report{
 					Backend: l.GetBackend(), Incarnation: l.GetIncarnation(), Running: int(l.GetRunning()), Queued: int(l.GetQueued()),
 					Capacity: int(l.GetCapacity()), Versions: l.GetVersions(), At: time.Unix(0, l.GetAt()), Leaving: l.GetLeaving(),
@@ -112,12 +122,25 @@
 		slices.Equal(a.Versions, b.Versions) && change <= loadChange*float64(a.Capacity)
 }
 
+// named reports whether names that a peer sent are of a usual length.
+func named(names ...string) bool {
+	return !slices.ContainsFunc(names, func(n string) bool { return len(n) > maxName })
+}
+
 // crashes is the source and sink of the crash records.
-type crashes struct{ set *poison.Set }
+type crashes struct {
+	set *poison.Set
+	now func() time.Time
+}
+
+// deadline returns a peer's deadline, but none later than this node would set.
+func (c crashes) deadline(nanoseconds int64) time.Time {
+	return time.Unix(0, min(nanoseconds, c.now().Add(suspectKept).UnixNano()))
+}
 
 // Digest implements exchange.Source.
 func (c crashes) Digest(_ membership.Member, since uint64, d *peerpb.Digest) (next uint64) {
-	rs, next := c.set.Since(since)
+	rs, next := c.set.Since(since, maxFingerprints)
 	for _, r := range rs {
 		d.Crashes = append(d.Crashes, &peerpb.Crash{
 			Backend: r.Process, Fingerprints: []uint64{r.Fingerprint}, Deadline: r.Deadline.UnixNano(),
@@ -132,8 +155,8 @@
 	var rs []poison.Record
 	for _, w := range d.GetCrashes() {
 		for _, fp := range w.GetFingerprints() {
-			if len(rs) < maxFingerprints {
-				rs = append(rs, poison.Record{Fingerprint: fp, Process: w.GetBackend(), Deadline: time.Unix(0, w.GetDeadline())})
+			if len(rs) < 2*maxFingerprints && named(w.GetBackend()) {
+				rs = append(rs, poison.Record{Fingerprint: fp, Process: w.GetBackend(), Deadline: c.deadline(w.GetDeadline())})
 			}
 		}
 	}
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -74,8 +74,10 @@
 	registry *prometheus.Registry
 	metrics  *burn.Metrics
 	draining atomic.Bool
-	// live is the number of live entry instances, this one included.
-	live atomic.Int64
+	// live is the number of live entry instances, this one included, and
+	// liveByDomain the number in each failure domain.
+	live         atomic.Int64
+	liveByDomain atomic.Pointer[map[string]int]
 	// small is true while load reports travel to all failure domains.
 	small atomic.Bool
 	// polled holds the backend servers that this instance polls.
@@ -173,6 +175,25 @@
 	return polled != nil && (*polled)[id]
 }
 
+// countLive counts the live entry instances.
+func (i *Instance) countLive() {
+	ids := i.members.Live("", i.now())
+	byDomain := make(map[string]int)
+	for _, id := range ids {
+		byDomain[i.domainOf(id)]++
+	}
+	i.live.Store(int64(len(ids)))
+	i.liveByDomain.Store(&byDomain)
+}
+
+// liveIn returns the number of live entry instances of a failure domain.
+func (i *Instance) liveIn(domain string) int {
+	if m := i.liveByDomain.Load(); m != nil {
+		return (*m)[domain]
+	}
+	return 0
+}
+
 // assign computes which backend servers this instance polls: each server is
 // polled by one live instance of its failure domain.
 func (i *Instance) assign() {
@@ -230,11 +251,11 @@
 	i.limiter = &limiter{
 		node: i.config.ID, domain: i.config.FailureDomain, fleet: i.fleet, demands: demands, snapshot: i.mover.Snapshot,
 		domainOf: i.domainOf,
-		live:     func(domain string) int { return len(i.members.Live(domain, i.now())) },
-		nodes:    func() int { return len(i.members.Live("", i.now())) },
+		live:     i.liveIn,
+		nodes:    func() int { return max(1, int(i.live.Load())) },
 	}
 	evidenceExchange := exchange.Evidence{Table: table, Self: i.config.ID, Domain: i.config.FailureDomain, Known: i.mover.known}
-	records := crashes{i.poison}
+	records := crashes{i.poison, i.now}
 	var err error
 	i.exchange, err = exchange.New(exchange.Config{
 		Members: i.members,
@@ -421,7 +442,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			i.live.Store(int64(len(i.members.Live("", i.now()))))
+			i.countLive()
 			i.small.Store(i.servers() <= relayLimit)
 			i.assign()
 			i.limiter.share(i.mover.Snapshot(), i.now())
--- a/internal/entry/instance/limits.go
+++ b/internal/entry/instance/limits.go
@@ -83,6 +83,9 @@
 		},
 		Take: func(d *peerpb.Digest) (vs []demand) {
 			for _, v := range d.GetDemands() {
+				if !named(v.GetNode(), v.GetEntry(), v.GetWorkspace()) {
+					continue
+				}
 				vs = append(vs, demand{
 					node: v.GetNode(), use: use{v.GetEntry(), v.GetWorkspace()},
 					rate: float64(v.GetRequestsPerSecond()), concurrent: float64(v.GetConcurrent()), at: time.Unix(0, v.GetAt()),
--- a/internal/entry/instance/moves.go
+++ b/internal/entry/instance/moves.go
@@ -46,6 +46,9 @@
 		},
 		Take: func(d *peerpb.Digest) (vs []veto) {
 			for _, v := range d.GetVetoes() {
+				if !named(v.GetMove(), v.GetReason()) {
+					continue
+				}
 				vs = append(vs, veto{Move: v.GetMove(), Reason: v.GetReason(), At: time.Unix(0, v.GetAt())})
 			}
 			return vs
