--- a/internal/decide/move/fixed.go
+++ b/internal/decide/move/fixed.go
@@ -20,7 +20,7 @@
 // Decide returns the share by the time and the rate of the new version.
 func (p FixedSteps) Decide(s State, now time.Time) Decision {
 	if s.Vetoed || p.exceeded(s) {
-		return Decision{Phase: TakenBack, Veto: true, Reason: "threshold"}
+		return Decision{Phase: RolledBack, Veto: true, Reason: "threshold"}
 	}
 	shares := p.Shares
 	if len(shares) == 0 {
--- a/internal/decide/move/move.go
+++ b/internal/decide/move/move.go
@@ -13,7 +13,7 @@
 const (
 	Running Phase = iota
 	Done
-	TakenBack
+	RolledBack
 )
 
 // String returns the phase as operators read it.
@@ -23,7 +23,7 @@
 		return "running"
 	case Done:
 		return "done"
-	case TakenBack:
+	case RolledBack:
 		return "rolled back"
 	}
 	return "unknown"
--- a/internal/decide/move/move_test.go
+++ b/internal/decide/move/move_test.go
@@ -47,6 +47,6 @@
 		}
 		is.Equal(p.Decide(State{Plan: plan()}, epoch).Share, 0.02)
 		is.Equal(p.Decide(State{Plan: plan()}, epoch.Add(55*time.Minute)).Phase, Done)
-		is.Equal(p.Decide(State{Plan: plan(), Vetoed: true}, epoch).Phase, TakenBack)
+		is.Equal(p.Decide(State{Plan: plan(), Vetoed: true}, epoch).Phase, RolledBack)
 	}
 }
--- a/internal/decide/move/sequential.go
+++ b/internal/decide/move/sequential.go
@@ -35,7 +35,7 @@
 // plan and the time only, so nodes with the same evidence agree.
 func (Sequential) Decide(s State, now time.Time) Decision {
 	if s.Vetoed || s.Last.Veto {
-		return Decision{Phase: TakenBack, Veto: true, Reason: "vetoed"}
+		return Decision{Phase: RolledBack, Veto: true, Reason: "vetoed"}
 	}
 	part := progress(s.Plan, now)
 	if part < 0 {
@@ -44,7 +44,7 @@
 	cells := tabulate(&s)
 	logE, kind := score(cells)
 	if logE >= vetoAt && now.Before(keepUntil(s.Plan)) {
-		return Decision{Phase: TakenBack, Veto: true, Reason: kindReasons[kind], LogE: logE}
+		return Decision{Phase: RolledBack, Veto: true, Reason: kindReasons[kind], LogE: logE}
 	}
 	d := advance(cells, s.Plan, part, logE, now)
 	d.LogE = logE
--- a/internal/decide/move/sequential_test.go
+++ b/internal/decide/move/sequential_test.go
@@ -79,7 +79,7 @@
 		for _, s := range []State{{Plan: plan(), Vetoed: true}, {Plan: plan(), Last: d}, {Plan: plan(), Last: d, Isolated: true}} {
 			got := Sequential{}.Decide(s, epoch.Add(at))
 			is.True(got.Veto)
-			is.Equal(got.Phase, TakenBack)
+			is.Equal(got.Phase, RolledBack)
 			is.Equal(got.Share, 0.0)
 		}
 	}
@@ -202,7 +202,7 @@
 		at := time.Duration(rapid.Int64Range(-int64(time.Hour), int64(3*time.Hour)).Draw(t, "at"))
 		s := State{Plan: plan(), Evidence: e, Isolated: rapid.Bool().Draw(t, "isolated")}
 		d := Sequential{}.Decide(s, epoch.Add(at))
-		if math.IsNaN(d.LogE) || d.Share != ShareOf(d.Step) || d.Veto != (d.Phase == TakenBack) {
+		if math.IsNaN(d.LogE) || d.Share != ShareOf(d.Step) || d.Veto != (d.Phase == RolledBack) {
 			t.Fatalf("Decide(%v) = %+v, want a share of a step", s, d)
 		}
 	})
