--- a/internal/caller/services/config.go
+++ b/internal/caller/services/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/backend/service"
+	"wasabiworks.example/wasabiworks/internal/decide/journal"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 )
@@ -44,43 +45,14 @@
 	Withdraw(backend string) bool
 }
 
-// Status is the journal's reply to a reservation.
-type Status int
-
-// Statuses of a reservation.
-const (
-	// Unavailable means that nothing was recorded; the call must not run.
-	Unavailable Status = iota
-	// Reserved means that the call may run.
-	Reserved
-	// Pending means that another attempt holds the key.
-	Pending
-	// Done means that the call ran and its response is stored.
-	Done
-	// DoneWithoutResponse means that the call ran and its response is not.
-	DoneWithoutResponse
-	// Mismatch means that the key was used with another request.
-	Mismatch
-)
-
-// Key is the hash of workspace, entry and idempotency key.
-type Key [16]byte
-
-// Response is a stored response.
-type Response struct {
-	Status      int
-	ContentType string
-	Body        []byte
-}
-
 // Journal records calls that must not be repeated. An error of Reserve means
 // that the call must not run.
 type Journal interface {
-	Reserve(ctx context.Context, key Key, fingerprint uint64, attempt string) (Status, *Response, error)
+	Reserve(ctx context.Context, key journal.Key, fingerprint uint64, attempt string) (journal.Status, *journal.Response, error)
 	// Complete records the response, or nil if it is too large to keep.
-	Complete(ctx context.Context, key Key, attempt string, r *Response) error
+	Complete(ctx context.Context, key journal.Key, attempt string, r *journal.Response) error
 	// NotRun removes the reservation of a call that provably did not run.
-	NotRun(ctx context.Context, key Key, attempt string) error
+	NotRun(ctx context.Context, key journal.Key, attempt string) error
 }
 
 // ExcusedReclaim is why a failed call does not count against its version.
--- a/internal/caller/services/fake_test.go
+++ b/internal/caller/services/fake_test.go
@@ -15,6 +15,7 @@
 	"wasabiworks.example/wasabiworks/internal/backend/service"
 	"wasabiworks.example/wasabiworks/internal/caller/openai"
 	"wasabiworks.example/wasabiworks/internal/caller/services"
+	"wasabiworks.example/wasabiworks/internal/decide/journal"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 )
@@ -32,7 +33,7 @@
 	// broke is true if the retry budgets are empty.
 	broke     bool
 	mu        sync.Mutex
-	entries   map[services.Key]*journalEntry
+	entries   map[journal.Key]*journalEntry
 	down      bool
 	completed chan struct{}
 	// pending gets a value for each reservation that found a pending call.
@@ -44,7 +45,7 @@
 	fingerprint uint64
 	attempt     string
 	done        bool
-	response    *services.Response
+	response    *journal.Response
 }
 
 func (d *deps) Snapshot() *catalogue.Snapshot { return testSnapshot }
@@ -64,32 +65,32 @@
 	d.calls = append(d.calls, *c)
 }
 
-func (d *deps) Reserve(_ context.Context, key services.Key, fp uint64, attempt string) (services.Status, *services.Response, error) {
+func (d *deps) Reserve(_ context.Context, key journal.Key, fp uint64, attempt string) (journal.Status, *journal.Response, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.down {
-		return services.Unavailable, nil, nil
+		return journal.Unavailable, nil, nil
 	}
 	e, ok := d.entries[key]
 	switch {
 	case !ok:
 		if d.entries == nil {
-			d.entries = make(map[services.Key]*journalEntry)
+			d.entries = make(map[journal.Key]*journalEntry)
 		}
 		d.entries[key] = &journalEntry{fingerprint: fp, attempt: attempt}
-		return services.Reserved, nil, nil
+		return journal.Reserved, nil, nil
 	case e.fingerprint != fp:
-		return services.Mismatch, nil, nil
+		return journal.Mismatch, nil, nil
 	case !e.done:
 		d.pending <- struct{}{}
-		return services.Pending, nil, nil
+		return journal.Pending, nil, nil
 	case e.response == nil:
-		return services.DoneWithoutResponse, nil, nil
+		return journal.DoneWithoutResponse, nil, nil
 	}
-	return services.Done, e.response, nil
+	return journal.Done, e.response, nil
 }
 
-func (d *deps) Complete(_ context.Context, key services.Key, attempt string, r *services.Response) error {
+func (d *deps) Complete(_ context.Context, key journal.Key, attempt string, r *journal.Response) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if e, ok := d.entries[key]; !ok || e.attempt != attempt {
@@ -102,7 +103,7 @@
 	return nil
 }
 
-func (d *deps) NotRun(_ context.Context, key services.Key, attempt string) error {
+func (d *deps) NotRun(_ context.Context, key journal.Key, attempt string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if e, ok := d.entries[key]; ok && e.attempt == attempt {
--- a/internal/caller/services/once.go
+++ b/internal/caller/services/once.go
@@ -8,6 +8,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/backend/service"
 	"wasabiworks.example/wasabiworks/internal/caller/reply"
+	"wasabiworks.example/wasabiworks/internal/decide/journal"
 )
 
 // Pauses between two questions to the journal about a pending call.
@@ -50,11 +51,11 @@
 }
 
 // reserve records the intent. It writes the response of an earlier call.
-func (s *Server) reserve(ctx context.Context, w http.ResponseWriter, a *admitted, key Key, id string) error {
+func (s *Server) reserve(ctx context.Context, w http.ResponseWriter, a *admitted, key journal.Key, id string) error {
 	status, stored := s.intent(ctx, a, key, id)
 	// A call that is sent again while the first one runs waits for its response.
 	deadline := s.c.Now().Add(s.c.PendingPatience)
-	for pause := firstPause; status == Pending && s.c.Now().Before(deadline); pause = min(2*pause, maxPause) {
+	for pause := firstPause; status == journal.Pending && s.c.Now().Before(deadline); pause = min(2*pause, maxPause) {
 		select {
 		case <-ctx.Done():
 			return reply.Failed(http.StatusConflict, "call_pending", "an earlier call with this idempotency key is running")
@@ -63,20 +64,20 @@
 		status, stored = s.intent(ctx, a, key, id)
 	}
 	switch status {
-	case Reserved:
+	case journal.Reserved:
 		return nil
-	case Done:
+	case journal.Done:
 		if stored != nil {
 			a.record.Replayed = true
 			s.writeStored(w, stored)
 			return nil
 		}
 		fallthrough
-	case DoneWithoutResponse:
+	case journal.DoneWithoutResponse:
 		return reply.Failed(http.StatusConflict, "response_not_kept", "the call ran, and its response was not kept")
-	case Pending:
+	case journal.Pending:
 		return reply.Failed(http.StatusConflict, "call_pending", "an earlier call with this idempotency key may be running or may have run")
-	case Mismatch:
+	case journal.Mismatch:
 		return reply.Rejected(http.StatusUnprocessableEntity, "idempotency_key_reused", "the idempotency key was used with another request")
 	}
 	e := reply.Rejected(http.StatusServiceUnavailable, "journal_unavailable", "the call cannot be recorded now and was not run")
@@ -85,7 +86,7 @@
 }
 
 // intent asks the journal for the key once.
-func (s *Server) intent(ctx context.Context, a *admitted, key Key, id string) (status Status, stored *Response) {
+func (s *Server) intent(ctx context.Context, a *admitted, key journal.Key, id string) (status journal.Status, stored *journal.Response) {
 	err := s.journal(ctx, func(ctx context.Context) (err error) {
 		status, stored, err = s.c.Journal.Reserve(ctx, key, a.fingerprint, id)
 		return err
@@ -95,18 +96,18 @@
 	}
 	// The reservation may have been recorded; the call will not run.
 	s.journal(ctx, func(ctx context.Context) error { return s.c.Journal.NotRun(ctx, key, id) })
-	return Unavailable, nil
+	return journal.Unavailable, nil
 }
 
 // store completes the journal and writes the response.
-func (s *Server) store(ctx context.Context, w http.ResponseWriter, a *admitted, key Key, id string, res *http.Response) error {
+func (s *Server) store(ctx context.Context, w http.ResponseWriter, a *admitted, key journal.Key, id string, res *http.Response) error {
 	head, err := io.ReadAll(io.LimitReader(res.Body, maxStored+1))
 	if err != nil {
 		return lostError()
 	}
-	var keep *Response
+	var keep *journal.Response
 	if len(head) <= maxStored {
-		keep = &Response{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: head}
+		keep = &journal.Response{Status: uint32(res.StatusCode), ContentType: res.Header.Get("Content-Type"), Body: head}
 	}
 	// If this fails the key stays pending: a second call gets unknown.
 	s.journal(ctx, func(ctx context.Context) error { return s.c.Journal.Complete(ctx, key, id, keep) })
@@ -114,13 +115,13 @@
 	return nil
 }
 
-func (s *Server) writeStored(w http.ResponseWriter, r *Response) {
+func (s *Server) writeStored(w http.ResponseWriter, r *journal.Response) {
 	s.setDeadline(http.NewResponseController(w))
 	if r.ContentType != "" {
 		w.Header().Set("Content-Type", r.ContentType)
 	}
 	w.Header().Set(ReplayedHeader, "true")
-	markFailure(w.Header(), r.Status)
-	w.WriteHeader(r.Status)
+	markFailure(w.Header(), int(r.Status))
+	w.WriteHeader(int(r.Status))
 	w.Write(r.Body)
 }
--- a/internal/caller/services/request.go
+++ b/internal/caller/services/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"wasabiworks.example/wasabiworks/internal/caller/reply"
+	"wasabiworks.example/wasabiworks/internal/decide/journal"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 )
 
@@ -82,9 +83,9 @@
 }
 
 // journalKey identifies the call in the journal.
-func journalKey(workspace, entry, key string) Key {
+func journalKey(workspace, entry, key string) journal.Key {
 	sum := sha256.Sum256([]byte(workspace + "\x00" + entry + "\x00" + key))
-	return Key(sum[:16])
+	return journal.Key(sum[:16])
 }
 
 // rule returns how the catalogue lists a call as repeatable, or an empty
--- a/internal/entry/instance/adapters.go
+++ b/internal/entry/instance/adapters.go
@@ -8,7 +8,6 @@
 	"wasabiworks.example/wasabiworks/internal/backend/engine"
 	"wasabiworks.example/wasabiworks/internal/backend/fleet"
 	"wasabiworks.example/wasabiworks/internal/caller/openai"
-	"wasabiworks.example/wasabiworks/internal/caller/services"
 	"wasabiworks.example/wasabiworks/internal/decide/journal"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/decide/retry"
@@ -73,41 +72,21 @@
 // calls adapts the journal to the request path of plain services.
 type calls struct{ journal *peerjournal.Journal }
 
-var statuses = map[journal.Status]services.Status{
-	journal.Reserved:            services.Reserved,
-	journal.Pending:             services.Pending,
-	journal.Done:                services.Done,
-	journal.DoneWithoutResponse: services.DoneWithoutResponse,
-	journal.Mismatch:            services.Mismatch,
-}
-
 // Reserve records the intent of a call.
-func (c calls) Reserve(ctx context.Context, key services.Key, fingerprint uint64, attempt string) (services.Status, *services.Response, error) {
-	r, err := c.journal.Reserve(ctx, journal.Key(key), attempt, fingerprint)
-	if err != nil {
-		return services.Unavailable, nil, err
-	}
-	if r.Response == nil {
-		return statuses[r.Status], nil, nil
-	}
-	return statuses[r.Status], &services.Response{
-		Status: int(r.Response.Status), ContentType: r.Response.ContentType, Body: r.Response.Body,
-	}, nil
+func (c calls) Reserve(ctx context.Context, key journal.Key, fingerprint uint64, attempt string) (journal.Status, *journal.Response, error) {
+	r, err := c.journal.Reserve(ctx, key, attempt, fingerprint)
+	return r.Status, r.Response, err
 }
 
 // Complete records the response to a reserved call.
-func (c calls) Complete(ctx context.Context, key services.Key, attempt string, r *services.Response) error {
-	var kept *journal.Response
-	if r != nil {
-		kept = &journal.Response{Status: uint32(r.Status), ContentType: r.ContentType, Body: r.Body}
-	}
-	_, err := c.journal.Complete(ctx, journal.Key(key), attempt, false, kept)
+func (c calls) Complete(ctx context.Context, key journal.Key, attempt string, r *journal.Response) error {
+	_, err := c.journal.Complete(ctx, key, attempt, false, r)
 	return err
 }
 
 // NotRun removes the reservation of a call that provably did not run.
-func (c calls) NotRun(ctx context.Context, key services.Key, attempt string) error {
-	_, err := c.journal.Complete(ctx, journal.Key(key), attempt, true, nil)
+func (c calls) NotRun(ctx context.Context, key journal.Key, attempt string) error {
+	_, err := c.journal.Complete(ctx, key, attempt, true, nil)
 	return err
 }
 
