--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # SOURCES are the Go files written by hand.
 SOURCES := $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build tools generate fmt lint vet test demo matrix capacity
+.PHONY: all build tools generate fmt lint vet test demo matrix capacity bench
 
 all: build
 
@@ -12,7 +12,7 @@
 	go build -o bin/ ./cmd/...
 
 tools:
-	cd tools && GOWORK=off go build -o ../bin/ honnef.co/go/tools/cmd/staticcheck google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	cd tools && GOWORK=off go build -o ../bin/ honnef.co/go/tools/cmd/staticcheck google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc golang.org/x/perf/cmd/benchstat
 
 # generate needs protoc; its output is committed, so the build does not.
 generate: tools
@@ -41,3 +41,15 @@
 # capacity measures for about three minutes and writes docs/CAPACITY.md.
 capacity: build
 	bin/slopes
+
+# BENCHED are the packages whose speed is followed from commit to commit.
+BENCHED := ./internal/caller/openai ./internal/backend/engine ./internal/backend/fleet ./internal/operator/burn \
+	wasabiworks.example/wasabiworks/internal/decide/route wasabiworks.example/wasabiworks/internal/decide/evidence \
+	wasabiworks.example/wasabiworks/internal/decide/move
+
+# bench compares the benchmarks with the committed ones of an earlier run, and
+# leaves the new ones in out/bench.txt to be committed as docs/bench.txt.
+bench: tools
+	mkdir -p out
+	go test -run '^$$' -bench . -benchmem -benchtime 200ms -count 3 $(BENCHED) > out/bench.txt
+	@if [ -f docs/bench.txt ]; then bin/benchstat docs/bench.txt out/bench.txt; else cat out/bench.txt; fi
