Let one piece of code serve where two stood

Cause: the read-through found the same logic twice: the poller of engines, a server's load level, the hash of a token, the prefix of sums over a failure domain, the compression of a catalogue and the injection of a fault; and code that a later change had made dead: membership.Relays, which nothing calls since evidence is sent by its origin, with its test, and two fields of the capacity page. Whether a move is in the catalogue was searched for each counter that a peer sent.

--- a/internal/bench/load/faults.go
+++ b/internal/bench/load/faults.go
@@ -1,13 +1,9 @@
 package load
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -111,24 +107,7 @@
 	if f.For > 0 {
 		f.Fault.Until = time.Now().Add(f.For)
 	}
-	data, err := json.Marshal(f.Fault)
-	if err != nil {
-		return err
-	}
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/faults", bytes.NewReader(data))
-	if err != nil {
-		return err
-	}
-	p, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = p.Body.Close() }()
-	if p.StatusCode/100 != 2 {
-		message, _ := io.ReadAll(io.LimitReader(p.Body, 200))
-		return fmt.Errorf("status %d: %s", p.StatusCode, bytes.TrimSpace(message))
-	}
-	return nil
+	return fault.Post(ctx, address, f.Fault)
 }
 
 // resolve returns the host and port of a fake.
--- a/internal/bench/matrix/trial.go
+++ b/internal/bench/matrix/trial.go
@@ -6,9 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -225,23 +223,9 @@
 	if lasts > 0 {
 		f.Until = time.Now().Add(lasts)
 	}
-	data, err := json.Marshal(f)
-	if err != nil {
-		return err
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/faults", bytes.NewReader(data))
-	if err != nil {
-		return err
-	}
-	p, err := http.DefaultClient.Do(r)
-	if err != nil {
+	if err := fault.Post(ctx, address, f); err != nil {
 		return fmt.Errorf("inject %s: %w", f.Kind, err)
 	}
-	defer func() { _ = p.Body.Close() }()
-	if p.StatusCode/100 != 2 {
-		message, _ := io.ReadAll(io.LimitReader(p.Body, 200))
-		return fmt.Errorf("inject %s: status %d: %s", f.Kind, p.StatusCode, bytes.TrimSpace(message))
-	}
 	return nil
 }
 
--- a/internal/bench/slopes/measure.go
+++ b/internal/bench/slopes/measure.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"wasabiworks.example/wasabiworks/internal/peer/config"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 )
 
@@ -200,7 +201,7 @@
 	if err != nil {
 		return err
 	}
-	w.peers.catalogue.Store(&peerpb.Snapshot{Revision: revision, Catalogue: compress(data)})
+	w.peers.catalogue.Store(&peerpb.Snapshot{Revision: revision, Catalogue: config.Pack(data)})
 	return nil
 }
 
--- a/internal/bench/slopes/page.go
+++ b/internal/bench/slopes/page.go
@@ -23,7 +23,7 @@
 
 	CPUIdle, CPUMove, MemoryIdle, MemoryMove, BytesIdle, BytesMove, InEffect Spread
 
-	Peers, Workers, Nodes, Domains, SaturatedNodes, Uses, Counters, Engines, Clients, Parallel int
+	Peers, Workers, Domains, Uses, Counters, Engines, Clients, Parallel int
 
 	Minutes, HolderReads, JournalWrites, Exchanges, RealExchanges, Scale, CatalogueKB float64
 }
@@ -70,7 +70,7 @@
 		CPUIdle: r.at(Target, idle, rate("cpu")).times(100), CPUMove: r.at(Target, move, rate("cpu")).times(100),
 		MemoryIdle: r.at(Target, idle, peak).times(1e-6), MemoryMove: r.at(Target, move, peak).times(1e-6),
 		BytesIdle: r.total(idle), BytesMove: r.total(move), InEffect: r.inEffect(),
-		Peers: Target.Peers, Workers: Target.Workers, Nodes: nodes, Domains: domains, SaturatedNodes: 256 / usesPerNode,
+		Peers: Target.Peers, Workers: Target.Workers, Domains: domains,
 		Uses: usesPerNode, Counters: countersPerNode, Engines: engines, Clients: pathClients, Parallel: parallel,
 		Minutes: r.Seconds / 60, HolderReads: domains * r.at(holder, idle, rate("calls.GET-kv")).Mean, JournalWrites: r.Journal["calls.PUT-kv"],
 		Exchanges: r.at(Target, idle, rate("exchanges")).Mean, RealExchanges: realExchanges, Scale: r.scale(),
--- a/internal/bench/slopes/peers.go
+++ b/internal/bench/slopes/peers.go
@@ -1,13 +1,10 @@
 package slopes
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +18,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 	"wasabiworks.example/wasabiworks/internal/platform/instances"
@@ -120,7 +118,7 @@
 	for _, p := range ps.all {
 		p.carried = []string{p.id}
 		if p.domain != 0 {
-			p.carried = []string{"domain:" + domainName(p.domain)}
+			p.carried = []string{evidence.DomainNode(domainName(p.domain))}
 			if shape.Workers <= relayedWorkers {
 				for _, id := range members[p.domain] {
 					p.workers = append(p.workers, workers[id]...)
@@ -236,7 +234,7 @@
 // counters in turn.
 func evidenceOf(node string, n uint64) (cs []*peerpb.Counter) {
 	name := node
-	if !strings.HasPrefix(node, "domain:") {
+	if _, isSum := evidence.DomainOf(node); !isSum {
 		name += "/1764837000000000000"
 	}
 	for i := range uint64(countersPerNode) {
@@ -318,12 +316,3 @@
 	fmt.Fprintf(w, `{"running":6,"queued":1,"capacity":16,"versions":[%q,%q],"state":"live","crashes":0,"incarnation":"1764837000000000000","at":%q}`,
 		oldVersion, newVersion, time.Now().Format(time.RFC3339Nano))
 }
-
-// compress returns a catalogue as peers send it.
-func compress(data []byte) []byte {
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	_, _ = w.Write(data) // a bytes.Buffer does not fail
-	_ = w.Close()
-	return b.Bytes()
-}
--- a/internal/caller/openai/config.go
+++ b/internal/caller/openai/config.go
@@ -1,6 +1,7 @@
 package openai
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -140,19 +141,15 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Now, c.Now == nil, time.Now)
-	setDefault(&c.MaxTokens, c.MaxTokens == 0, 8192)
-	setDefault(&c.DefaultTokens, c.DefaultTokens == 0, min(4096, c.MaxTokens))
-	setDefault(&c.MaxAttempts, c.MaxAttempts == 0, 8)
-	setDefault(&c.Patience, c.Patience == 0, 2*time.Second)
-	setDefault(&c.SuspectPatience, c.SuspectPatience == 0, 30*time.Second)
-	setDefault(&c.MoveMargin, c.MoveMargin == 0, 2*time.Second)
-	setDefault(&c.WriteTimeout, c.WriteTimeout == 0, 10*time.Second)
-	setDefault(&c.Keep, c.Keep == 0, 2*time.Minute)
-}
-
-func setDefault[T any](field *T, unset bool, value T) {
-	if unset {
-		*field = value
+	if c.Now == nil {
+		c.Now = time.Now
 	}
+	c.MaxTokens = cmp.Or(c.MaxTokens, 8192)
+	c.DefaultTokens = cmp.Or(c.DefaultTokens, min(4096, c.MaxTokens))
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, 8)
+	c.Patience = cmp.Or(c.Patience, 2*time.Second)
+	c.SuspectPatience = cmp.Or(c.SuspectPatience, 30*time.Second)
+	c.MoveMargin = cmp.Or(c.MoveMargin, 2*time.Second)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, 10*time.Second)
+	c.Keep = cmp.Or(c.Keep, 2*time.Minute)
 }
--- a/internal/caller/openai/outcome.go
+++ b/internal/caller/openai/outcome.go
@@ -8,7 +8,6 @@
 	"github.com/joomcode/errorx"
 	"wasabiworks.example/wasabiworks/internal/backend/engine"
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
-	"wasabiworks.example/wasabiworks/internal/decide/route"
 )
 
 // failed draws the consequences of an attempt that did not complete.
@@ -97,19 +96,7 @@
 	r.record.Slow = r.record.Slow || slow
 	r.s.c.Recorder.Attempt(&Attempt{
 		Workspace: r.g.workspace, Entry: r.g.entry, Move: r.move, Step: r.step, Version: r.version, Route: r.g.route, Backend: r.backend.ID,
-		Load: loadLevel(&r.backend), Failed: failed, Slow: slow, Excused: excused,
+		Load: evidence.LoadLevel(r.backend.Running+r.backend.Queued, r.backend.Capacity), Failed: failed, Slow: slow, Excused: excused,
 		FirstToken: r.first, Between: between, Tokens: r.tokens,
 	})
 }
-
-// loadLevel is the level of a server's load when it was chosen.
-func loadLevel(b *route.Backend) uint8 {
-	load := 4 * (b.Running + b.Queued)
-	switch {
-	case b.Capacity <= 0 || load < 2*b.Capacity:
-		return evidence.LoadLight
-	case load < 3*b.Capacity:
-		return evidence.LoadHalf
-	}
-	return evidence.LoadFull
-}
--- a/internal/caller/services/config.go
+++ b/internal/caller/services/config.go
@@ -1,6 +1,7 @@
 package services
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -113,18 +114,14 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Now, c.Now == nil, time.Now)
-	setDefault(&c.MaxAttempts, c.MaxAttempts == 0, 4)
-	setDefault(&c.MaxResponse, c.MaxResponse == 0, 64<<20)
-	setDefault(&c.JournalTimeout, c.JournalTimeout == 0, 2*time.Second)
-	setDefault(&c.PendingPatience, c.PendingPatience == 0, 2*time.Second)
-	setDefault(&c.CallTimeout, c.CallTimeout == 0, time.Minute)
-	setDefault(&c.WriteTimeout, c.WriteTimeout == 0, 10*time.Second)
-	setDefault(&c.Keep, c.Keep == 0, 2*time.Minute)
-}
-
-func setDefault[T any](field *T, unset bool, value T) {
-	if unset {
-		*field = value
+	if c.Now == nil {
+		c.Now = time.Now
 	}
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, 4)
+	c.MaxResponse = cmp.Or(c.MaxResponse, 64<<20)
+	c.JournalTimeout = cmp.Or(c.JournalTimeout, 2*time.Second)
+	c.PendingPatience = cmp.Or(c.PendingPatience, 2*time.Second)
+	c.CallTimeout = cmp.Or(c.CallTimeout, time.Minute)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, 10*time.Second)
+	c.Keep = cmp.Or(c.Keep, 2*time.Minute)
 }
--- a/internal/caller/services/server.go
+++ b/internal/caller/services/server.go
@@ -145,22 +145,11 @@
 		}
 		a.slot, a.free = b, false
 		a.record.Attempts++
-		a.record.Backend, a.record.Load = b.ID, loadLevel(&b)
+		a.record.Backend, a.record.Load = b.ID, evidence.LoadLevel(b.Running+b.Queued, b.Capacity)
 		return true
 	}
 }
 
-func loadLevel(b *route.Backend) uint8 {
-	load := 4 * (b.Running + b.Queued)
-	switch {
-	case b.Capacity <= 0 || load < 2*b.Capacity:
-		return evidence.LoadLight
-	case load < 3*b.Capacity:
-		return evidence.LoadHalf
-	}
-	return evidence.LoadFull
-}
-
 func (s *Server) attemptID() string {
 	return s.c.Node + "-s" + strconv.FormatUint(s.attempts.Add(1), 36) + "-" + strconv.FormatUint(s.c.Random()&0xffffffff, 36)
 }
--- a/internal/decide/evidence/evidence.go
+++ b/internal/decide/evidence/evidence.go
@@ -13,6 +13,18 @@
 	LoadFull
 )
 
+// LoadLevel returns the level of a backend server with a number of requests,
+// running and queued, and a capacity; 0 is an unknown capacity.
+func LoadLevel(requests, capacity int) uint8 {
+	switch load := 4 * requests; {
+	case capacity <= 0 || load < 2*capacity:
+		return LoadLight
+	case load < 3*capacity:
+		return LoadHalf
+	}
+	return LoadFull
+}
+
 const (
 	// OtherRoute counts the requests of a node's routes beyond MaxRoutes.
 	OtherRoute = "other"
@@ -90,6 +102,9 @@
 // DomainNode returns the node name of the sums over a failure domain.
 func DomainNode(domain string) string { return domainPrefix + domain }
 
+// DomainOf returns the failure domain whose sums a node name stands for.
+func DomainOf(node string) (domain string, ok bool) { return strings.CutPrefix(node, domainPrefix) }
+
 // SetDomain names the failure domain of the table's owner. Sums over that
 // domain are not merged, as its nodes are counted one by one.
 func (t *Table) SetDomain(domain string) {
--- a/internal/decide/membership/links.go
+++ b/internal/decide/membership/links.go
@@ -74,16 +74,3 @@
 	}
 	return 2*heard < len(known)
 }
-
-// Relays reports whether to send a member what another one, origin, has
-// originated. Within a failure domain the full mesh delivers it directly, so
-// that only other failure domains need a relay.
-func (t *Table) Relays(to Member, origin string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if origin == t.self.ID {
-		return true
-	}
-	r, ok := t.rows[origin]
-	return origin != to.ID && (!ok || r.FailureDomain != to.FailureDomain)
-}
--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -170,27 +170,6 @@
 	}
 }
 
-// Guards against counters that flood the full mesh, and against ones that do
-// not cross failure domains.
-func TestRelays(t *testing.T) {
-	table, ms := grid(3, 2) // the own ID is e0-0
-	for _, c := range []struct {
-		to     int
-		origin string
-		want   bool
-	}{
-		{1, "e0-0", true}, {2, "e0-0", true}, // own
-		{1, "e0-1", false}, {2, "e0-1", true}, // of the own failure domain
-		{1, "e1-0", true}, {4, "e1-0", true}, // of another one
-		{2, "e1-0", false}, {3, "e1-0", false}, // back to where it came from
-		{1, "gone", true}, // of a forgotten member
-	} {
-		if got := table.Relays(ms[c.to], c.origin); got != c.want {
-			t.Errorf("what %s originated, to %s: got %v, want %v", c.origin, ms[c.to].ID, got, c.want)
-		}
-	}
-}
-
 // Guards against a partitioned instance that does not notice it.
 func TestIsolated(t *testing.T) {
 	for heard, want := range []bool{true, false, false, false} { // of 4 domains, beyond the own one
--- a/internal/entry/instance/adapters.go
+++ b/internal/entry/instance/adapters.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"wasabiworks.example/wasabiworks/internal/backend/engine"
-	"wasabiworks.example/wasabiworks/internal/backend/fleet"
 	"wasabiworks.example/wasabiworks/internal/caller/openai"
 	"wasabiworks.example/wasabiworks/internal/decide/journal"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
@@ -89,18 +87,3 @@
 	_, err := c.journal.Complete(ctx, key, attempt, true, nil)
 	return err
 }
-
-// poller reads the load of engines for the fleet.
-type poller struct{ engine *engine.Client }
-
-// Load returns the load report of the engine at an address.
-func (p poller) Load(ctx context.Context, address string) (fleet.Report, error) {
-	l, err := p.engine.Load(ctx, address)
-	if err != nil {
-		return fleet.Report{}, err
-	}
-	return fleet.Report{
-		Incarnation: l.Incarnation, Running: l.Running, Queued: l.Queued, Capacity: l.Capacity,
-		Versions: l.Versions, At: l.At, Leaving: l.State == "leaving",
-	}, nil
-}
--- a/internal/entry/instance/assemble.go
+++ b/internal/entry/instance/assemble.go
@@ -46,7 +46,7 @@
 	}, i.now)
 	i.reports = newReports(i.relaysReport, func(r fleet.Report) { i.fleet.Report(r) }, i.now)
 	i.fleet = fleet.New(fleet.Config{
-		Poller: poller{i.engine},
+		Poller: fleet.Engines{Client: i.engine},
 		Share:  i.polls,
 		Nodes:  func() int { return int(i.live.Load()) },
 		OnLeaving: func(m fleet.Mark) {
--- a/internal/entry/instance/limits.go
+++ b/internal/entry/instance/limits.go
@@ -3,13 +3,13 @@
 import (
 	"math"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/backend/fleet"
 	"wasabiworks.example/wasabiworks/internal/caller/reply"
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
@@ -38,8 +38,8 @@
 // use identifies a workspace on an entry.
 type use struct{ entry, workspace string }
 
-// demand is the use by one node, or by a failure domain if node starts with
-// domainPrefix.
+// demand is the use by one node, or the sum over a failure domain, whose name
+// is as in package evidence.
 type demand struct {
 	node string
 	use
@@ -53,9 +53,6 @@
 	use
 }
 
-// domainPrefix marks sums over a failure domain. Instance IDs hold no colon.
-const domainPrefix = "domain:"
-
 // newDemands spreads demand: to the failure domain what this node measured, and
 // to other failure domains the sum over its own, so that what crosses does not
 // grow with the nodes.
@@ -73,7 +70,7 @@
 			if to.FailureDomain == domain {
 				return d.node == self
 			}
-			return d.node == domainPrefix+domain
+			return d.node == evidence.DomainNode(domain)
 		},
 		Add: func(d *peerpb.Digest, v demand) {
 			d.Demands = append(d.Demands, &peerpb.Demand{
@@ -195,7 +192,7 @@
 		return true
 	})
 	for u, sum := range sums {
-		sum.node, sum.use, sum.at = domainPrefix+l.domain, u, now
+		sum.node, sum.use, sum.at = evidence.DomainNode(l.domain), u, now
 		l.put(sum)
 	}
 	for u, ds := range others {
@@ -228,7 +225,7 @@
 func (l *limiter) others() map[use][]demand {
 	ds := make(map[use][]demand)
 	for _, d := range l.demands.Values() {
-		domain, isSum := strings.CutPrefix(d.node, domainPrefix)
+		domain, isSum := evidence.DomainOf(d.node)
 		switch {
 		case d.node == l.node || isSum && domain == l.domain:
 			continue
--- a/internal/entry/instance/moves.go
+++ b/internal/entry/instance/moves.go
@@ -132,15 +132,7 @@
 // known reports whether a move is in the catalogue in effect.
 func (m *mover) known(id string) bool {
 	s := m.Snapshot()
-	if s == nil {
-		return false
-	}
-	for i := range s.Catalogue.Moves {
-		if s.Catalogue.Moves[i].ID == id {
-			return true
-		}
-	}
-	return false
+	return s != nil && s.HasMove(id)
 }
 
 // accept puts a catalogue in effect, with a decision on each of its moves.
--- a/internal/operator/catalogue/snapshot.go
+++ b/internal/operator/catalogue/snapshot.go
@@ -1,10 +1,5 @@
 package catalogue
 
-import (
-	"crypto/sha256"
-	"encoding/hex"
-)
-
 // Snapshot is an immutable catalogue at a revision, indexed for lookups.
 type Snapshot struct {
 	Revision  int64
@@ -14,6 +9,7 @@
 	workspaces map[string]*Workspace
 	moves      map[string]*Move
 	limits     map[limitKey]Limit
+	moveIDs    map[string]bool
 }
 
 type limitKey struct{ entry, workspace string }
@@ -27,6 +23,7 @@
 		workspaces: make(map[string]*Workspace),
 		moves:      make(map[string]*Move),
 		limits:     make(map[limitKey]Limit),
+		moveIDs:    make(map[string]bool),
 	}
 	for i := range c.Entries {
 		e := &c.Entries[i]
@@ -43,6 +40,7 @@
 	}
 	for i := range c.Moves {
 		m := &c.Moves[i]
+		s.moveIDs[m.ID] = true
 		s.moves[m.Entry] = m // the last move of an entry is the current one
 	}
 	return s
@@ -56,8 +54,7 @@
 
 // WorkspaceByToken returns the workspace that a bearer token belongs to.
 func (s *Snapshot) WorkspaceByToken(token string) (*Workspace, bool) {
-	sum := sha256.Sum256([]byte(token))
-	w, ok := s.workspaces[hex.EncodeToString(sum[:])]
+	w, ok := s.workspaces[hashOf(token)]
 	return w, ok
 }
 
@@ -67,6 +64,9 @@
 	return m, ok
 }
 
+// HasMove reports whether the catalogue has the record of a move.
+func (s *Snapshot) HasMove(id string) bool { return s.moveIDs[id] }
+
 // LimitOf returns the limit of a workspace on an entry.
 func (s *Snapshot) LimitOf(entry, workspace string) (Limit, bool) {
 	l, ok := s.limits[limitKey{entry, workspace}]
--- a/internal/operator/catalogue/token.go
+++ b/internal/operator/catalogue/token.go
@@ -17,6 +17,10 @@
 	if !visible || len(token) < 16 || len(token) > 512 {
 		return "", errToken
 	}
+	return hashOf(token), nil
+}
+
+func hashOf(token string) string {
 	sum := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(sum[:]), nil
+	return hex.EncodeToString(sum[:])
 }
--- a/internal/peer/config/config.go
+++ b/internal/peer/config/config.go
@@ -194,7 +194,7 @@
 			zap.Int64("revision", revision), zap.String("source", source), zap.Error(err))
 		return false
 	}
-	p.current.Store(&Snapshot[T]{Revision: revision, Data: data, Value: value, packed: pack(data)})
+	p.current.Store(&Snapshot[T]{Revision: revision, Data: data, Value: value, packed: Pack(data)})
 	p.metrics.accepted.WithLabelValues(source).Inc()
 	p.metrics.revision.Set(float64(revision))
 	if p.config.Changed != nil {
--- a/internal/peer/config/pack.go
+++ b/internal/peer/config/pack.go
@@ -10,9 +10,9 @@
 // maxData limits an unpacked catalogue in bytes; the store allows no more.
 const maxData = 1 << 20
 
-// pack compresses a catalogue for peers: names and field names repeat, so that
-// it shrinks to a small part.
-func pack(data []byte) []byte {
+// Pack compresses a catalogue as peers pull it: names and field names repeat,
+// so that it shrinks to a small part.
+func Pack(data []byte) []byte {
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
 	_, _ = w.Write(data) // a bytes.Buffer does not fail
--- a/internal/peer/config/pack_test.go
+++ b/internal/peer/config/pack_test.go
@@ -12,13 +12,13 @@
 func TestUnpack(t *testing.T) {
 	is := is.New(t)
 	data := bytes.Repeat([]byte(`{"name":"stetec-ai"}`), 2000)
-	packed := pack(data)
+	packed := Pack(data)
 	is.True(len(packed) < len(data)/20)
 	got, err := unpack(packed)
 	is.NoErr(err)
 	is.True(bytes.Equal(got, data))
 
-	_, err = unpack(pack(make([]byte, maxData+1)))
+	_, err = unpack(Pack(make([]byte, maxData+1)))
 	is.True(err != nil) // larger than the store allows
 	_, err = unpack(packed[:len(packed)/2])
 	is.True(err != nil) // cut
