Forward plain HTTP requests on the users' platform

The users' machines speak a protocol of their own. The product gains a table of routes, a pool of servers, a forwarding path and a follower of the store; platform/ translates names and formats.

--- /dev/null
+++ b/cmd/wasabiworks/forward.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"wasabiworks.example/wasabiworks/internal/entry/front"
+	"wasabiworks.example/wasabiworks/internal/operator/settings"
+	"wasabiworks.example/wasabiworks/platform"
+)
+
+type forwardCommand struct {
+	settings.Forward
+	app *app
+}
+
+// Execute implements flags.Commander.
+func (c *forwardCommand) Execute([]string) error {
+	if err := c.Check(); err != nil {
+		return err
+	}
+	log, err := c.logger()
+	if err != nil {
+		return err
+	}
+	// Further signals do nothing: a second SIGTERM does not speed up a planned
+	// shutdown.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go func() {
+		for range reload {
+			log.Info("reload asked for; settings of a running instance do not change")
+		}
+	}()
+	f, err := c.front(log)
+	if err != nil {
+		return err
+	}
+	return f.Run(ctx)
+}
+
+// front opens the listeners and composes the instance.
+func (c *forwardCommand) front(log *zap.Logger) (*front.Front, error) {
+	addresses := []string{c.ClientAddress, c.ReadyAddress, c.PeerAddress, c.OperationsAddress}
+	listeners := make([]net.Listener, len(addresses))
+	for i, address := range addresses {
+		var err error
+		if listeners[i], err = net.Listen("tcp", address); err != nil {
+			return nil, errors.Join(fmt.Errorf("listen on %s: %w", address, err), closeAll(listeners[:i]))
+		}
+	}
+	return front.New(front.Config{
+		Instance: c.Instance, FailureDomain: c.FailureDomain,
+		Clients: listeners[0], Ready: listeners[1], Peer: listeners[2], Operation: listeners[3],
+		Store: platform.NewStore(c.Store), Cloud: platform.NewCloud(c.Cloud, c.Instance), Format: platform.Format(),
+		RevokeWithin: c.RevokeWithin, DrainNotice: c.DrainNotice, Log: log,
+	})
+}
+
+func (c *forwardCommand) logger() (*zap.Logger, error) {
+	level, err := zap.ParseAtomicLevel(c.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	config := zap.NewProductionConfig()
+	config.Level = level
+	config.OutputPaths = []string{"stdout"}
+	return config.Build()
+}
--- a/cmd/wasabiworks/main.go
+++ b/cmd/wasabiworks/main.go
@@ -27,6 +27,7 @@
 // commands is the command line.
 type commands struct {
 	Serve     serveCommand     `command:"serve" description:"run an entry instance"`
+	Forward   forwardCommand   `command:"forward" description:"run an instance that forwards plain HTTP requests on the users' platform"`
 	Catalogue catalogueCommand `command:"catalogue" description:"check, compare and apply the catalogue"`
 	Moves     movesCommand     `command:"moves" description:"show the version moves"`
 	Status    statusCommand    `command:"status" description:"show the live entry instances"`
@@ -37,7 +38,7 @@
 // command.
 func newParser(a *app, execute bool) *flags.Parser {
 	var c commands
-	c.Serve.app = a
+	c.Serve.app, c.Forward.app = a, a
 	c.Catalogue.Check.app, c.Catalogue.Diff.app, c.Catalogue.Apply.app = a, a, a
 	c.Catalogue.Show.app, c.Catalogue.History.app, c.Catalogue.HashToken.app = a, a, a
 	c.Moves.app, c.Status.app, c.Report.Burn.app = a, a, a
--- a/internal/backend/tcp/transport.go
+++ b/internal/backend/tcp/transport.go
@@ -16,6 +16,8 @@
 	// IdlePerServer is the number of idle connections kept per backend
 	// server, 64 by default.
 	IdlePerServer int
+	// IdleTimeout is how long an idle connection is kept, 30 s by default.
+	IdleTimeout time.Duration
 	// Fresh makes a connection for each request. net/http repeats a request
 	// with an Idempotency-Key header by itself if a reused connection breaks;
 	// it never does so on a fresh one.
@@ -31,6 +33,9 @@
 	if c.IdlePerServer == 0 {
 		c.IdlePerServer = 64
 	}
+	if c.IdleTimeout == 0 {
+		c.IdleTimeout = 30 * time.Second
+	}
 	dialer := &net.Dialer{Timeout: c.DialTimeout, KeepAlive: 15 * time.Second}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -43,7 +48,7 @@
 		DisableCompression:     true,
 		DisableKeepAlives:      c.Fresh,
 		MaxIdleConnsPerHost:    c.IdlePerServer,
-		IdleConnTimeout:        30 * time.Second,
+		IdleConnTimeout:        c.IdleTimeout,
 		ResponseHeaderTimeout:  c.ResponseTimeout,
 		MaxResponseHeaderBytes: 64 << 10,
 		WriteBufferSize:        16 << 10,
--- /dev/null
+++ b/internal/caller/forward/choose.go
@@ -0,0 +1,37 @@
+package forward
+
+import (
+	"wasabiworks.example/wasabiworks/internal/backend/pool"
+	"wasabiworks.example/wasabiworks/internal/decide/route"
+)
+
+// choose returns the server to send the request to, or nil. Servers that were
+// tried before are used again only if there are no others.
+func (e *exchange) choose() *pool.Worker {
+	ws := e.config.Pool.Service(e.service)
+	now := e.config.Now()
+	candidates := make([]route.Candidate, 0, len(ws))
+	usable := make([]*pool.Worker, 0, len(ws))
+	for _, w := range ws {
+		if !w.Usable() {
+			continue
+		}
+		usable = append(usable, w)
+		candidates = append(candidates, route.Candidate{
+			ID: w.ID, Pending: float64(w.Pending()), Running: w.Running(), Slots: w.Slots,
+			Cached:  w.Prompts.Cached(e.prompt.Parts, now),
+			Local:   w.FailureDomain == e.config.FailureDomain,
+			Suspect: w.Suspect(now) || e.tried(w),
+		})
+	}
+	var i int
+	if len(e.prompt.Parts) > 0 {
+		i = route.ChoosePrompt(candidates, e.prompt)
+	} else {
+		i = route.ChooseService(candidates, e.config.Random())
+	}
+	if i < 0 || e.tried(usable[i]) {
+		return nil
+	}
+	return usable[i]
+}
--- /dev/null
+++ b/internal/caller/forward/config.go
@@ -0,0 +1,82 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"wasabiworks.example/wasabiworks/internal/backend/pool"
+	"wasabiworks.example/wasabiworks/internal/operator/routes"
+)
+
+// View is what an instance knows when a request is decided.
+type View struct {
+	Table *routes.Table
+	// Confirmed is when the store last confirmed the table, on the boot clock.
+	Confirmed time.Time
+	// Fresh tells that it was confirmed lately enough to trust keys.
+	Fresh bool
+}
+
+// Allowances limits what workspaces use.
+type Allowances interface {
+	// Take uses units of a workspace's allowance if they are left, and
+	// otherwise returns when to come back.
+	Take(w *routes.Workspace, units float64) (ok bool, retryAfter time.Duration)
+}
+
+// Budget limits the repeated sends to a service.
+type Budget interface {
+	Deposit(service string)
+	Withdraw(service string) bool
+}
+
+// Usage counts the requests that servers began to run.
+type Usage interface{ Began(workspace string) }
+
+// Poison knows the requests that crash servers.
+type Poison interface {
+	// Allowed reports whether a request may be sent.
+	Allowed(fingerprint uint64) bool
+	// Lost records that a server broke off while it ran a request.
+	Lost(server string, incarnation int64, fingerprint uint64)
+}
+
+// Config configures a Handler. All fields are required but Log.
+type Config struct {
+	Headers       Headers
+	Instance      string
+	FailureDomain string
+	View          func() View
+	Pool          *pool.Pool
+	Allowances    Allowances
+	Budget        Budget
+	Usage         Usage
+	Poison        Poison
+	// Now reads the boot clock.
+	Now        func() time.Time
+	Random     func() uint64
+	Registerer prometheus.Registerer
+	Log        *zap.Logger
+	// Draining reports whether connections are to be closed after the answer.
+	Draining func() bool
+}
+
+// maxBody bounds a request body where the table has no limit.
+const maxBody = 4 << 20
+
+// maxAnswer bounds an answer that is collected before it is passed on.
+const maxAnswer = 16 << 20
+
+// fingerprint identifies a request that a client sends again under another ID.
+func fingerprint(method, target, key string, body []byte) uint64 {
+	d := xxhash.New()
+	// Write on a Digest never fails.
+	for _, s := range []string{method, "\x00", target, "\x00", key, "\x00"} {
+		_, _ = d.WriteString(s)
+	}
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -56,7 +56,7 @@
 
 // variable returns the environment variable of a flag.
 func variable(flag string) string {
-	for _, f := range reflect.VisibleFields(reflect.TypeFor[Settings]()) {
+	for _, f := range append(reflect.VisibleFields(reflect.TypeFor[Settings]()), reflect.VisibleFields(reflect.TypeFor[Forward]())...) {
 		if f.Tag.Get("long") == flag {
 			return f.Tag.Get("env")
 		}
--- /dev/null
+++ b/internal/platform/store/doc.go
@@ -0,0 +1,3 @@
+// Package store defines the key-value service as the product uses it: ordered
+// changes, conditional commits and leases.
+package store
