Share allowances, retries and crash records among instances, and report usage

Demand, crash records and counts travel with the exchange between instances; one instance holds the duties by a lease of the store.

--- a/cmd/wasabiworks/forward.go
+++ b/cmd/wasabiworks/forward.go
@@ -59,10 +59,16 @@
 			return nil, errors.Join(fmt.Errorf("listen on %s: %w", address, err), closeAll(listeners[:i]))
 		}
 	}
+	window := c.UsageWindow
+	if !c.Has("metering") {
+		window = 0
+	}
 	return front.New(front.Config{
 		Instance: c.Instance, FailureDomain: c.FailureDomain,
 		Clients: listeners[0], Ready: listeners[1], Peer: listeners[2], Operation: listeners[3],
 		Store: platform.NewStore(c.Store), Cloud: platform.NewCloud(c.Cloud, c.Instance), Format: platform.Format(),
+		Window: window, Scale: c.Has("autoscale"), AllowanceSlack: c.AllowanceSlack,
+		Retry:        front.RetryLimit{Ratio: c.RetryRatio, Slack: c.RetrySlack, Window: c.RetryWindow},
 		RevokeWithin: c.RevokeWithin, DrainNotice: c.DrainNotice, Log: log,
 	})
 }
--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -33,15 +33,24 @@
 	Withdraw(service string) bool
 }
 
-// Usage counts the requests that servers began to run.
-type Usage interface{ Began(workspace string) }
+// Usage counts what is asked of servers.
+type Usage interface {
+	// Began counts a request that a server began to run.
+	Began(workspace string)
+	// Sent counts a request to a service with the prompt tokens that its server
+	// is not known to have read before.
+	Sent(service string, unread int64)
+	// Ended counts the time that a request was at a server, or that it was
+	// refused for lack of room.
+	Ended(service string, busy time.Duration, refused bool)
+}
 
 // Poison knows the requests that crash servers.
 type Poison interface {
 	// Allowed reports whether a request may be sent.
 	Allowed(fingerprint uint64) bool
 	// Lost records that a server broke off while it ran a request.
-	Lost(server string, incarnation int64, fingerprint uint64)
+	Lost(server, address string, incarnation int64, fingerprint uint64)
 }
 
 // Config configures a Handler. All fields are required but Log.
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -65,12 +65,14 @@
 	s := &e.sends[len(e.sends)-1]
 	unread := max(0, int64(e.prompt.Tokens-w.Prompts.Cached(e.prompt.Parts, now)))
 	w.Begin(unread, now)
+	e.config.Usage.Sent(e.service, unread)
 	defer func() {
 		if !s.read {
 			w.Read(unread)
 		}
 		w.End()
 		s.took, s.fate = e.config.Now().Sub(now), f
+		e.config.Usage.Ended(e.service, s.took, f == notRun)
 		e.metrics.sends.WithLabelValues(f.String()).Inc()
 	}()
 	var sent tcp.Sent
@@ -136,7 +138,7 @@
 		return unreachable
 	}
 	if !left && !errors.Is(s.err, context.Canceled) && !errors.Is(s.err, context.DeadlineExceeded) {
-		e.config.Poison.Lost(s.worker.ID, s.worker.Incarnation, e.fingerprint)
+		e.config.Poison.Lost(s.worker.ID, s.worker.Address, s.worker.Incarnation, e.fingerprint)
 	}
 	e.count()
 	return lost
--- /dev/null
+++ b/internal/decide/limit/allowance.go
@@ -0,0 +1,54 @@
+package limit
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Allowance limits what is used of a quantity, such as tokens. Uses differ in
+// size: one is admitted while anything is left and may leave a debt, so that
+// a use larger than the burst is not rejected for ever. The zero value admits
+// everything; the methods are safe for concurrent use.
+type Allowance struct {
+	mu     sync.Mutex
+	rate   float64 // units per second; 0 is no limit
+	burst  float64
+	level  float64
+	filled time.Time
+}
+
+// Set sets the rate and the burst. The first call fills the allowance.
+func (a *Allowance) Set(rate, burst float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.filled.IsZero() {
+		a.level, a.filled = burst, now
+	}
+	a.fill(now)
+	a.rate, a.burst = rate, burst
+	a.level = min(a.level, burst)
+}
+
+// Take uses units and reports whether they were admitted; if not, it returns
+// the time until something is left.
+func (a *Allowance) Take(units float64, now time.Time) (ok bool, wait time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.rate <= 0 {
+		return true, 0
+	}
+	a.fill(now)
+	if a.level > 0 {
+		a.level -= units
+		return true, 0
+	}
+	return false, time.Duration(math.Ceil((1 - a.level) / a.rate * float64(time.Second)))
+}
+
+func (a *Allowance) fill(now time.Time) {
+	if passed := now.Sub(a.filled).Seconds(); passed > 0 {
+		a.level = min(a.burst, a.level+passed*a.rate)
+		a.filled = now
+	}
+}
--- /dev/null
+++ b/internal/decide/limit/allowance_test.go
@@ -0,0 +1,50 @@
+package limit
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against an allowance that lets more through than its rate, burst and
+// one debt, or that rejects a use larger than its burst for ever.
+func TestAllowance(t *testing.T) {
+	tests := []struct {
+		name               string
+		rate, burst, units float64
+		least, most        float64 // units admitted in 10 s
+	}{
+		{"small uses", 100, 100, 1, 1090, 1101},
+		{"uses above the burst", 100, 50, 400, 1000, 1450},
+		{"no burst", 100, 1, 10, 980, 1011},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var a Allowance
+			a.Set(tt.rate, tt.burst, epoch)
+			total := 0.0
+			for at := time.Duration(0); at < 10*time.Second; at += time.Millisecond {
+				if ok, wait := a.Take(tt.units, epoch.Add(at)); ok {
+					total += tt.units
+				} else if wait <= 0 {
+					t.Fatalf("at %v: rejected with wait %v, want more than 0", at, wait)
+				}
+			}
+			if total < tt.least || total > tt.most {
+				t.Errorf("rate %v, burst %v, uses of %v: admitted %v in 10 s, want %v to %v", tt.rate, tt.burst, tt.units, total, tt.least, tt.most)
+			}
+		})
+	}
+}
+
+// Guards against a change of the limits that fills the allowance anew.
+func TestAllowanceKeepsItsLevel(t *testing.T) {
+	var a Allowance
+	a.Set(10, 10, epoch)
+	for range 10 {
+		a.Take(1, epoch)
+	}
+	a.Set(20, 20, epoch)
+	if ok, _ := a.Take(1, epoch); ok {
+		t.Error("an empty allowance with new limits: admitted, want rejected until time passes")
+	}
+}
--- a/internal/decide/membership/table.go
+++ b/internal/decide/membership/table.go
@@ -314,3 +314,17 @@
 	}
 	return forgotten
 }
+
+// HeardDomains returns the other failure domains that the instance has lately
+// exchanged with a member of.
+func (t *Table) HeardDomains(now time.Time) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	heard := make(map[string]bool, len(t.heard))
+	for domain, until := range t.heard {
+		if now.Before(until) {
+			heard[domain] = true
+		}
+	}
+	return heard
+}
--- a/internal/entry/front/apply.go
+++ b/internal/entry/front/apply.go
@@ -13,6 +13,10 @@
 // apply takes what the store told.
 func (f *Front) apply(c follow.Change) {
 	seen := make(map[string]bool)
+	peers := c.Whole
+	if c.Whole {
+		clear(f.registered)
+	}
 	for _, item := range c.Items {
 		switch {
 		case item.Key == f.config.Format.ConfigKey:
@@ -21,8 +25,16 @@
 			id := strings.TrimPrefix(item.Key, f.config.Format.ServersPrefix)
 			seen[id] = true
 			f.applyServer(id, item)
+		case strings.HasPrefix(item.Key, instancesPrefix):
+			peers = true
+			f.applyInstance(item)
+		case item.Key == dutyKey:
+			f.duty.Seen(item)
 		}
 	}
+	if peers {
+		f.listInstances()
+	}
 	if !c.Whole {
 		return
 	}
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -14,10 +14,18 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
 	"wasabiworks.example/wasabiworks/internal/caller/forward"
+	"wasabiworks.example/wasabiworks/internal/decide/membership"
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
+	"wasabiworks.example/wasabiworks/internal/decide/retry"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
+	"wasabiworks.example/wasabiworks/internal/peer/crash"
+	"wasabiworks.example/wasabiworks/internal/peer/demand"
+	"wasabiworks.example/wasabiworks/internal/peer/duty"
+	"wasabiworks.example/wasabiworks/internal/peer/exchange"
 	"wasabiworks.example/wasabiworks/internal/platform/boottime"
 	"wasabiworks.example/wasabiworks/internal/platform/follow"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
@@ -45,6 +53,11 @@
 	entryGrace = 2200 * time.Millisecond
 	// troubled is how long after a failed call the store counts as ailing.
 	troubled = 3 * time.Second
+	// defaultWindow is the length of a window of counts where usage is not
+	// reported.
+	defaultWindow = 5 * time.Second
+	// dutyKey is the key of the holder of the duties.
+	dutyKey = "wasabiworks/duty"
 )
 
 // Format translates what the operator and the servers write to the store.
@@ -67,6 +80,14 @@
 	Format                          Format
 	// RevokeWithin is how long after its removal a key may still be used.
 	RevokeWithin time.Duration
+	// Window is the length of a window of usage; 0 reports none.
+	Window time.Duration
+	// Scale tells to order servers.
+	Scale bool
+	Retry RetryLimit
+	// AllowanceSlack is what workspaces may use beyond their allowance, in
+	// units.
+	AllowanceSlack float64
 	// DrainNotice is how long requests in progress have at a planned shutdown.
 	DrainNotice time.Duration
 	Log         *zap.Logger
@@ -85,30 +106,73 @@
 	// revisions are those of the servers' entries; apply alone uses it.
 	revisions map[string]int64
 	wasReady  atomic.Bool
+
+	node    string // instance ID, a slash and the incarnation
+	members *membership.Table
+	// registered are the instances' entries; apply alone uses it. listed is the
+	// same for readers.
+	registered map[string]membership.Member
+	listed     atomic.Pointer[[]membership.Member]
+	exchange   *exchange.Node
+	demands    *demand.Book
+	allowances *allowances
+	crashes    crash.Records
+	counter    *counter
+	collector  *collector
+	duty       *duty.Holder
 }
 
 // New returns a front; Run starts it.
 func New(c Config) (*Front, error) {
-	c.Log = c.Log.With(zap.String("instance", c.Instance), zap.String("failure-domain", c.FailureDomain))
-	f := &Front{config: c, now: boottime.Now, registry: prometheus.NewRegistry(), pool: pool.New(), revisions: make(map[string]int64)}
+	c.Log = c.Log.With(zap.String("instance", c.Instance))
+	f := &Front{
+		config: c, now: boottime.Now, registry: prometheus.NewRegistry(), pool: pool.New(),
+		revisions: make(map[string]int64), registered: make(map[string]membership.Member),
+	}
 	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Now: f.now, Log: c.Log})
+	if err := f.newPeers(); err != nil {
+		return nil, err
+	}
 	var err error
 	f.handler, err = forward.New(forward.Config{
 		Headers: c.Format.Headers, Instance: c.Instance, FailureDomain: c.FailureDomain, View: f.view, Pool: f.pool,
-		Allowances: unlimited{}, Budget: unlimited{}, Usage: unlimited{}, Poison: unlimited{},
+		Allowances: f.allowances, Usage: f.counter, Poison: poisons{f},
+		Budget: &budgets{config: retry.SharedConfig{
+			Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instances, Now: f.now,
+		}},
 		Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
 	})
 	return f, err
 }
 
-type unlimited struct{}
-
-func (unlimited) Take(*routes.Workspace, float64) (bool, time.Duration) { return true, 0 }
-func (unlimited) Deposit(string)                                        {}
-func (unlimited) Withdraw(string) bool                                  { return true }
-func (unlimited) Began(string)                                          {}
-func (unlimited) Allowed(uint64) bool                                   { return true }
-func (unlimited) Lost(string, int64, uint64)                            {}
+// newPeers composes what instances do together.
+func (f *Front) newPeers() (err error) {
+	c := &f.config
+	incarnation := time.Now().UnixNano()
+	f.node = fmt.Sprintf("%s/%d", c.Instance, incarnation)
+	f.members = membership.NewTable(membership.Member{
+		ID: c.Instance, Incarnation: incarnation, FailureDomain: c.FailureDomain, PeerAddress: c.Peer.Addr().String(),
+	})
+	f.demands = demand.New(demand.Config{Node: c.Instance, Domain: c.FailureDomain, DomainOf: f.domainOf, Live: f.liveIn, Now: time.Now})
+	f.allowances = &allowances{front: f, slack: c.AllowanceSlack, shares: make(map[string]*share)}
+	f.crashes = crash.Records{Set: new(poison.Set), Now: time.Now}
+	window := c.Window
+	if window == 0 {
+		window = defaultWindow
+	}
+	f.counter = newCounter(window)
+	f.collector = &collector{front: f}
+	f.duty = duty.New(duty.Config{Store: c.Store, Key: dutyKey, Instance: c.Instance, Now: f.now, Log: c.Log})
+	f.exchange, err = exchange.New(exchange.Config{
+		Members:    f.members,
+		Sources:    []exchange.Source{f.demands, f.crashes},
+		Sinks:      []exchange.Sink{f.demands, f.crashes},
+		Services:   exchange.Services{Usage: f.collector.serveUsage},
+		Registerer: f.registry,
+		Logger:     c.Log,
+	})
+	return err
+}
 
 // view returns what the instance knows now.
 func (f *Front) view() forward.View {
@@ -123,6 +187,14 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { f.follower.Run(work) })
 	wg.Go(func() { f.expire(work) })
+	wg.Go(func() { f.register(work) })
+	wg.Go(func() { f.share(work) })
+	wg.Go(func() { f.exchangeWithPeers(work) })
+	if f.config.Window > 0 {
+		wg.Go(func() { f.duty.Run(work) })
+		wg.Go(func() { f.sendUsage(work) })
+		wg.Go(func() { f.collector.run(work) })
+	}
 	clients := &http.Server{Handler: f.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: nil}
 	ready := &http.Server{Handler: f.readiness(), ReadHeaderTimeout: headerTimeout}
 	operation := &http.Server{Handler: f.operations(), ReadHeaderTimeout: headerTimeout}
@@ -141,6 +213,7 @@
 	case <-ctx.Done():
 		err = f.drain(clients)
 	}
+	f.flushUsage(context.Background())
 	stop()
 	err = errors.Join(err, clients.Close(), ready.Close(), operation.Close())
 	wg.Wait()
@@ -148,6 +221,26 @@
 	return err
 }
 
+// exchangeWithPeers serves peers and exchanges with them until ctx ends.
+func (f *Front) exchangeWithPeers(ctx context.Context) {
+	server := grpc.NewServer(exchange.ServerOptions()...)
+	f.exchange.Register(server)
+	go func() {
+		<-ctx.Done()
+		server.Stop()
+	}()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if err := f.exchange.Run(ctx); err != nil {
+			f.config.Log.Error("exchange with peers ended", zap.Error(err))
+		}
+	})
+	if err := server.Serve(f.config.Peer); err != nil && ctx.Err() == nil {
+		f.config.Log.Error("peers are not served", zap.Error(err))
+	}
+	wg.Wait()
+}
+
 // drain leaves the balancer and completes the requests in progress.
 func (f *Front) drain(clients *http.Server) error {
 	deadline := time.Now().Add(f.config.DrainNotice)
--- /dev/null
+++ b/internal/entry/front/members.go
@@ -0,0 +1,137 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wasabiworks.example/wasabiworks/internal/decide/membership"
+	"wasabiworks.example/wasabiworks/internal/platform/store"
+)
+
+const (
+	// instancesPrefix is where instances register in the store.
+	instancesPrefix = "wasabiworks/instances/"
+	// registerTTL is how long the entry of a silent instance stays, and
+	// registerEvery how often it is renewed.
+	registerTTL   = 12 * time.Second
+	registerEvery = 3 * time.Second
+)
+
+// registration is an instance's entry in the store.
+type registration struct {
+	ID            string `json:"id"`
+	Incarnation   int64  `json:"incarnation"`
+	FailureDomain string `json:"failure-domain"`
+	PeerAddress   string `json:"peer-address"`
+}
+
+// register keeps the instance's entry in the store until ctx ends, then removes
+// it.
+func (f *Front) register(ctx context.Context) {
+	var lease int64
+	for ctx.Err() == nil {
+		var err error
+		if lease == 0 {
+			lease, err = f.registerAnew(ctx)
+		} else if err = f.config.Store.Renew(ctx, lease); errors.Is(err, store.ErrLeaseEnded) {
+			lease = 0
+			continue
+		}
+		wait := registerEvery
+		if err != nil {
+			f.config.Log.Debug("registration failed", zap.Error(err))
+			wait = time.Second
+		}
+		sleep(ctx, wait)
+	}
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := f.config.Store.End(ctx, lease); err != nil {
+		f.config.Log.Info("registration runs out by itself", zap.Error(err))
+	}
+}
+
+func (f *Front) registerAnew(ctx context.Context) (lease int64, err error) {
+	self := f.members.Self()
+	value, err := json.Marshal(registration{self.ID, self.Incarnation, self.FailureDomain, self.PeerAddress})
+	if err != nil {
+		return 0, err
+	}
+	lease, _, err = f.config.Store.Grant(ctx, registerTTL)
+	if err != nil {
+		return 0, err
+	}
+	_, err = f.config.Store.Commit(ctx, store.Commit{Puts: []store.Put{{Key: instancesPrefix + self.ID, Value: value, Lease: lease}}})
+	if err != nil {
+		return 0, err
+	}
+	return lease, nil
+}
+
+// applyInstance takes an instance's entry.
+func (f *Front) applyInstance(item store.Item) {
+	id := strings.TrimPrefix(item.Key, instancesPrefix)
+	if item.Removed {
+		delete(f.registered, id)
+		return
+	}
+	var r registration
+	if err := json.Unmarshal(item.Value, &r); err != nil || r.ID != id {
+		f.config.Log.Warn("entry names no instance", zap.String("instance-entry", id), zap.Error(err))
+		return
+	}
+	f.registered[id] = membership.Member{ID: r.ID, Incarnation: r.Incarnation, FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress}
+}
+
+// listInstances publishes the registered instances.
+func (f *Front) listInstances() {
+	listed := make([]membership.Member, 0, len(f.registered))
+	for _, m := range f.registered {
+		listed = append(listed, m)
+	}
+	f.members.List(listed, time.Now())
+	f.listed.Store(&listed)
+}
+
+// instances returns the number of registered instances, this one included.
+func (f *Front) instances() int {
+	if l := f.listed.Load(); l != nil {
+		return max(1, len(*l))
+	}
+	return 1
+}
+
+// domainOf returns the failure domain of an instance, or "".
+func (f *Front) domainOf(id string) string {
+	m, _ := f.members.Member(id)
+	return m.FailureDomain
+}
+
+// liveIn returns the number of registered instances of a failure domain.
+func (f *Front) liveIn(domain string) (n int) {
+	if l := f.listed.Load(); l != nil {
+		for _, m := range *l {
+			if m.FailureDomain == domain {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/entry/instance/adapters.go
+++ b/internal/entry/instance/adapters.go
@@ -9,12 +9,10 @@
 	"wasabiworks.example/wasabiworks/internal/decide/journal"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/decide/retry"
+	"wasabiworks.example/wasabiworks/internal/peer/crash"
 	peerjournal "wasabiworks.example/wasabiworks/internal/peer/journal"
 )
 
-// suspectKept is how long a crash record counts.
-const suspectKept = time.Hour
-
 // budgets holds the retry budget of each entry. A budget for each backend
 // server would be empty when it is needed: in a large fleet a node sends a
 // server few requests, and those that it loses with one server need retries on
@@ -63,7 +61,7 @@
 
 // Crash records a crash and tells the peers at once.
 func (p poisons) Crash(backend, incarnation string, fingerprints []uint64) {
-	p.set.Crash(backend, incarnation, fingerprints, p.now().Add(suspectKept))
+	p.set.Crash(backend, incarnation, fingerprints, p.now().Add(crash.Kept))
 	p.notify()
 }
 
--- a/internal/entry/instance/assemble.go
+++ b/internal/entry/instance/assemble.go
@@ -16,6 +16,8 @@
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 	"wasabiworks.example/wasabiworks/internal/peer/config"
+	"wasabiworks.example/wasabiworks/internal/peer/crash"
+	"wasabiworks.example/wasabiworks/internal/peer/demand"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
 	"wasabiworks.example/wasabiworks/internal/peer/journal"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
@@ -59,15 +61,13 @@
 }
 
 func (i *Instance) newPeers(store kv.Store, table *evidence.Table) error {
-	demands := newDemands(i.config.ID, i.config.FailureDomain, i.now)
+	demands := demand.New(demand.Config{Node: i.config.ID, Domain: i.config.FailureDomain, DomainOf: i.domainOf, Live: i.liveIn, Now: i.now})
 	i.limiter = &limiter{
 		node: i.config.ID, domain: i.config.FailureDomain, fleet: i.fleet, demands: demands, snapshot: i.mover.Snapshot,
-		domainOf: i.domainOf,
-		live:     i.liveIn,
-		nodes:    func() int { return max(1, int(i.live.Load())) },
+		nodes: func() int { return max(1, int(i.live.Load())) },
 	}
 	evidenceExchange := exchange.Evidence{Table: table, Self: i.config.ID, Domain: i.config.FailureDomain, Known: i.mover.known}
-	records := crashes{i.poison, i.now}
+	records := crash.Records{Set: i.poison, Now: i.now}
 	var err error
 	i.exchange, err = exchange.New(exchange.Config{
 		Members: i.members,
--- a/internal/entry/instance/fleetsync.go
+++ b/internal/entry/instance/fleetsync.go
@@ -7,7 +7,6 @@
 
 	"wasabiworks.example/wasabiworks/internal/backend/fleet"
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
-	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 )
@@ -24,9 +23,6 @@
 	// travel to other failure domains; above it they would exceed the budget of
 	// 22 KB/s for control.
 	relayLimit = 200
-	// maxFingerprints bounds the requests in the crash records of one digest,
-	// each with at most two records.
-	maxFingerprints = 512
 	// maxVersions bounds the versions in a load report.
 	maxVersions = 64
 	// maxName bounds the names that a peer's digest may bring, in bytes.
@@ -126,39 +122,3 @@
 func named(names ...string) bool {
 	return !slices.ContainsFunc(names, func(n string) bool { return len(n) > maxName })
 }
-
-// crashes is the source and sink of the crash records.
-type crashes struct {
-	set *poison.Set
-	now func() time.Time
-}
-
-// deadline returns a peer's deadline, but none later than this node would set.
-func (c crashes) deadline(nanoseconds int64) time.Time {
-	return time.Unix(0, min(nanoseconds, c.now().Add(suspectKept).UnixNano()))
-}
-
-// Digest implements exchange.Source.
-func (c crashes) Digest(_ membership.Member, since uint64, d *peerpb.Digest) (next uint64) {
-	rs, next := c.set.Since(since, maxFingerprints)
-	for _, r := range rs {
-		d.Crashes = append(d.Crashes, &peerpb.Crash{
-			Backend: r.Process, Fingerprints: []uint64{r.Fingerprint}, Deadline: r.Deadline.UnixNano(),
-		})
-	}
-	return next
-}
-
-// Merge implements exchange.Sink. A crash is urgent: a client that sends its
-// request again must not reach an instance that does not know of it.
-func (c crashes) Merge(_ membership.Member, d *peerpb.Digest) (urgent bool) {
-	var rs []poison.Record
-	for _, w := range d.GetCrashes() {
-		for _, fp := range w.GetFingerprints() {
-			if len(rs) < 2*maxFingerprints && named(w.GetBackend()) {
-				rs = append(rs, poison.Record{Fingerprint: fp, Process: w.GetBackend(), Deadline: c.deadline(w.GetDeadline())})
-			}
-		}
-	}
-	return c.set.Merge(rs) > 0
-}
--- a/internal/operator/settings/forward.go
+++ b/internal/operator/settings/forward.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -17,6 +19,12 @@
 	Store             string        `long:"store" env:"WASABIWORKS_STORE" value-name:"IP:PORT" description:"address of the platform's key-value store"`
 	Cloud             string        `long:"cloud" env:"WASABIWORKS_CLOUD" value-name:"IP:PORT" description:"address of the platform's cloud API"`
 	RevokeWithin      time.Duration `long:"revoke-within" env:"WASABIWORKS_REVOKE_WITHIN" value-name:"DURATION" default:"5s" description:"time after which a removed key must not work anywhere, 2s to 10m"`
+	UsageWindow       time.Duration `long:"usage-window" env:"WASABIWORKS_USAGE_WINDOW" value-name:"DURATION" default:"0s" description:"length of the windows in which usage is reported, up to 10m; 0 reports none"`
+	Duties            string        `long:"duties" env:"WASABIWORKS_DUTIES" value-name:"NAMES" description:"duties of the fleet, separated by commas: metering reports usage, autoscale orders servers; others are ignored"`
+	RetryRatio        float64       `long:"retry-ratio" env:"WASABIWORKS_RETRY_RATIO" value-name:"RATIO" default:"0.1" description:"repeated sends to a service for each request, over all instances, 0 to 1"`
+	RetrySlack        float64       `long:"retry-slack" env:"WASABIWORKS_RETRY_SLACK" value-name:"COUNT" default:"20" description:"repeated sends to a service besides, in each retry window, over all instances"`
+	RetryWindow       time.Duration `long:"retry-window" env:"WASABIWORKS_RETRY_WINDOW" value-name:"DURATION" default:"10s" description:"window of the retry slack, 1s to 10m"`
+	AllowanceSlack    float64       `long:"allowance-slack" env:"WASABIWORKS_ALLOWANCE_SLACK" value-name:"UNITS" default:"0" description:"what a workspace may use beyond its allowance, over all instances"`
 	DrainNotice       time.Duration `long:"drain-notice" env:"WASABIWORKS_DRAIN_NOTICE" value-name:"DURATION" default:"25s" description:"time that requests in progress have to complete in a planned shutdown, 1s to 10m"`
 	LogLevel          string        `long:"log-level" env:"WASABIWORKS_LOG_LEVEL" value-name:"LEVEL" default:"info" description:"lowest level that is logged: debug, info, warn or error"`
 }
@@ -24,6 +32,14 @@
 // minRevokeWithin leaves time for two watches of the store.
 const minRevokeWithin = 2 * time.Second
 
+// maxSlack bounds the slacks.
+const maxSlack = 1e12
+
+// Has reports whether a duty is one of the fleet's.
+func (s *Forward) Has(duty string) bool {
+	return slices.Contains(strings.Split(s.Duties, ","), duty)
+}
+
 // Check returns all errors in the settings as Problems.
 func (s *Forward) Check() error {
 	var c checker
@@ -40,6 +56,17 @@
 	}
 	c.between("revoke-within", s.RevokeWithin, minRevokeWithin, maxDrainNotice)
 	c.between("drain-notice", s.DrainNotice, minDrainNotice, maxDrainNotice)
+	c.between("usage-window", s.UsageWindow, 0, maxDrainNotice)
+	c.between("retry-window", s.RetryWindow, time.Second, maxDrainNotice)
+	if !(s.RetryRatio >= 0 && s.RetryRatio <= 1) {
+		c.add("retry-ratio", fmt.Sprintf("%v is out of range", s.RetryRatio), "0 to 1")
+	}
+	if !(s.RetrySlack >= 0 && s.RetrySlack <= maxSlack) {
+		c.add("retry-slack", fmt.Sprintf("%v is out of range", s.RetrySlack), fmt.Sprintf("0 to %v", maxSlack))
+	}
+	if !(s.AllowanceSlack >= 0 && s.AllowanceSlack <= maxSlack) {
+		c.add("allowance-slack", fmt.Sprintf("%v is out of range", s.AllowanceSlack), fmt.Sprintf("0 to %v", maxSlack))
+	}
 	c.choice("log-level", s.LogLevel, levels)
 	if len(c.problems) > 0 {
 		return c.problems
--- a/internal/peer/exchange/call.go
+++ b/internal/peer/exchange/call.go
@@ -48,6 +48,15 @@
 	return call[*peerpb.HandoverReply](ctx, id, c.handover, r)
 }
 
+// Usage tells a member what this instance counted.
+func (n *Node) Usage(ctx context.Context, id string, r *peerpb.UsageRequest) (*peerpb.UsageReply, error) {
+	c, err := n.member(id)
+	if err != nil {
+		return nil, err
+	}
+	return call[*peerpb.UsageReply](ctx, id, c.usage, r)
+}
+
 func call[Reply any](ctx context.Context, id string, e func(context.Context, any) (any, error), r any) (Reply, error) {
 	// A caller that sets no deadline must not wait for a silent peer forever.
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
--- a/internal/peer/exchange/transport.go
+++ b/internal/peer/exchange/transport.go
@@ -24,12 +24,13 @@
 	Reserve  Method[*peerpb.ReserveRequest, *peerpb.ReserveReply]
 	Complete Method[*peerpb.CompleteRequest, *peerpb.CompleteReply]
 	Handover Method[*peerpb.HandoverRequest, *peerpb.HandoverReply]
+	Usage    Method[*peerpb.UsageRequest, *peerpb.UsageReply]
 }
 
 // server adapts go-kit handlers to the generated service interface.
 type server struct {
 	peerpb.UnimplementedPeerServer
-	exchange, pull, reserve, complete, handover kitgrpc.Handler
+	exchange, pull, reserve, complete, handover, usage kitgrpc.Handler
 }
 
 func newServer(exchange Method[*peerpb.Digest, *peerpb.Digest], s Services, m *metrics) *server {
@@ -39,6 +40,7 @@
 		reserve:  newHandler("Reserve", s.Reserve, m),
 		complete: newHandler("Complete", s.Complete, m),
 		handover: newHandler("Handover", s.Handover, m),
+		usage:    newHandler("Usage", s.Usage, m),
 	}
 }
 
@@ -62,6 +64,10 @@
 	return serve[*peerpb.HandoverReply](ctx, s.handover, r)
 }
 
+func (s *server) Usage(ctx context.Context, r *peerpb.UsageRequest) (*peerpb.UsageReply, error) {
+	return serve[*peerpb.UsageReply](ctx, s.usage, r)
+}
+
 // newHandler puts a method behind a go-kit endpoint and server.
 func newHandler[Request, Reply proto.Message](name string, f Method[Request, Reply], m *metrics) kitgrpc.Handler {
 	e := func(ctx context.Context, r any) (any, error) {
@@ -100,7 +106,7 @@
 
 // clients are the go-kit endpoints of one connection.
 type clients struct {
-	exchange, pull, reserve, complete, handover endpoint.Endpoint
+	exchange, pull, reserve, complete, handover, usage endpoint.Endpoint
 }
 
 func newClients(c *grpc.ClientConn, m *metrics) clients {
@@ -110,6 +116,7 @@
 		reserve:  newClient(c, "Reserve", peerpb.ReserveReply{}, m),
 		complete: newClient(c, "Complete", peerpb.CompleteReply{}, m),
 		handover: newClient(c, "Handover", peerpb.HandoverReply{}, m),
+		usage:    newClient(c, "Usage", peerpb.UsageReply{}, m),
 	}
 }
 
