Hold allowances as one bucket of which each instance keeps a copy

Each instance now charges its copy of the bucket with what the others report, and a bucket of its own bounds what the lag of the reports can cost.

--- a/internal/decide/limit/allowance.go
+++ b/internal/decide/limit/allowance.go
@@ -30,20 +30,35 @@
 	a.level = min(a.level, burst)
 }
 
-// Take uses units and reports whether they were admitted; if not, it returns
-// the time until something is left.
-func (a *Allowance) Take(units float64, now time.Time) (ok bool, wait time.Duration) {
+// Wait returns the time until something is left, or 0 if something is.
+func (a *Allowance) Wait(now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.rate <= 0 {
-		return true, 0
+		return 0
 	}
 	a.fill(now)
 	if a.level > 0 {
-		a.level -= units
-		return true, 0
+		return 0
 	}
-	return false, time.Duration(math.Ceil((1 - a.level) / a.rate * float64(time.Second)))
+	return time.Duration(math.Ceil((1 - a.level) / a.rate * float64(time.Second)))
+}
+
+// Spend uses units, whether they are left or not.
+func (a *Allowance) Spend(units float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fill(now)
+	a.level -= units
+}
+
+// Charge is Spend for units that were used elsewhere; it leaves no more than a
+// debt of most.
+func (a *Allowance) Charge(units, most float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fill(now)
+	a.level = max(min(a.level, -most), a.level-units)
 }
 
 func (a *Allowance) fill(now time.Time) {
--- a/internal/entry/front/allowances.go
+++ b/internal/entry/front/allowances.go
@@ -2,45 +2,64 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
-	"wasabiworks.example/wasabiworks/internal/peer/demand"
 )
 
 const (
-	// sharePeriod is the time between two computations of the shares.
-	sharePeriod = 500 * time.Millisecond
-	// smoothing is the weight of the last period in the measured demand.
-	smoothing = 0.2
-	// settle is how long after it was published higher demand is drawn on. By
-	// then the others know of it and have lowered their shares.
-	settle = 5 * time.Second
+	// sharePeriod is how often what others have spent is looked at.
+	sharePeriod = 200 * time.Millisecond
+	// spentEpoch is the time for which one set of counters is used. The sums of
+	// a failure domain whose instances all restarted begin anew with the next
+	// one.
+	spentEpoch = 5 * time.Second
+	// spentKept is how long the counters of an epoch are kept.
+	spentKept = 4 * spentEpoch
+	// reach is the multiple of an even part of an allowance that one instance
+	// may use. What others use is known with a lag of up to three seconds; all
+	// instances together then stay below the allowance of a window of some
+	// seconds.
+	reach = 2
 	// slackPart is the part of the tolerated excess that widens the bursts, so
 	// that an even load that arrives unevenly is not rejected.
-	slackPart = 0.5
-	// allowancesEntry is the entry under which the demand of workspaces on all
-	// routes together is published.
-	allowancesEntry = "*"
+	slackPart = 0.4
+	// joining is how long after the start an instance takes what it learns of
+	// others for spending of earlier.
+	joining = 4 * time.Second
+	// maxDebt bounds what a workspace can owe, in seconds of its allowance.
+	maxDebt = 6
 )
 
-// allowances keeps this instance's share of each workspace's allowance.
+// allowances admits what workspaces use: each instance holds a copy of the
+// bucket of all instances together, which learns with a lag what the others
+// admitted, and a bucket of its own that bounds the error of the lag.
 type allowances struct {
 	front *Front
 	slack float64 // units beyond the allowance that all instances may admit
+	start time.Time
+	spent evidence.Table
 
 	mu     sync.Mutex
 	shares map[string]*share
 }
 
-// share is the part of one workspace's allowance.
+// share is the allowance of one workspace.
 type share struct {
-	limit limit.Allowance
-	asked float64   // units since the last period
-	rate  float64   // smoothed units per second
-	past  []float64 // the rates of the last periods, as long as settle
+	all, own limit.Allowance
+	// seen are the units that all instances are known to have spent by epoch.
+	seen  map[string]uint64
+	spent uint64 // by this instance, not yet in the counters
+}
+
+func newAllowances(f *Front, slack float64) *allowances {
+	a := &allowances{front: f, slack: slack, start: f.now(), shares: make(map[string]*share)}
+	a.spent.SetDomain(f.config.FailureDomain)
+	return a
 }
 
 // Take implements forward.Allowances.
@@ -50,71 +69,78 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s, ok := a.shares[w.Name]
 	now := a.front.now()
+	s, ok := a.shares[w.Name]
 	if !ok {
-		s = new(share)
+		s = &share{seen: make(map[string]uint64)}
 		a.shares[w.Name] = s
-		a.set(w, s, 1/float64(a.front.instances()), now)
+		a.set(w, s, a.front.unheard(time.Now()), now)
+	}
+	if wait := max(s.all.Wait(now), s.own.Wait(now)); wait > 0 {
+		return false, wait
+	}
+	s.all.Spend(units, now)
+	s.own.Spend(units, now)
+	s.spent += uint64(units)
+	return true, 0
+}
+
+// set sets the limits of a workspace. An instance that has lost touch with
+// others, or has not heard from them yet, keeps to an even part.
+func (a *allowances) set(w *routes.Workspace, s *share, unheard int, now time.Time) {
+	n := float64(a.front.instances())
+	factor := float64(reach)
+	if unheard > 0 || now.Sub(a.start) < joining {
+		factor = 1
 	}
-	s.asked += units
-	return s.limit.Take(units, now)
+	part := min(1, factor/n)
+	slack := slackPart * a.slack
+	s.all.Set(w.Allowance.Rate, w.Allowance.Burst+slack, now)
+	s.own.Set(w.Allowance.Rate*part, max(1, (w.Allowance.Burst+slack)*part), now)
 }
 
-func (a *allowances) set(w *routes.Workspace, s *share, part float64, now time.Time) {
-	burst := w.Allowance.Burst*part + slackPart*a.slack/float64(a.front.instances())
-	s.limit.Set(w.Allowance.Rate*part, max(1, burst), now)
+// epoch names the counters of a time.
+func epoch(t time.Time) string {
+	return "spent/" + strconv.FormatInt(t.UnixNano()/int64(spentEpoch), 10)
 }
 
-// compute measures the demand and sets the shares.
+// compute publishes what this instance spent and charges what others did.
 func (a *allowances) compute(t *routes.Table) {
 	now, wall := a.front.now(), time.Now()
-	others := a.front.demands.Others()
 	unheard := a.front.unheard(wall)
+	a.spent.Forget(epoch(wall.Add(-spentKept)))
 	a.mu.Lock()
-	var own []demand.Demand
-	for i := range t.Workspaces {
-		w := &t.Workspaces[i]
-		s, ok := a.shares[w.Name]
-		if !ok || w.Allowance.Rate <= 0 {
-			continue
-		}
-		s.rate = smoothing*s.asked/sharePeriod.Seconds() + (1-smoothing)*s.rate
-		s.asked = 0
-		s.past = append(s.past, s.rate)
-		if over := len(s.past) - int(settle/sharePeriod); over > 0 {
-			s.past = s.past[over:]
+	defer a.mu.Unlock()
+	current := epoch(wall)
+	for name, s := range a.shares {
+		if s.spent > 0 {
+			a.spent.Add(a.front.node, evidence.Key{Move: current, Version: name}, evidence.Count{Answered: s.spent})
+			s.seen[current] += s.spent // it was charged when it was admitted
+			s.spent = 0
 		}
-		use := demand.Use{Entry: allowancesEntry, Workspace: w.Name}
-		own = append(own, demand.Demand{Node: a.front.config.Instance, Use: use, Rate: s.rate, At: wall})
-		a.set(w, s, a.part(w.Allowance.Rate, s, others[use], unheard), now)
-	}
-	a.mu.Unlock()
-	for _, d := range own {
-		a.front.demands.Publish(d)
-	}
-	a.front.demands.PublishSums(own, others, wall)
-}
-
-// part returns this instance's part of a rate. Instances that are not heard
-// from may ask for everything, which leaves this one an even part.
-func (a *allowances) part(rate float64, s *share, others []demand.Demand, unheard int) float64 {
-	drawn := s.rate
-	for _, r := range s.past {
-		drawn = min(drawn, r)
-	}
-	n := a.front.instances() - 1
-	rates := make([]float64, 0, n+unheard)
-	for _, d := range others {
-		rates = append(rates, d.Rate)
 	}
-	for range unheard {
-		rates = append(rates, rate)
+	for back := time.Duration(0); back < spentKept; back += spentEpoch {
+		name := epoch(wall.Add(-back))
+		for key, count := range a.spent.Totals(name) {
+			s, ok := a.shares[key.Version]
+			w, known := t.Workspace(key.Version)
+			if !ok || !known || count.Answered <= s.seen[name] {
+				continue
+			}
+			if now.Sub(a.start) >= joining {
+				s.all.Charge(float64(count.Answered-s.seen[name]), maxDebt*w.Allowance.Rate, now)
+			}
+			s.seen[name] = count.Answered
+		}
 	}
-	for len(rates) < n {
-		rates = append(rates, 0)
+	oldest := epoch(wall.Add(-spentKept))
+	for i := range t.Workspaces {
+		w := &t.Workspaces[i]
+		if s, ok := a.shares[w.Name]; ok {
+			delete(s.seen, oldest)
+			a.set(w, s, unheard, now)
+		}
 	}
-	return limit.Share(rate, drawn, rates) / rate
 }
 
 // unheard returns the number of registered instances that this one has lost
@@ -140,7 +166,7 @@
 	return n
 }
 
-// share computes the shares until ctx ends.
+// share keeps the allowances up to date until ctx ends.
 func (f *Front) share(ctx context.Context) {
 	t := time.NewTicker(sharePeriod)
 	defer t.Stop()
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -23,7 +23,6 @@
 	"wasabiworks.example/wasabiworks/internal/decide/retry"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 	"wasabiworks.example/wasabiworks/internal/peer/crash"
-	"wasabiworks.example/wasabiworks/internal/peer/demand"
 	"wasabiworks.example/wasabiworks/internal/peer/duty"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
 	"wasabiworks.example/wasabiworks/internal/platform/boottime"
@@ -114,7 +113,6 @@
 	registered map[string]membership.Member
 	listed     atomic.Pointer[[]membership.Member]
 	exchange   *exchange.Node
-	demands    *demand.Book
 	allowances *allowances
 	crashes    crash.Records
 	counter    *counter
@@ -153,8 +151,7 @@
 	f.members = membership.NewTable(membership.Member{
 		ID: c.Instance, Incarnation: incarnation, FailureDomain: c.FailureDomain, PeerAddress: c.Peer.Addr().String(),
 	})
-	f.demands = demand.New(demand.Config{Node: c.Instance, Domain: c.FailureDomain, DomainOf: f.domainOf, Live: f.liveIn, Now: time.Now})
-	f.allowances = &allowances{front: f, slack: c.AllowanceSlack, shares: make(map[string]*share)}
+	f.allowances = newAllowances(f, c.AllowanceSlack)
 	f.crashes = crash.Records{Set: new(poison.Set), Now: time.Now}
 	window := c.Window
 	if window == 0 {
@@ -163,10 +160,11 @@
 	f.counter = newCounter(window)
 	f.collector = &collector{front: f}
 	f.duty = duty.New(duty.Config{Store: c.Store, Key: dutyKey, Instance: c.Instance, Now: f.now, Log: c.Log})
+	spent := exchange.Evidence{Table: &f.allowances.spent, Domain: c.FailureDomain, Self: c.Instance}
 	f.exchange, err = exchange.New(exchange.Config{
 		Members:    f.members,
-		Sources:    []exchange.Source{f.demands, f.crashes},
-		Sinks:      []exchange.Sink{f.demands, f.crashes},
+		Sources:    []exchange.Source{spent, f.crashes},
+		Sinks:      []exchange.Sink{spent, f.crashes},
 		Services:   exchange.Services{Usage: f.collector.serveUsage},
 		Registerer: f.registry,
 		Logger:     c.Log,
--- a/internal/entry/front/members.go
+++ b/internal/entry/front/members.go
@@ -109,24 +109,6 @@
 	return 1
 }
 
-// domainOf returns the failure domain of an instance, or "".
-func (f *Front) domainOf(id string) string {
-	m, _ := f.members.Member(id)
-	return m.FailureDomain
-}
-
-// liveIn returns the number of registered instances of a failure domain.
-func (f *Front) liveIn(domain string) (n int) {
-	if l := f.listed.Load(); l != nil {
-		for _, m := range *l {
-			if m.FailureDomain == domain {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
