--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -5,9 +5,9 @@
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 )
 
-// choose returns the server to send the request to, or nil. Servers that were
-// tried before are used again only if there are no others.
-func (e *exchange) choose() *pool.Worker {
+// choose returns the server to send the request to, or nil, and the prompt
+// tokens that it is expected to read.
+func (e *exchange) choose() (w *pool.Worker, unread int64) {
 	ws := e.config.Pool.Service(e.service)
 	now := e.config.Now()
 	candidates := make([]route.Candidate, 0, len(ws))
@@ -24,14 +24,14 @@
 			Suspect: w.Suspect(now) || e.tried(w),
 		})
 	}
-	var i int
+	var i, cached int
 	if len(e.prompt.Parts) > 0 {
-		i = route.ChoosePrompt(candidates, e.prompt)
+		i, cached = route.ChoosePrompt(candidates, e.prompt)
 	} else {
 		i = route.ChooseService(candidates, e.config.Random())
 	}
 	if i < 0 || e.tried(usable[i]) {
-		return nil
+		return nil, 0
 	}
-	return usable[i]
+	return usable[i], max(0, int64(e.prompt.Tokens-cached))
 }
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -47,7 +47,7 @@
 			e.giveUp(ctx, reason, runs)
 			return
 		}
-		w := e.choose()
+		w, unread := e.choose()
 		if w == nil {
 			if last == "" {
 				last = NoServer
@@ -58,7 +58,7 @@
 			}
 			continue
 		}
-		switch f := e.send(ctx, w); f {
+		switch f := e.send(ctx, w, unread); f {
 		case answered:
 			return
 		case unreachable:
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -57,13 +57,12 @@
 
 // send sends the request to a server and passes its answer on, unless the
 // request is to be sent again.
-func (e *exchange) send(ctx context.Context, w *pool.Worker) (f fate) {
+func (e *exchange) send(ctx context.Context, w *pool.Worker, unread int64) (f fate) {
 	now := e.config.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e.sends = append(e.sends, send{worker: w, at: now, after: now.Sub(e.start), cancel: cancel})
 	s := &e.sends[len(e.sends)-1]
-	unread := max(0, int64(e.prompt.Tokens-w.Prompts.Cached(e.prompt.Parts, now)))
 	w.Begin(unread, now)
 	e.config.Usage.Sent(e.service, unread)
 	defer func() {
--- a/internal/decide/route/prompt.go
+++ b/internal/decide/route/prompt.go
@@ -68,19 +68,22 @@
 )
 
 // ChoosePrompt returns the index of the server that is expected to answer the
-// prompt first, or -1 if there is none. Each shared prefix has a home, the
+// prompt first, or -1 if there is none, and the tokens that it is expected to
+// have cached. Each shared prefix has a home, the
 // server with the highest hash, which all instances agree on without messages;
 // a request leaves it when the wait there exceeds reading the prefix again.
-func ChoosePrompt(cs []Candidate, p Prompt) int {
+func ChoosePrompt(cs []Candidate, p Prompt) (index, cached int) {
 	shared, chain := p.Shared()
 	home := homeOf(cs, chain)
-	return least(cs, func(i int) float64 {
-		c := &cs[i]
-		cached := float64(c.Cached)
+	expected := func(i int) int {
 		if i == home {
-			cached = max(cached, homeCached*float64(shared))
+			return max(cs[i].Cached, int(homeCached*float64(shared)))
 		}
-		cost := pendingWeight*c.Pending + runningTokens*float64(c.Running) + max(0, float64(p.Tokens)-cached)
+		return cs[i].Cached
+	}
+	index = least(cs, func(i int) float64 {
+		c := &cs[i]
+		cost := pendingWeight*c.Pending + runningTokens*float64(c.Running) + max(0, float64(p.Tokens-expected(i)))
 		if !c.Local {
 			cost += remoteTokens
 		}
@@ -89,6 +92,10 @@
 		}
 		return cost
 	})
+	if index < 0 {
+		return index, 0
+	}
+	return index, expected(index)
 }
 
 // homeOf returns the index of the server with the highest hash for a chain.
--- a/internal/entry/front/apply.go
+++ b/internal/entry/front/apply.go
@@ -28,6 +28,8 @@
 		case strings.HasPrefix(item.Key, instancesPrefix):
 			peers = true
 			f.applyInstance(item)
+		case strings.HasPrefix(item.Key, planPrefix):
+			f.applyPlan(item)
 		case item.Key == dutyKey:
 			f.duty.Seen(item)
 		}
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -118,6 +118,7 @@
 	counter    *counter
 	collector  *collector
 	duty       *duty.Holder
+	plans      sync.Map // service name to the planned number of servers
 }
 
 // New returns a front; Run starts it.
@@ -193,6 +194,9 @@
 		wg.Go(func() { f.sendUsage(work) })
 		wg.Go(func() { f.collector.run(work) })
 	}
+	if f.config.Window > 0 && f.config.Scale {
+		wg.Go(func() { (&scaler{front: f}).run(work) })
+	}
 	clients := &http.Server{Handler: f.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: nil}
 	ready := &http.Server{Handler: f.readiness(), ReadHeaderTimeout: headerTimeout}
 	operation := &http.Server{Handler: f.operations(), ReadHeaderTimeout: headerTimeout}
--- a/internal/entry/front/report.go
+++ b/internal/entry/front/report.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -253,7 +252,8 @@
 			sum.Unread += l.GetUnread()
 			sum.Busy += l.GetBusy()
 			sum.Refused += l.GetRefused()
+			sum.Speed = max(sum.Speed, l.GetSpeed())
 		}
 	}
-	return maps.Clone(loads), len(c.got[k])
+	return loads, len(c.got[k])
 }
--- a/internal/entry/front/usage.go
+++ b/internal/entry/front/usage.go
@@ -20,6 +20,9 @@
 	countedAfter = 300 * time.Millisecond
 	// usageKept is how long counts are kept for a new holder.
 	usageKept = 30 * time.Second
+	// minSpeedTokens is the least length of a prompt that the speed of reading is
+	// measured by; below it, other delays count for more.
+	minSpeedTokens = 4000
 	// usageCall bounds a call to the holder.
 	usageCall = time.Second
 )
@@ -87,6 +90,17 @@
 	}
 }
 
+// Read implements forward.Usage.
+func (c *counter) Read(service string, unread int64, took time.Duration) {
+	if unread < minSpeedTokens || took <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.current().load(service)
+	l.Speed = max(l.Speed, int64(float64(unread)/took.Seconds()))
+}
+
 func (w *counted) load(service string) *peerpb.ServiceLoad {
 	l, ok := w.loads[service]
 	if !ok {
