Order reclaimable servers on top of ordinary ones, and let usage survive cuts

Change: 0.7 of the planned servers are ordinary, more when streams are late, and as many reclaimable ones come on top; peers tell who holds the duties.

--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -37,14 +37,9 @@
 type Usage interface {
 	// Began counts a request that a server began to run.
 	Began(workspace string)
-	// Sent counts a request to a service with the prompt tokens that its server
-	// is not known to have read before.
-	Sent(service string, unread int64)
-	// Read reports how long a server took to read a prompt.
-	Read(service string, unread int64, took time.Duration)
-	// Ended counts the time that a request was at a server, or that it was
-	// refused for lack of room.
-	Ended(service string, busy time.Duration, refused bool)
+	// First counts a stream's first event, and whether it came after the
+	// objective.
+	First(service string, late bool)
 }
 
 // Poison knows the requests that crash servers.
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -64,14 +64,12 @@
 	e.sends = append(e.sends, send{worker: w, at: now, after: now.Sub(e.start), cancel: cancel})
 	s := &e.sends[len(e.sends)-1]
 	w.Begin(unread, now)
-	e.config.Usage.Sent(e.service, unread)
 	defer func() {
 		if !s.read {
 			w.Read(unread)
 		}
 		w.End()
 		s.took, s.fate = e.config.Now().Sub(now), f
-		e.config.Usage.Ended(e.service, s.took, f == notRun)
 		e.metrics.sends.WithLabelValues(f.String()).Inc()
 	}()
 	var sent tcp.Sent
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -43,7 +43,7 @@
 			if !s.read {
 				s.read = true
 				s.worker.Read(unread)
-				e.config.Usage.Read(e.service, unread, now.Sub(s.at))
+				e.config.Usage.First(e.service, now.Sub(e.start) > e.route.Objective)
 				s.worker.Prompts.Add(e.prompt.Parts, now)
 				e.count()
 			}
--- a/internal/decide/capacity/capacity.go
+++ b/internal/decide/capacity/capacity.go
@@ -32,43 +32,52 @@
 	Ordinary, Reclaimable int
 }
 
-// Load is what a service is asked for by all instances together.
+// Load is what was seen of a service's streams in a while.
 type Load struct {
-	// Unread are the prompt tokens that servers have to read in a second, and
-	// Speed the rate at which an idle one reads them.
-	Unread, Speed float64
-	// Concurrent is the number of requests that are at servers at a time.
-	Concurrent float64
-	// Slots is the number of requests that a server runs at once.
-	Slots int
+	// Prompts are the streams that began, and Late those of them whose first
+	// event came after the objective.
+	Prompts, Late int
 }
 
 const (
-	// busyReading is the part of its time that a server should spend on reading
-	// prompts. Beyond it, prompts wait for each other.
-	busyReading = 0.3
-	// busySlots is the part of its slots that should be in use: more requests
-	// make each token slower.
-	busySlots = 0.35
+	// start is the part of the planned servers that is needed at first: what the
+	// operator planned carries the load without the reuse of prompts.
+	start = 0.7
+	// most bounds the need, in parts of the planned servers.
+	most = 1.0
+	// lateAbove is the part of late streams above which more servers are needed,
+	// and lateBelow the part below which fewer are.
+	lateAbove, lateBelow = 0.1, 0.02
+	// grow and shrink change the need.
+	grow, shrink = 1.25, 0.95
+	// fewPrompts are too few to tell.
+	fewPrompts = 20
 )
 
-// Need returns the number of servers that a load keeps as busy as they should
-// be.
-func Need(l Load) float64 {
-	need := 0.0
-	if l.Speed > 0 {
-		need = l.Unread / l.Speed / busyReading
+// Next returns the number of servers that a service needs after a load was
+// seen with have; have is 0 at first.
+func Next(have float64, planned int, l Load) float64 {
+	least, highest := start*float64(planned), most*float64(planned)
+	if have == 0 {
+		return least
 	}
-	if l.Slots > 0 {
-		need = max(need, l.Concurrent/float64(l.Slots)/busySlots)
+	if l.Prompts < fewPrompts {
+		return have
 	}
-	return need
+	late := float64(l.Late) / float64(l.Prompts)
+	switch {
+	case late > lateAbove:
+		have *= grow
+	case late < lateBelow:
+		have *= shrink
+	}
+	return min(max(have, least), highest)
 }
 
 const (
 	// cushion is the part of the need that reclaimable servers come on top of
 	// it. They shorten waits, but may all be gone when one is.
-	cushion = 0.0
+	cushion = 1.0
 	// worthwhile is the highest part of the price at which reclaimable servers
 	// pay.
 	worthwhile = 0.5
--- a/internal/entry/front/apply.go
+++ b/internal/entry/front/apply.go
@@ -90,10 +90,7 @@
 // removeServer drops a server whose entry is gone. While the store has trouble
 // an entry may have lapsed although its server lives.
 func (f *Front) removeServer(id string, revision int64) {
-	var until time.Time
-	if now := f.now(); now.Sub(f.follower.Trouble()) < troubled {
-		until = now.Add(entryGrace)
-	}
+	until := keepUntil(f.now(), f.follower.Trouble())
 	if f.pool.Remove(id, until) || !until.IsZero() {
 		f.config.Log.Info("entry of a server is gone", zap.String("server", id), zap.Int64("revision", revision), zap.Bool("at-once", until.IsZero()))
 	}
@@ -101,3 +98,13 @@
 		delete(f.revisions, id)
 	}
 }
+
+// keepUntil returns until when a server is kept whose entry is gone; the zero
+// time drops it at once. An entry that lapsed while the store was away comes
+// back if its server lives; what goes later was removed on purpose.
+func keepUntil(now, trouble time.Time) time.Time {
+	if now.Sub(trouble) < regained {
+		return now.Add(entryGrace)
+	}
+	return time.Time{}
+}
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -47,9 +47,13 @@
 	// balancerDelay is how long an instance that reports not ready still gets
 	// connections: two questions of the balancer, one a second.
 	balancerDelay = 2500 * time.Millisecond
-	// entryGrace is how long servers whose entries lapsed while the store had
-	// trouble have to register again.
-	entryGrace = 2200 * time.Millisecond
+	// entryGrace is how long servers whose entries lapsed while the store was
+	// away have to register again. It is below the two seconds after which a
+	// server that left must get no requests.
+	entryGrace = 1700 * time.Millisecond
+	// regained is how long after a failed call an entry that is gone counts as
+	// lapsed: the first answers after it tell of all that lapsed.
+	regained = 800 * time.Millisecond
 	// troubled is how long after a failed call the store counts as ailing.
 	troubled = 3 * time.Second
 	// defaultWindow is the length of a window of counts where usage is not
--- a/internal/entry/front/report.go
+++ b/internal/entry/front/report.go
@@ -22,8 +22,10 @@
 	usagePrefix = "wasabiworks/usage/"
 	// usageStays is the number of windows after which a kept one is removed.
 	usageStays = 12
-	// waitForAll is how long after a window's end the holder waits for counts.
-	waitForAll = 3 * time.Second
+	// waitForAll is how long after a window's end the holder waits for counts of
+	// instances that are cut off. It leaves time for a successor to report in
+	// time.
+	waitForAll = 6 * time.Second
 	// waitAtStart is how long a new holder waits for what its predecessor had.
 	waitAtStart = 1500 * time.Millisecond
 	// reportUntil is how long after its end a window is still reported.
@@ -68,7 +70,8 @@
 
 // serveUsage answers a peer's counts.
 func (c *collector) serveUsage(_ context.Context, r *peerpb.UsageRequest) (*peerpb.UsageReply, error) {
-	return &peerpb.UsageReply{Held: c.take(r)}, nil
+	holder, fence := c.front.duty.Current()
+	return &peerpb.UsageReply{Held: c.take(r), Holder: holder, Fence: fence}, nil
 }
 
 // reset forgets what was collected under another fence.
@@ -248,11 +251,8 @@
 				sum = new(peerpb.ServiceLoad)
 				loads[service] = sum
 			}
-			sum.Requests += l.GetRequests()
-			sum.Unread += l.GetUnread()
-			sum.Busy += l.GetBusy()
-			sum.Refused += l.GetRefused()
-			sum.Speed = max(sum.Speed, l.GetSpeed())
+			sum.Prompts += l.GetPrompts()
+			sum.Late += l.GetLate()
 		}
 	}
 	return loads, len(c.got[k])
--- a/internal/entry/front/scale.go
+++ b/internal/entry/front/scale.go
@@ -24,18 +24,9 @@
 	orderRetry = 2 * time.Second
 	// planPrefix is where the planned numbers of servers are kept.
 	planPrefix = "wasabiworks/plan/"
-	// loadWindows is the number of past windows of which the busiest counts.
-	loadWindows = 3
-	// speedKept is the part of the measured speed that is kept from look to
-	// look, so that it follows slower servers within a minute.
-	speedKept = 0.995
-	// shrink is the part of the servers below which fewer are ordered.
-	shrink = 0.75
 	// steady is how long the number of servers must be the same to be taken for
 	// what was planned.
 	steady = 1500 * time.Millisecond
-	// plannedPart is the part of the planned servers that is needed.
-	plannedPart = 0.75
 )
 
 // orderKey identifies what is ordered.
@@ -58,8 +49,13 @@
 	// totals are the servers of each service as last seen, and since when the
 	// number is the same.
 	totals map[string]total
-	speed  map[string]int64 // in tokens per second
-	need   map[string]float64
+	needs  map[string]need
+}
+
+// need is how many servers a service needs, and the last window that counted.
+type need struct {
+	servers float64
+	window  int64
 }
 
 type total struct {
@@ -84,7 +80,7 @@
 		}
 		if fence != s.fence {
 			s.fence, s.sent, s.totals = fence, make(map[orderKey]ordered), make(map[string]total)
-			s.speed, s.need = make(map[string]int64), make(map[string]float64)
+			s.needs = make(map[string]need)
 		}
 		for i := range table.Services {
 			if table.Services[i].Scaling != nil {
@@ -103,9 +99,8 @@
 	if !ok {
 		return
 	}
-	need := s.needed(service, planned)
 	c := capacity.Service{
-		Min: service.Scaling.Min, Max: service.Scaling.Max, ReclaimablePrice: service.Scaling.ReclaimablePrice, Need: need,
+		Min: service.Scaling.Min, Max: service.Scaling.Max, ReclaimablePrice: service.Scaling.ReclaimablePrice, Need: s.needed(service.Name, planned),
 	}
 	for domain, price := range service.Scaling.Prices {
 		c.Domains = append(c.Domains, capacity.Domain{Name: domain, Price: price})
@@ -119,40 +114,25 @@
 	}
 }
 
-// needed returns the number of servers that the load of the last windows
-// needs. Before there is a load it is a part of what was planned.
-func (s *scaler) needed(service *routes.Service, planned int) float64 {
-	need := 0.0
-	measured := false
+// needed returns the number of servers that the streams of the past windows
+// show to be needed.
+func (s *scaler) needed(service string, planned int) float64 {
+	n := s.needs[service]
+	if n.servers == 0 {
+		n.servers = capacity.Next(0, planned, capacity.Load{})
+	}
 	last := s.front.counter.at(time.Now()) - 1
-	for k := last - loadWindows; k <= last; k++ {
-		loads, nodes := s.front.collector.loads(k)
-		l, ok := loads[service.Name]
-		if !ok || 2*nodes < s.front.instances() {
-			continue
+	loads, nodes := s.front.collector.loads(last)
+	if l, ok := loads[service]; ok && last > n.window && 2*nodes >= s.front.instances() {
+		next := capacity.Next(n.servers, planned, capacity.Load{Prompts: int(l.Prompts), Late: int(l.Late)})
+		if next != n.servers {
+			s.front.config.Log.Info("need changed", zap.String("service", service), zap.Float64("servers", next), zap.Float64("before", n.servers),
+				zap.Int64("window", last), zap.Int64("prompts", l.Prompts), zap.Int64("late", l.Late))
 		}
-		measured = true
-		slots := 0
-		if service.Engine != nil {
-			slots = service.Engine.Slots
-		}
-		if l.Speed > 0 {
-			s.speed[service.Name] = max(l.Speed, int64(speedKept*float64(s.speed[service.Name])))
-		}
-		need = max(need, capacity.Need(capacity.Load{
-			Unread: float64(l.Unread) / s.front.counter.window.Seconds(), Speed: float64(s.speed[service.Name]),
-			Concurrent: float64(l.Busy) / float64(s.front.counter.window.Milliseconds()), Slots: slots,
-		}))
-	}
-	if !measured {
-		return plannedPart * float64(planned)
-	}
-	have := s.need[service.Name]
-	if have > 0 && need < have && need > have*shrink {
-		need = have // small changes don't pay for the servers that come and go
+		n.servers, n.window = next, last
 	}
-	s.need[service.Name] = need
-	return need
+	s.needs[service] = n
+	return n.servers
 }
 
 // planned returns the number of servers that a service had before this system
--- a/internal/entry/front/usage.go
+++ b/internal/entry/front/usage.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,9 +22,6 @@
 	countedAfter = 300 * time.Millisecond
 	// usageKept is how long counts are kept for a new holder.
 	usageKept = 30 * time.Second
-	// minSpeedTokens is the least length of a prompt that the speed of reading is
-	// measured by; below it, other delays count for more.
-	minSpeedTokens = 4000
 	// usageCall bounds a call to the holder.
 	usageCall = time.Second
 )
@@ -70,37 +69,17 @@
 	c.current().requests[workspace]++
 }
 
-// Sent implements forward.Usage.
-func (c *counter) Sent(service string, unread int64) {
+// First implements forward.Usage.
+func (c *counter) First(service string, late bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.current().load(service)
-	l.Requests++
-	l.Unread += unread
-}
-
-// Ended implements forward.Usage.
-func (c *counter) Ended(service string, busy time.Duration, refused bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l := c.current().load(service)
-	l.Busy += busy.Milliseconds()
-	if refused {
-		l.Refused++
+	l.Prompts++
+	if late {
+		l.Late++
 	}
 }
 
-// Read implements forward.Usage.
-func (c *counter) Read(service string, unread int64, took time.Duration) {
-	if unread < minSpeedTokens || took <= 0 {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l := c.current().load(service)
-	l.Speed = max(l.Speed, int64(float64(unread)/took.Seconds()))
-}
-
 func (w *counted) load(service string) *peerpb.ServiceLoad {
 	l, ok := w.loads[service]
 	if !ok {
@@ -154,29 +133,51 @@
 	}
 }
 
-// flushUsage sends what the holder lacks.
+// flushUsage sends what the holder lacks. An instance that the store rejects
+// learns from its peers who holds the duty.
 func (f *Front) flushUsage(ctx context.Context) {
-	holder := f.duty.Current()
-	var id string
-	if _, err := fmt.Sscan(holder, &id); err != nil {
-		return // nobody holds the duty
-	}
+	holder, _ := f.duty.Current()
+	id, _, _ := strings.Cut(holder, " ")
 	for _, r := range f.counter.due(holder, f.node, time.Now()) {
+		held := false
 		if id == f.config.Instance {
-			if f.collector.take(r) {
-				f.counter.sent(r.Window, holder)
-			}
-			continue
+			held = f.collector.take(r)
+		} else if id != "" {
+			held = f.tellUsage(ctx, id, r)
 		}
-		call, cancel := context.WithTimeout(ctx, usageCall)
-		reply, err := f.exchange.Usage(call, id, r)
-		cancel()
-		if err != nil {
-			f.config.Log.Debug("usage was not taken", zap.String("holder", id), zap.Int64("window", r.Window), zap.Error(err))
-			return
+		if held {
+			f.counter.sent(r.Window, holder)
+			continue
 		}
-		if reply.GetHeld() {
+		if other := f.anyPeer(id); other != "" && f.tellUsage(ctx, other, r) {
 			f.counter.sent(r.Window, holder)
+			continue
 		}
+		return
+	}
+}
+
+// tellUsage sends counts to a peer and reports whether it holds the duty.
+func (f *Front) tellUsage(ctx context.Context, id string, r *peerpb.UsageRequest) (held bool) {
+	ctx, cancel := context.WithTimeout(ctx, usageCall)
+	defer cancel()
+	reply, err := f.exchange.Usage(ctx, id, r)
+	if err != nil {
+		f.config.Log.Debug("usage was not taken", zap.String("peer", id), zap.Int64("window", r.Window), zap.Error(err))
+		return false
+	}
+	if reply.GetHolder() != "" {
+		f.duty.Learn(reply.GetHolder(), reply.GetFence())
+	}
+	return reply.GetHeld()
+}
+
+// anyPeer returns a random live instance but this one and another, or "".
+func (f *Front) anyPeer(but string) string {
+	ids := f.members.Live("", time.Now())
+	ids = slices.DeleteFunc(ids, func(id string) bool { return id == but || id == f.config.Instance })
+	if len(ids) == 0 {
+		return ""
 	}
+	return ids[rand.IntN(len(ids))]
 }
--- a/internal/peer/duty/holder.go
+++ b/internal/peer/duty/holder.go
@@ -51,6 +51,7 @@
 	fence   int64
 	until   time.Time
 	current string // the value of the key, as last seen
+	seen    int64  // the revision of that
 }
 
 // New returns a holder; Run starts it.
@@ -64,32 +65,47 @@
 	return h.fence, h.fence != 0 && h.config.Now().Before(h.until.Add(-margin))
 }
 
-// Current returns the instance that holds the duty as last seen, or "".
-func (h *Holder) Current() string {
+// Current returns the instance that holds the duty as last seen, or "", and
+// its fencing token.
+func (h *Holder) Current() (holder string, fence int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.current
+	return h.current, h.seen
 }
 
 // Seen tells the holder of the key's item.
 func (h *Holder) Seen(item store.Item) {
+	if !item.Removed {
+		h.Learn(string(item.Value), item.Revision)
+		return
+	}
 	h.mu.Lock()
-	changed := h.current != string(item.Value)
-	h.current = string(item.Value)
+	removed := item.Revision > h.seen
+	if removed {
+		h.current, h.seen = "", item.Revision
+	}
 	h.mu.Unlock()
-	if item.Removed {
-		h.mu.Lock()
-		h.current = ""
-		h.mu.Unlock()
-		select {
-		case h.free <- struct{}{}:
-		default:
-		}
-	} else if changed {
-		h.config.Log.Info("duty has a holder", zap.String("holder", string(item.Value)), zap.Int64("fence", item.Revision))
+	if !removed {
+		return
+	}
+	select {
+	case h.free <- struct{}{}:
+	default:
 	}
 }
 
+// Learn tells who holds the duty, from the store or from a peer that reaches
+// it; an older fencing token changes nothing.
+func (h *Holder) Learn(current string, fence int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if fence <= h.seen {
+		return
+	}
+	h.current, h.seen = current, fence
+	h.config.Log.Info("duty has a holder", zap.String("holder", current), zap.Int64("fence", fence))
+}
+
 // Run tries to hold the duty until ctx ends, then ends the lease.
 func (h *Holder) Run(ctx context.Context) {
 	defer h.resign()
@@ -99,9 +115,9 @@
 			h.renew(ctx)
 			continue
 		}
-		if h.Current() == "" {
+		if current, _ := h.Current(); current == "" {
 			h.pause(ctx, rand.N(spread), nil)
-			if ctx.Err() == nil && h.Current() == "" {
+			if current, _ = h.Current(); ctx.Err() == nil && current == "" {
 				h.acquire(ctx)
 			}
 			if h.held() {
@@ -140,8 +156,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case err == nil:
-		h.current = string(item.Value)
+	case err == nil && item.Revision > h.seen:
+		h.current, h.seen = string(item.Value), item.Revision
 	case errors.Is(err, store.ErrAbsent):
 		h.current = ""
 	}
@@ -175,7 +191,8 @@
 		return
 	}
 	h.mu.Lock()
-	h.lease, h.fence, h.until, h.current = lease, revision, sent.Add(min(ttl, granted)), value
+	h.lease, h.fence, h.until = lease, revision, sent.Add(min(ttl, granted))
+	h.current, h.seen = value, revision
 	h.mu.Unlock()
 	h.config.Log.Info("duty taken", zap.Int64("fence", revision))
 }
