Move a service's traffic between versions on the operator's order

An order to move versions sent all requests of the target version's servers to it at once. Instances now decide the share by the sequential test on evidence of all, the holder of the duties records the outcome and tells the operator when the old servers may stop.

--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -13,7 +13,8 @@
 	candidates := make([]route.Candidate, 0, len(ws))
 	usable := make([]*pool.Worker, 0, len(ws))
 	for _, w := range ws {
-		if !w.Usable() {
+		may, preferred := e.choice.takes(w.Version)
+		if !may || !w.Usable() {
 			continue
 		}
 		usable = append(usable, w)
@@ -21,7 +22,7 @@
 			ID: w.ID, Pending: float64(w.Pending()), Running: w.Running(), Slots: w.Slots,
 			Cached:  w.Prompts.Cached(e.prompt.Parts, now),
 			Local:   w.FailureDomain == e.config.FailureDomain,
-			Suspect: w.Suspect(now) || e.tried(w),
+			Suspect: w.Suspect(now) || e.tried(w) || !preferred,
 		})
 	}
 	var i, cached int
--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -42,6 +42,36 @@
 	First(service string, late bool)
 }
 
+// Choice says which version of a service a request goes to while its traffic
+// moves to another one.
+type Choice struct {
+	// Move identifies the move; it is empty if there is none.
+	Move string
+	// To is the new version, and New tells that the request goes there.
+	To  string
+	New bool
+	// Only tells that the other version must not be used in its place.
+	Only bool
+	// Step is the step of the move at which the choice was made.
+	Step uint8
+}
+
+// takes reports whether a server of a version may get the request, and whether
+// it is the preferred version.
+func (c Choice) takes(version string) (may, preferred bool) {
+	preferred = c.Move == "" || (version == c.To) == c.New
+	// A request for the new version may go to the old one, never the reverse.
+	return preferred || !c.Only && version != c.To, preferred
+}
+
+// Versions chooses between the versions of a service.
+type Versions interface {
+	Choose(service string, random uint64) Choice
+	// Ended records how a request at a server of the new version, or of the old
+	// one, ended.
+	Ended(c Choice, isNew bool, route string, failed, slow bool)
+}
+
 // Poison knows the requests that crash servers.
 type Poison interface {
 	// Allowed reports whether a request may be sent.
@@ -61,6 +91,7 @@
 	Budget        Budget
 	Usage         Usage
 	Poison        Poison
+	Versions      Versions
 	// Now reads the boot clock.
 	Now        func() time.Time
 	Random     func() uint64
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -62,6 +62,7 @@
 	view        View
 	route       *routes.Route
 	service     string
+	choice      Choice
 	workspace   string
 	body        []byte
 	target      string
@@ -110,7 +111,7 @@
 	e.deadline = e.limit()
 	e.prompt = parsePrompt(e.r.Header.Get(c.Headers.Tokens), e.r.Header.Get(c.Headers.Prefix))
 	e.fingerprint = fingerprint(e.r.Method, e.target, e.r.Header.Get(c.Headers.Key), e.body)
-	e.service = e.route.Pick(c.Random())
+	e.pick()
 	if !c.Poison.Allowed(e.fingerprint) {
 		return PoisonRequest
 	}
@@ -152,7 +153,7 @@
 			return NoRoute
 		}
 		e.view, e.route = v, r
-		e.service = r.Pick(e.config.Random())
+		e.pick()
 	}
 	if e.workspace == "" {
 		return ""
@@ -207,6 +208,12 @@
 	maxWaitMs = 3600 * 1000
 )
 
+// pick chooses the service and its version.
+func (e *exchange) pick() {
+	e.service = e.route.Pick(e.config.Random())
+	e.choice = e.config.Versions.Choose(e.service, e.config.Random())
+}
+
 // units returns what a request uses of its workspace's allowance.
 func units(w *routes.Workspace, p route.Prompt) float64 {
 	switch {
@@ -307,7 +314,7 @@
 		fields = append(fields, zap.Int64("configuration", e.view.Table.Version), zap.Duration("confirmed-before", e.start.Sub(e.view.Confirmed)))
 	}
 	if e.route != nil {
-		fields = append(fields, zap.String("route", e.route.Name), zap.String("service", e.service), zap.String("workspace", e.workspace),
+		fields = append(fields, zap.String("route", e.route.Name), zap.String("service", e.service), zap.String("move", e.choice.Move), zap.Bool("new-version", e.choice.New), zap.String("workspace", e.workspace),
 			zap.Duration("time-limit", e.deadline.Sub(e.start)))
 	}
 	if !e.first.IsZero() {
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -70,6 +70,7 @@
 		}
 		w.End()
 		s.took, s.fate = e.config.Now().Sub(now), f
+		e.judge(s)
 		e.metrics.sends.WithLabelValues(f.String()).Inc()
 	}()
 	var sent tcp.Sent
@@ -141,6 +142,19 @@
 	return lost
 }
 
+// judge records what the send says of the server's version.
+func (e *exchange) judge(s *send) {
+	if s.fate == notRun || s.fate == unreachable || e.r.Context().Err() != nil {
+		return
+	}
+	failed := s.fate != answered || s.status >= http.StatusInternalServerError
+	first := e.config.Now()
+	if !e.first.IsZero() {
+		first = e.first
+	}
+	e.config.Versions.Ended(e.choice, s.worker.Version == e.choice.To, e.route.Name, failed, first.Sub(s.at) > e.route.Objective)
+}
+
 // count records that a server began to run the request.
 func (e *exchange) count() {
 	if !e.began && e.workspace != "" {
--- a/internal/entry/front/apply.go
+++ b/internal/entry/front/apply.go
@@ -28,6 +28,10 @@
 		case strings.HasPrefix(item.Key, instancesPrefix):
 			peers = true
 			f.applyInstance(item)
+		case strings.HasPrefix(item.Key, f.config.Format.MovesPrefix):
+			f.mover.applyOrder(item)
+		case strings.HasPrefix(item.Key, movesPrefix):
+			f.mover.applyRecord(item)
 		case strings.HasPrefix(item.Key, planPrefix):
 			f.applyPlan(item)
 		case item.Key == dutyKey:
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -69,7 +69,11 @@
 	ConfigKey, ServersPrefix string
 	Table                    func(data []byte) (*routes.Table, error)
 	Server                   func(key string, data []byte) (pool.Server, error)
-	Headers                  forward.Headers
+	// MovesPrefix is where the operator orders moves.
+	MovesPrefix string
+	Move        func(key string, data []byte) (MoveOrder, error)
+	MoveStatus  func(service, to string, state MoveState) (key string, value []byte, err error)
+	Headers     forward.Headers
 	// ReadyPath is where the balancer asks whether the instance is ready.
 	ReadyPath string
 }
@@ -122,6 +126,7 @@
 	counter    *counter
 	collector  *collector
 	duty       *duty.Holder
+	mover      *mover
 	plans      sync.Map // service name to the planned number of servers
 }
 
@@ -139,7 +144,7 @@
 	var err error
 	f.handler, err = forward.New(forward.Config{
 		Headers: c.Format.Headers, Instance: c.Instance, FailureDomain: c.FailureDomain, View: f.view, Pool: f.pool,
-		Allowances: f.allowances, Usage: f.counter, Poison: poisons{f},
+		Allowances: f.allowances, Usage: f.counter, Poison: poisons{f}, Versions: f.mover,
 		Budget: &budgets{config: retry.SharedConfig{
 			Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instances, Now: f.now,
 		}},
@@ -164,6 +169,7 @@
 	}
 	f.counter = newCounter(window)
 	f.collector = &collector{front: f}
+	f.mover = newMover(f)
 	f.duty = duty.New(duty.Config{Store: c.Store, Key: dutyKey, Instance: c.Instance, Now: f.now, Log: c.Log})
 	spent := exchange.Evidence{Table: &f.allowances.spent, Domain: c.FailureDomain, Self: c.Instance}
 	f.exchange, err = exchange.New(exchange.Config{
@@ -193,8 +199,9 @@
 	wg.Go(func() { f.register(work) })
 	wg.Go(func() { f.share(work) })
 	wg.Go(func() { f.exchangeWithPeers(work) })
+	wg.Go(func() { f.duty.Run(work) })
+	wg.Go(func() { f.mover.run(work) })
 	if f.config.Window > 0 {
-		wg.Go(func() { f.duty.Run(work) })
 		wg.Go(func() { f.sendUsage(work) })
 		wg.Go(func() { f.collector.run(work) })
 	}
