--- /dev/null
+++ b/internal/bench/metastore/store.go
@@ -0,0 +1,347 @@
+package metastore
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// pageSize is the number of items in a page of a listing.
+const pageSize = 50
+
+// Item is a key of the store as it is on the wire.
+type Item struct {
+	Key       string `json:"key"`
+	Val       []byte `json:"val,omitempty"`
+	Revision  int64  `json:"revision"`
+	Created   int64  `json:"created,omitempty"`
+	Lease     int64  `json:"lease"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+// Faults are what is wrong with the store.
+type Faults struct {
+	// Refuse answers with this status, if it is not 0.
+	Refuse int
+	// Silent never answers.
+	Silent bool
+	// LoseAnswers carries out writes and breaks the connection off.
+	LoseAnswers bool
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// Store is the key-value service. Its methods are safe for concurrent use.
+type Store struct {
+	mu        sync.Mutex
+	revision  int64
+	items     map[string]Item
+	history   []Item
+	compacted int64
+	leases    map[int64]lease
+	nextLease int64
+	changed   chan struct{}
+	faults    Faults
+	calls     map[string]int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{revision: 1, items: make(map[string]Item), leases: make(map[int64]lease), nextLease: 100, changed: make(chan struct{}), calls: make(map[string]int)}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted, s.history = s.revision, nil
+	s.wake()
+}
+
+// Put writes a key as the operator or a server does; v is encoded as JSON unless
+// it is bytes.
+func (s *Store) Put(key string, v any) {
+	value, ok := v.([]byte)
+	if !ok {
+		var err error
+		if value, err = json.Marshal(v); err != nil {
+			panic("metastore: " + err.Error()) // the test's own value
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, value, 0)
+}
+
+// Remove removes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+// Get returns a key's value.
+func (s *Store) Get(key string) (value []byte, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	item, ok := s.items[key]
+	return item.Val, ok
+}
+
+// Calls returns the number of calls by path.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := make(map[string]int, len(s.calls))
+	for path, n := range s.calls {
+		calls[path] = n
+	}
+	return calls
+}
+
+func (s *Store) put(key string, value []byte, lease int64) {
+	s.revision++
+	item := Item{Key: key, Val: value, Revision: s.revision, Created: s.revision, Lease: lease}
+	if have, ok := s.items[key]; ok {
+		item.Created = have.Created
+	}
+	s.items[key] = item
+	s.history = append(s.history, item)
+	s.wake()
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, Item{Key: key, Revision: s.revision, Tombstone: true})
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends the leases that have run out.
+func (s *Store) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.end) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) endLease(id int64) {
+	delete(s.leases, id)
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls[r.URL.Path]++
+	f := s.faults
+	s.mu.Unlock()
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+		return
+	case f.Refuse != 0:
+		w.WriteHeader(f.Refuse)
+		return
+	}
+	path, id, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/"), "/")
+	status, reply := s.serve(r, path, id)
+	if f.LoseAnswers && r.Method == http.MethodPost {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if reply != nil {
+		_ = json.NewEncoder(w).Encode(reply) // the caller has left if this fails
+	}
+}
+
+func (s *Store) serve(r *http.Request, path, id string) (int, any) {
+	switch path {
+	case "kv-key":
+		return s.key(r.URL.Query().Get("key"))
+	case "kv-range":
+		return s.list(r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after"))
+	case "kv-watch":
+		return s.watch(r)
+	case "kv-txn":
+		return s.commit(r)
+	case "kv-lease":
+		return s.grant(r)
+	case "kv-keep", "kv-lease-end":
+		n, err := strconv.ParseInt(id, 10, 64)
+		if err != nil {
+			return http.StatusBadRequest, nil
+		}
+		return s.keep(n, path == "kv-lease-end")
+	}
+	return http.StatusNotFound, nil
+}
+
+func (s *Store) key(key string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	item, ok := s.items[key]
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	return http.StatusOK, item
+}
+
+func (s *Store) list(prefix, after string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > pageSize
+	entries := []Item{}
+	for _, key := range keys[:min(len(keys), pageSize)] {
+		entries = append(entries, s.items[key])
+	}
+	return http.StatusOK, map[string]any{"entries": entries, "more_pages": more, "as_of": s.revision}
+}
+
+func (s *Store) watch(r *http.Request) (int, any) {
+	prefix := r.URL.Query().Get("path_prefix")
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)  // 0 watches from the start
+	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64) // 0 doesn't wait
+	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer end.Stop()
+	for {
+		s.mu.Lock()
+		s.expire()
+		if after < s.compacted {
+			s.mu.Unlock()
+			return http.StatusGone, nil
+		}
+		events := []Item{}
+		for _, item := range s.history {
+			if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+				events = append(events, item)
+			}
+		}
+		reply := map[string]any{"events": events, "as_of": s.revision}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			return http.StatusOK, reply
+		}
+		select {
+		case <-changed:
+		case <-time.After(100 * time.Millisecond): // a lease may have run out
+		case <-end.C:
+			return http.StatusOK, reply
+		case <-r.Context().Done():
+			return http.StatusServiceUnavailable, nil
+		}
+	}
+}
+
+func (s *Store) commit(r *http.Request) (int, any) {
+	var c struct {
+		ExpectedRev []struct {
+			Key      string `json:"key"`
+			Revision int64  `json:"revision"`
+		} `json:"expected_rev"`
+		Puts []struct {
+			Key   string `json:"key"`
+			Val   []byte `json:"val"`
+			Lease int64  `json:"lease"`
+		} `json:"puts"`
+		Remove []string `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, e := range c.ExpectedRev {
+		if s.items[e.Key].Revision != e.Revision {
+			return http.StatusPreconditionFailed, map[string]any{"entries": []Item{s.items[e.Key]}}
+		}
+	}
+	for _, p := range c.Puts {
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			return http.StatusForbidden, nil
+		}
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			return http.StatusNotFound, nil
+		}
+	}
+	for _, p := range c.Puts {
+		s.put(p.Key, p.Val, p.Lease)
+	}
+	for _, key := range c.Remove {
+		s.remove(key)
+	}
+	return http.StatusOK, map[string]int64{"revision": s.revision}
+}
+
+func (s *Store) grant(r *http.Request) (int, any) {
+	var q struct {
+		TTLMs int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextLease++
+	ttl := time.Duration(q.TTLMs) * time.Millisecond
+	s.leases[s.nextLease] = lease{ttl, time.Now().Add(ttl)}
+	return http.StatusOK, map[string]int64{"lease": s.nextLease, "ttl_ms": q.TTLMs}
+}
+
+func (s *Store) keep(id int64, end bool) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l, ok := s.leases[id]
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	if end {
+		s.endLease(id)
+		return http.StatusOK, nil
+	}
+	l.end = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	return http.StatusOK, map[string]int64{"ttl_ms": l.ttl.Milliseconds()}
+}
--- a/internal/decide/limit/allowance.go
+++ b/internal/decide/limit/allowance.go
@@ -44,6 +44,14 @@
 	return time.Duration(math.Ceil((1 - a.level) / a.rate * float64(time.Second)))
 }
 
+// Low reports whether less than half of the burst is left.
+func (a *Allowance) Low(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fill(now)
+	return a.rate > 0 && a.level < a.burst/2
+}
+
 // Spend uses units, whether they are left or not.
 func (a *Allowance) Spend(units float64, now time.Time) {
 	a.mu.Lock()
--- a/internal/entry/front/allowances.go
+++ b/internal/entry/front/allowances.go
@@ -21,13 +21,17 @@
 	// spentKept is how long the counters of an epoch are kept.
 	spentKept = 4 * spentEpoch
 	// reach is the multiple of an even part of an allowance that one instance
-	// may use. What others use is known with a lag of up to three seconds; all
-	// instances together then stay below the allowance of a window of some
-	// seconds.
+	// may use. It bounds what all admit before they know of each other, half a
+	// second later if the allowance runs low.
 	reach = 2
 	// slackPart is the part of the tolerated excess that widens the bursts, so
 	// that an even load that arrives unevenly is not rejected.
 	slackPart = 0.4
+	// tellGap and tellGapEach give the least time between two rounds in which an
+	// instance tells its peers at once what it spent, because an allowance runs
+	// low. The gap grows with the fleet, as a round does.
+	tellGap     = 400 * time.Millisecond
+	tellGapEach = 10 * time.Millisecond
 	// joining is how long after the start an instance takes what it learns of
 	// others for spending of earlier.
 	joining = 4 * time.Second
@@ -46,6 +50,7 @@
 
 	mu     sync.Mutex
 	shares map[string]*share
+	told   time.Time // the last round for an allowance that ran low
 }
 
 // share is the allowance of one workspace.
@@ -112,13 +117,19 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	current := epoch(wall)
+	low := false
 	for name, s := range a.shares {
 		if s.spent > 0 {
+			low = low || s.all.Low(now)
 			a.spent.Add(a.front.node, evidence.Key{Move: current, Version: name}, evidence.Count{Answered: s.spent})
 			s.seen[current] += s.spent // it was charged when it was admitted
 			s.spent = 0
 		}
 	}
+	if gap := max(tellGap, tellGapEach*time.Duration(a.front.instances())); low && now.Sub(a.told) >= gap {
+		a.told = now
+		a.front.exchange.Notify()
+	}
 	for back := time.Duration(0); back < spentKept; back += spentEpoch {
 		name := epoch(wall.Add(-back))
 		for key, count := range a.spent.Totals(name) {
