Let one instance of each failure domain watch the store for the others

Change: the others ask the watching peer, which answers with the changes and the age of its copy; one that is silent, cut off or old is left for the store.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -137,7 +137,7 @@
 		config: c, now: boottime.Now, registry: prometheus.NewRegistry(), pool: pool.New(),
 		revisions: make(map[string]int64), registered: make(map[string]membership.Member),
 	}
-	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Now: f.now, Log: c.Log})
+	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay, Now: f.now, Log: c.Log})
 	if err := f.newPeers(); err != nil {
 		return nil, err
 	}
@@ -176,7 +176,7 @@
 		Members:    f.members,
 		Sources:    []exchange.Source{spent, f.crashes},
 		Sinks:      []exchange.Sink{spent, f.crashes},
-		Services:   exchange.Services{Usage: f.collector.serveUsage},
+		Services:   exchange.Services{Usage: f.collector.serveUsage, Watch: f.serveWatch},
 		Registerer: f.registry,
 		Logger:     c.Log,
 	})
--- /dev/null
+++ b/internal/entry/front/relay.go
@@ -0,0 +1,51 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+	"wasabiworks.example/wasabiworks/internal/platform/follow"
+	"wasabiworks.example/wasabiworks/internal/platform/store"
+)
+
+// maxRelayWait bounds how long a peer may be kept waiting.
+const maxRelayWait = 2 * time.Second
+
+var errRelayGap = errors.New("peer lacks changes or has lost the store")
+
+// relay asks the instance of the failure domain that watches the store for what
+// it has seen.
+func (f *Front) relay(ctx context.Context, after int64, wait time.Duration) (follow.Relayed, error) {
+	holder := f.members.Holder(time.Now())
+	if holder == "" || holder == f.config.Instance || f.draining.Load() {
+		return follow.Relayed{}, follow.ErrNoRelay
+	}
+	reply, err := f.exchange.Watch(ctx, holder, &peerpb.WatchRequest{After: after, Wait: wait.Milliseconds()})
+	if err != nil {
+		return follow.Relayed{}, err
+	}
+	if reply.GetGap() {
+		return follow.Relayed{}, errRelayGap
+	}
+	r := follow.Relayed{Next: reply.GetRevision(), Age: time.Duration(reply.GetAge()) * time.Millisecond}
+	for _, i := range reply.GetItems() {
+		r.Items = append(r.Items, store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Removed: i.GetRemoved()})
+	}
+	return r, nil
+}
+
+// serveWatch answers a peer that follows the store through this instance.
+func (f *Front) serveWatch(ctx context.Context, q *peerpb.WatchRequest) (*peerpb.WatchReply, error) {
+	wait := min(max(0, time.Duration(q.GetWait())*time.Millisecond), maxRelayWait)
+	r, ok := f.follower.Serve(ctx, q.GetAfter(), wait)
+	if !ok {
+		return &peerpb.WatchReply{Gap: true}, nil
+	}
+	reply := &peerpb.WatchReply{Revision: r.Next, Age: r.Age.Milliseconds()}
+	for _, i := range r.Items {
+		reply.Items = append(reply.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
+	}
+	return reply, nil
+}
--- a/internal/peer/exchange/call.go
+++ b/internal/peer/exchange/call.go
@@ -57,6 +57,15 @@
 	return call[*peerpb.UsageReply](ctx, id, c.usage, r)
 }
 
+// Watch asks a member for the changes of the store that it has seen.
+func (n *Node) Watch(ctx context.Context, id string, r *peerpb.WatchRequest) (*peerpb.WatchReply, error) {
+	c, err := n.member(id)
+	if err != nil {
+		return nil, err
+	}
+	return call[*peerpb.WatchReply](ctx, id, c.watch, r)
+}
+
 func call[Reply any](ctx context.Context, id string, e func(context.Context, any) (any, error), r any) (Reply, error) {
 	// A caller that sets no deadline must not wait for a silent peer forever.
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
--- a/internal/peer/exchange/transport.go
+++ b/internal/peer/exchange/transport.go
@@ -25,12 +25,13 @@
 	Complete Method[*peerpb.CompleteRequest, *peerpb.CompleteReply]
 	Handover Method[*peerpb.HandoverRequest, *peerpb.HandoverReply]
 	Usage    Method[*peerpb.UsageRequest, *peerpb.UsageReply]
+	Watch    Method[*peerpb.WatchRequest, *peerpb.WatchReply]
 }
 
 // server adapts go-kit handlers to the generated service interface.
 type server struct {
 	peerpb.UnimplementedPeerServer
-	exchange, pull, reserve, complete, handover, usage kitgrpc.Handler
+	exchange, pull, reserve, complete, handover, usage, watch kitgrpc.Handler
 }
 
 func newServer(exchange Method[*peerpb.Digest, *peerpb.Digest], s Services, m *metrics) *server {
@@ -41,6 +42,7 @@
 		complete: newHandler("Complete", s.Complete, m),
 		handover: newHandler("Handover", s.Handover, m),
 		usage:    newHandler("Usage", s.Usage, m),
+		watch:    newHandler("Watch", s.Watch, m),
 	}
 }
 
@@ -68,6 +70,10 @@
 	return serve[*peerpb.UsageReply](ctx, s.usage, r)
 }
 
+func (s *server) Watch(ctx context.Context, r *peerpb.WatchRequest) (*peerpb.WatchReply, error) {
+	return serve[*peerpb.WatchReply](ctx, s.watch, r)
+}
+
 // newHandler puts a method behind a go-kit endpoint and server.
 func newHandler[Request, Reply proto.Message](name string, f Method[Request, Reply], m *metrics) kitgrpc.Handler {
 	e := func(ctx context.Context, r any) (any, error) {
@@ -106,7 +112,7 @@
 
 // clients are the go-kit endpoints of one connection.
 type clients struct {
-	exchange, pull, reserve, complete, handover, usage endpoint.Endpoint
+	exchange, pull, reserve, complete, handover, usage, watch endpoint.Endpoint
 }
 
 func newClients(c *grpc.ClientConn, m *metrics) clients {
@@ -117,6 +123,7 @@
 		complete: newClient(c, "Complete", peerpb.CompleteReply{}, m),
 		handover: newClient(c, "Handover", peerpb.HandoverReply{}, m),
 		usage:    newClient(c, "Usage", peerpb.UsageReply{}, m),
+		watch:    newClient(c, "Watch", peerpb.WatchReply{}, m),
 	}
 }
 
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,15 @@
 	// calls. It delays a change by a small part of the time in which it must be
 	// in force everywhere.
 	gather = 40 * time.Millisecond
+	// relayWait is how long a peer may wait for a change. A peer that is gone
+	// shows after it and relayMargin, well before a change must be in force.
+	relayWait   = 500 * time.Millisecond
+	relayMargin = 400 * time.Millisecond
+	// relayAge is the age from which on a peer's copy is not good enough. The
+	// peer's own watch confirms it every second.
+	relayAge = 2500 * time.Millisecond
+	// relayRest is how long the store is called directly after a peer failed.
+	relayRest = 3 * time.Second
 )
 
 // Change is what a listing or a watch brought.
@@ -29,7 +39,20 @@
 	Whole bool
 }
 
-// Config configures a Follower. All fields but Log are required.
+// Relayed is what a peer has seen of the store.
+type Relayed struct {
+	Items []store.Item
+	// Next is the revision to go on from.
+	Next int64
+	// Age is how long ago the peer's copy was known to be complete.
+	Age time.Duration
+}
+
+// ErrNoRelay means that no peer is to be asked.
+var ErrNoRelay = errors.New("no peer relays the store")
+
+// Config configures a Follower. All fields but Log
+// and Relay are required.
 type Config struct {
 	Store  store.Store
 	Prefix string
@@ -38,6 +61,10 @@
 	Wait time.Duration
 	// Apply takes a change. It is called from Run only.
 	Apply func(Change)
+	// Relay returns the changes that a peer has seen, so that not every instance
+	// calls the store. It returns ErrNoRelay if the instance is to call the
+	// store itself. Nil always does.
+	Relay func(ctx context.Context, after int64, wait time.Duration) (Relayed, error)
 	// Now reads the boot clock.
 	Now func() time.Time
 	Log *zap.Logger
@@ -48,6 +75,9 @@
 	config    Config
 	confirmed atomic.Int64
 	trouble   atomic.Int64
+	log       log
+	// direct is until when the store is called directly; Run alone uses it.
+	direct time.Time
 }
 
 // New returns a follower; Run starts it.
@@ -79,6 +109,13 @@
 	down := false
 	for ctx.Err() == nil {
 		sent := f.config.Now()
+		if next, n, ok := f.relay(ctx, from, sent); ok {
+			from = next
+			if n > 0 {
+				pause(ctx, gather)
+			}
+			continue
+		}
 		next, n, err := f.step(ctx, from)
 		now := f.config.Now()
 		if ctx.Err() != nil {
@@ -99,6 +136,7 @@
 		}
 		if next != 0 {
 			f.confirmed.Store(sent.UnixNano())
+			f.log.confirm()
 		}
 		from = next
 		if n > 0 || now.Sub(sent) < gather {
@@ -115,6 +153,7 @@
 			return 0, 0, err
 		}
 		f.config.Apply(Change{Items: items, Whole: true})
+		f.log.reset(next)
 		return next, len(items), nil
 	}
 	items, next, err := f.config.Store.Watch(ctx, f.config.Prefix, from, f.config.Wait)
@@ -129,9 +168,57 @@
 	if len(items) > 0 {
 		f.config.Apply(Change{Items: items})
 	}
+	f.log.add(items, next)
 	return next, len(items), nil
 }
 
+// relay asks a peer instead of the store, if there is one to ask.
+func (f *Follower) relay(ctx context.Context, from int64, sent time.Time) (next int64, n int, ok bool) {
+	if f.config.Relay == nil || from == 0 || sent.Before(f.direct) {
+		return 0, 0, false
+	}
+	call, cancel := context.WithTimeout(ctx, relayWait+relayMargin)
+	defer cancel()
+	r, err := f.config.Relay(call, from, relayWait)
+	if errors.Is(err, ErrNoRelay) {
+		return 0, 0, false
+	}
+	now := f.config.Now()
+	if err == nil && r.Age > relayAge {
+		err = fmt.Errorf("copy of the peer is %v old", r.Age)
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			f.config.Log.Info("peer does not relay the store; calling it directly", zap.Error(err), zap.Int64("revision", from))
+		}
+		f.direct = now.Add(relayRest)
+		return 0, 0, false
+	}
+	if len(r.Items) > 0 {
+		f.config.Apply(Change{Items: r.Items})
+	}
+	f.log.add(r.Items, r.Next)
+	// The age counts from the answer, which came after the call was sent; how
+	// long the answer took, or this machine was suspended, is not known.
+	if at := sent.Add(-r.Age).UnixNano(); at > f.confirmed.Load() {
+		f.confirmed.Store(at)
+	}
+	f.log.confirm()
+	return max(from, r.Next), len(r.Items), true
+}
+
+// Serve returns the changes after a revision for a peer as soon as there are
+// some or the copy is confirmed anew; ok is false if some are missing or the
+// store is lost.
+func (f *Follower) Serve(ctx context.Context, after int64, wait time.Duration) (r Relayed, ok bool) {
+	items, next, ok := f.log.after(ctx, after, wait)
+	now := f.config.Now()
+	if !ok || f.Confirmed().IsZero() || f.Trouble().After(f.Confirmed()) {
+		return Relayed{}, false
+	}
+	return Relayed{Items: items, Next: next, Age: now.Sub(f.Confirmed())}, true
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
