--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -41,9 +41,11 @@
 	// watchWait is how long a watch without changes waits. Two of them are below
 	// the time for which keys may be trusted without a word from the store.
 	watchWait = time.Second
-	// watchLag is how much later than the change a watch of an ailing store may
-	// tell of it, and how long a request may take from the check to a server.
-	watchLag = 1500 * time.Millisecond
+	// keyMargin is how long before its time a key stops working that the store
+	// does not confirm. It covers the way of a request from the check to the
+	// server, and the part of a second for which a watch of an ailing store may
+	// hear nothing although it ends well.
+	keyMargin = 700 * time.Millisecond
 	// balancerDelay is how long an instance that reports not ready still gets
 	// connections: two questions of the balancer, one a second.
 	balancerDelay = 2500 * time.Millisecond
@@ -186,20 +188,23 @@
 // view returns what the instance knows now.
 func (f *Front) view() forward.View {
 	confirmed := f.follower.Confirmed()
-	return forward.View{Table: f.table.Load(), Confirmed: confirmed, Fresh: f.now().Sub(confirmed) < f.config.RevokeWithin-watchLag}
+	return forward.View{Table: f.table.Load(), Confirmed: confirmed, Fresh: f.now().Sub(confirmed) < f.config.RevokeWithin-keyMargin}
 }
 
 // Run serves until ctx ends, then shuts down as planned.
 func (f *Front) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
+	// A draining instance leaves the duties to others.
+	duties, release := context.WithCancel(ctx)
+	defer release()
 	var wg sync.WaitGroup
 	wg.Go(func() { f.follower.Run(work) })
 	wg.Go(func() { f.expire(work) })
 	wg.Go(func() { f.register(work) })
 	wg.Go(func() { f.share(work) })
 	wg.Go(func() { f.exchangeWithPeers(work) })
-	wg.Go(func() { f.duty.Run(work) })
+	wg.Go(func() { f.duty.Run(duties) })
 	wg.Go(func() { f.mover.run(work) })
 	if f.config.Window > 0 {
 		wg.Go(func() { f.sendUsage(work) })
@@ -227,6 +232,7 @@
 		err = f.drain(clients)
 	}
 	f.flushUsage(context.Background())
+	release()
 	stop()
 	err = errors.Join(err, clients.Close(), ready.Close(), operation.Close())
 	wg.Wait()
--- a/internal/entry/front/relay.go
+++ b/internal/entry/front/relay.go
@@ -29,7 +29,7 @@
 	if reply.GetGap() {
 		return follow.Relayed{}, errRelayGap
 	}
-	r := follow.Relayed{Next: reply.GetRevision(), Age: time.Duration(reply.GetAge()) * time.Millisecond}
+	r := follow.Relayed{Next: reply.GetRevision(), Age: time.Duration(reply.GetAge()) * time.Millisecond, Waited: time.Duration(reply.GetWaited()) * time.Millisecond}
 	for _, i := range reply.GetItems() {
 		r.Items = append(r.Items, store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Removed: i.GetRemoved()})
 	}
@@ -43,7 +43,7 @@
 	if !ok {
 		return &peerpb.WatchReply{Gap: true}, nil
 	}
-	reply := &peerpb.WatchReply{Revision: r.Next, Age: r.Age.Milliseconds()}
+	reply := &peerpb.WatchReply{Revision: r.Next, Age: r.Age.Milliseconds(), Waited: r.Waited.Milliseconds()}
 	for _, i := range r.Items {
 		reply.Items = append(reply.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
 	}
--- a/internal/peer/duty/holder.go
+++ b/internal/peer/duty/holder.go
@@ -106,7 +106,7 @@
 	h.config.Log.Info("duty has a holder", zap.String("holder", current), zap.Int64("fence", fence))
 }
 
-// Run tries to hold the duty until ctx ends, then ends the lease.
+// Run tries to hold the duty until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
 	defer h.resign()
 	for ctx.Err() == nil {
@@ -215,20 +215,15 @@
 	}
 }
 
-// resign ends the lease, so that a successor need not wait for its end.
+// resign stops acting and lets the lease run out. Ending it would let the duty
+// go to a successor and, if that one stops too, back to this machine within
+// the time in which two holders must not take turns.
 func (h *Holder) resign() {
 	h.mu.Lock()
-	lease, fence := h.lease, h.fence
-	h.fence, h.lease = 0, 0
-	h.mu.Unlock()
-	if fence == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	if err := h.config.Store.End(ctx, lease); err != nil {
-		h.config.Log.Info("lease of the duty runs out by itself", zap.Error(err))
+	defer h.mu.Unlock()
+	if h.fence == 0 {
 		return
 	}
-	h.config.Log.Info("duty given back", zap.Int64("fence", fence))
+	h.config.Log.Info("duty given up; its lease runs out", zap.Int64("fence", h.fence), zap.Duration("left", h.until.Sub(h.config.Now())))
+	h.fence, h.lease = 0, 0
 }
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -44,8 +44,9 @@
 	Items []store.Item
 	// Next is the revision to go on from.
 	Next int64
-	// Age is how long ago the peer's copy was known to be complete.
-	Age time.Duration
+	// Age is how long ago the peer's copy was known to be complete, and Waited
+	// how long the peer waited before it answered.
+	Age, Waited time.Duration
 }
 
 // ErrNoRelay means that no peer is to be asked.
@@ -198,9 +199,9 @@
 		f.config.Apply(Change{Items: r.Items})
 	}
 	f.log.add(r.Items, r.Next)
-	// The age counts from the answer, which came after the call was sent; how
-	// long the answer took, or this machine was suspended, is not known.
-	if at := sent.Add(-r.Age).UnixNano(); at > f.confirmed.Load() {
+	// The age counts from the answer. How long that was on its way, or this
+	// machine was suspended, is not known, only how long the peer waited.
+	if at := sent.Add(r.Waited - r.Age).UnixNano(); at > f.confirmed.Load() {
 		f.confirmed.Store(at)
 	}
 	f.log.confirm()
@@ -211,12 +212,13 @@
 // some or the copy is confirmed anew; ok is false if some are missing or the
 // store is lost.
 func (f *Follower) Serve(ctx context.Context, after int64, wait time.Duration) (r Relayed, ok bool) {
+	came := f.config.Now()
 	items, next, ok := f.log.after(ctx, after, wait)
 	now := f.config.Now()
 	if !ok || f.Confirmed().IsZero() || f.Trouble().After(f.Confirmed()) {
 		return Relayed{}, false
 	}
-	return Relayed{Items: items, Next: next, Age: now.Sub(f.Confirmed())}, true
+	return Relayed{Items: items, Next: next, Age: now.Sub(f.Confirmed()), Waited: now.Sub(came)}, true
 }
 
 func pause(ctx context.Context, d time.Duration) {
