--- /dev/null
+++ b/cmd/wasabiworks/explain.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"wasabiworks.example/wasabiworks/internal/operator/story"
+)
+
+type explainCommand struct {
+	Args struct {
+		Request string   `positional-arg-name:"REQUEST" description:"id of the request" required:"yes"`
+		Logs    []string `positional-arg-name:"LOG" description:"log files of instances; standard input without"`
+	} `positional-args:"yes"`
+	app *app
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) (err error) {
+	logs := c.app.in
+	if len(c.Args.Logs) > 0 {
+		readers := make([]io.Reader, 0, len(c.Args.Logs))
+		for _, name := range c.Args.Logs {
+			f, openErr := os.Open(name)
+			if openErr != nil {
+				return openErr
+			}
+			defer func() { err = errors.Join(err, f.Close()) }()
+			readers = append(readers, f)
+		}
+		logs = io.MultiReader(readers...)
+	}
+	text, err := story.Read(logs, c.Args.Request)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprint(c.app.out, text)
+	return err
+}
--- a/cmd/wasabiworks/forward.go
+++ b/cmd/wasabiworks/forward.go
@@ -4,14 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"wasabiworks.example/wasabiworks/internal/entry/front"
+	"wasabiworks.example/wasabiworks/internal/operator/logs"
 	"wasabiworks.example/wasabiworks/internal/operator/settings"
 	"wasabiworks.example/wasabiworks/platform"
 )
@@ -26,10 +30,13 @@
 	if err := c.Check(); err != nil {
 		return err
 	}
-	log, err := c.logger()
+	registry := prometheus.NewRegistry()
+	log, lines, err := c.logger(c.app.out, registry)
 	if err != nil {
 		return err
 	}
+	defer lines.Close() // never fails
+	defer zap.RedirectStdLog(log)()
 	// Further signals do nothing: a second SIGTERM does not speed up a planned
 	// shutdown.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -42,7 +49,7 @@
 			log.Info("reload asked for; settings of a running instance do not change")
 		}
 	}()
-	f, err := c.front(log)
+	f, err := c.front(log, registry)
 	if err != nil {
 		return err
 	}
@@ -50,7 +57,7 @@
 }
 
 // front opens the listeners and composes the instance.
-func (c *forwardCommand) front(log *zap.Logger) (*front.Front, error) {
+func (c *forwardCommand) front(log *zap.Logger, registry *prometheus.Registry) (*front.Front, error) {
 	addresses := []string{c.ClientAddress, c.ReadyAddress, c.PeerAddress, c.OperationsAddress}
 	listeners := make([]net.Listener, len(addresses))
 	for i, address := range addresses {
@@ -69,17 +76,19 @@
 		Store: platform.NewStore(c.Store), Cloud: platform.NewCloud(c.Cloud, c.Instance), Format: platform.Format(),
 		Window: window, Scale: c.Has("autoscale"), AllowanceSlack: c.AllowanceSlack,
 		Retry:        front.RetryLimit{Ratio: c.RetryRatio, Slack: c.RetrySlack, Window: c.RetryWindow},
-		RevokeWithin: c.RevokeWithin, DrainNotice: c.DrainNotice, Log: log,
+		RevokeWithin: c.RevokeWithin, DrainNotice: c.DrainNotice, Log: log, Registry: registry,
 	})
 }
 
-func (c *forwardCommand) logger() (*zap.Logger, error) {
+// logger returns a logger to out that never makes its caller wait.
+func (c *forwardCommand) logger(out io.Writer, r prometheus.Registerer) (*zap.Logger, *logs.Writer, error) {
 	level, err := zap.ParseAtomicLevel(c.LogLevel)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	config := zap.NewProductionConfig()
-	config.Level = level
-	config.OutputPaths = []string{"stdout"}
-	return config.Build()
+	w, err := logs.New(out, r)
+	if err != nil {
+		return nil, nil, err
+	}
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), w, level)), w, nil
 }
--- a/cmd/wasabiworks/main.go
+++ b/cmd/wasabiworks/main.go
@@ -31,6 +31,7 @@
 	Catalogue catalogueCommand `command:"catalogue" description:"check, compare and apply the catalogue"`
 	Moves     movesCommand     `command:"moves" description:"show the version moves"`
 	Status    statusCommand    `command:"status" description:"show the live entry instances"`
+	Explain   explainCommand   `command:"explain" description:"tell from logs what became of a request"`
 	Report    reportCommand    `command:"report" description:"print a report"`
 }
 
@@ -39,6 +40,7 @@
 func newParser(a *app, execute bool) *flags.Parser {
 	var c commands
 	c.Serve.app, c.Forward.app = a, a
+	c.Explain.app = a
 	c.Catalogue.Check.app, c.Catalogue.Diff.app, c.Catalogue.Apply.app = a, a, a
 	c.Catalogue.Show.app, c.Catalogue.History.app, c.Catalogue.HashToken.app = a, a, a
 	c.Moves.app, c.Status.app, c.Report.Burn.app = a, a, a
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 )
@@ -21,8 +22,18 @@
 type Handler struct {
 	config  Config
 	metrics *metrics
+	// routine and failures are the lines that may be written for requests that
+	// were served and that were not.
+	routine, failures limit.Allowance
 }
 
+const (
+	// routineLines and failureLines are the lines a second for requests that
+	// were served and that were not, at some 600 bytes each. More are counted.
+	routineLines = 20
+	failureLines = 200
+)
+
 // New returns a handler.
 func New(c Config) (*Handler, error) {
 	if c.Log == nil {
@@ -32,7 +43,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Handler{config: c, metrics: m}, nil
+	h := &Handler{config: c, metrics: m}
+	h.routine.Set(routineLines, routineLines, c.Now())
+	h.failures.Set(failureLines, failureLines, c.Now())
+	return h, nil
 }
 
 // ServeHTTP implements http.Handler.
@@ -279,6 +293,7 @@
 
 type metrics struct {
 	requests, sends *prometheus.CounterVec
+	omitted         *prometheus.CounterVec
 	first, duration *prometheus.HistogramVec
 }
 
@@ -289,11 +304,12 @@
 		sends:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_sends_total", Help: "Requests sent to backend servers by outcome."}, []string{"outcome"}),
 		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "forward_first_byte_seconds", Help: "Time to the first byte of a server's answer.", Buckets: buckets}, []string{"kind"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "forward_duration_seconds", Help: "Time to the end of a request.", Buckets: buckets}, []string{"kind"}),
+		omitted:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_log_lines_omitted_total", Help: "Lines for requests left out beyond the budget of lines."}, []string{"kind"}),
 	}
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.sends, m.first, m.duration} {
+	for _, c := range []prometheus.Collector{m.requests, m.sends, m.omitted, m.first, m.duration} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
@@ -301,27 +317,39 @@
 	return m, nil
 }
 
-// log writes one line for the request with what decided it.
+// log writes one line for the request with what decided it, as long as its
+// kind has lines left.
 func (e *exchange) log(now time.Time) {
-	write := e.config.Log.Debug
-	if e.reason != Served && e.reason != ClientLeft {
-		write = e.config.Log.Info
+	budget, kind := &e.failures, "failed"
+	if e.reason == Served || e.reason == ClientLeft {
+		budget, kind = &e.routine, "routine"
+	}
+	if budget.Wait(now) > 0 {
+		e.metrics.omitted.WithLabelValues(kind).Inc()
+		return
 	}
-	fields := make([]zap.Field, 0, 12)
+	budget.Spend(1, now)
+	fields := make([]zap.Field, 0, 16)
 	fields = append(fields, zap.String("request", e.id), zap.String("reason", string(e.reason)), zap.Int("status", e.status),
 		zap.Duration("took", now.Sub(e.start)))
 	if e.view.Table != nil {
 		fields = append(fields, zap.Int64("configuration", e.view.Table.Version), zap.Duration("confirmed-before", e.start.Sub(e.view.Confirmed)))
 	}
 	if e.route != nil {
-		fields = append(fields, zap.String("route", e.route.Name), zap.String("service", e.service), zap.String("move", e.choice.Move), zap.Bool("new-version", e.choice.New), zap.String("workspace", e.workspace),
+		fields = append(fields, zap.String("route", e.route.Name), zap.String("service", e.service), zap.String("workspace", e.workspace),
 			zap.Duration("time-limit", e.deadline.Sub(e.start)))
 	}
+	if e.choice.Move != "" {
+		fields = append(fields, zap.String("move", e.choice.Move), zap.Bool("new-version", e.choice.New), zap.Uint8("step", e.choice.Step))
+	}
+	if e.retryAfter > 0 {
+		fields = append(fields, zap.Duration("retry-after", e.retryAfter))
+	}
 	if !e.first.IsZero() {
-		fields = append(fields, zap.Duration("first-byte", e.first.Sub(e.start)))
+		fields = append(fields, zap.Duration("first-byte", e.first.Sub(e.start)), zap.String("last-event", e.stream.last))
 	}
 	if len(e.sends) > 0 {
 		fields = append(fields, zap.Objects("sends", e.sends))
 	}
-	write("request ended", fields...)
+	e.config.Log.Info("request ended", fields...)
 }
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -100,6 +100,8 @@
 	// DrainNotice is how long requests in progress have at a planned shutdown.
 	DrainNotice time.Duration
 	Log         *zap.Logger
+	// Registry takes the instance's metrics; default one of its own.
+	Registry *prometheus.Registry
 }
 
 // Front is an instance that forwards requests.
@@ -135,8 +137,11 @@
 // New returns a front; Run starts it.
 func New(c Config) (*Front, error) {
 	c.Log = c.Log.With(zap.String("instance", c.Instance))
+	if c.Registry == nil {
+		c.Registry = prometheus.NewRegistry()
+	}
 	f := &Front{
-		config: c, now: boottime.Now, registry: prometheus.NewRegistry(), pool: pool.New(),
+		config: c, now: boottime.Now, registry: c.Registry, pool: pool.New(),
 		revisions: make(map[string]int64), registered: make(map[string]membership.Member),
 	}
 	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay, Now: f.now, Log: c.Log})
--- /dev/null
+++ b/internal/operator/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs writes log lines without ever making the caller wait.
+package logs
