--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -324,7 +324,7 @@
 	if e.reason == Served || e.reason == ClientLeft {
 		budget, kind = &e.routine, "routine"
 	}
-	if budget.Wait(now) > 0 {
+	if budget.Wait(1, now) > 0 {
 		e.metrics.omitted.WithLabelValues(kind).Inc()
 		return
 	}
--- a/internal/decide/limit/allowance.go
+++ b/internal/decide/limit/allowance.go
@@ -7,8 +7,8 @@
 )
 
 // Allowance limits what is used of a quantity, such as tokens. Uses differ in
-// size: one is admitted while anything is left and may leave a debt, so that
-// a use larger than the burst is not rejected for ever. The zero value admits
+// size: one that is larger than half of the burst is admitted when that is
+// left and leaves a debt, so that it is not rejected for ever. The zero value admits
 // everything; the methods are safe for concurrent use.
 type Allowance struct {
 	mu     sync.Mutex
@@ -30,18 +30,21 @@
 	a.level = min(a.level, burst)
 }
 
-// Wait returns the time until something is left, or 0 if something is.
-func (a *Allowance) Wait(now time.Time) time.Duration {
+// Wait returns the time until units may be used, or 0 if they may now. A use
+// needs its units to be left, or half of the burst if it is larger, so that
+// small uses go on while a large one has to wait.
+func (a *Allowance) Wait(units float64, now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.rate <= 0 {
 		return 0
 	}
 	a.fill(now)
-	if a.level > 0 {
+	need := max(0, min(units, a.burst/2))
+	if a.level > 0 && a.level >= need {
 		return 0
 	}
-	return time.Duration(math.Ceil((1 - a.level) / a.rate * float64(time.Second)))
+	return time.Duration(math.Ceil((max(1, need) - a.level) / a.rate * float64(time.Second)))
 }
 
 // Low reports whether less than half of the burst is left.
--- a/internal/decide/limit/allowance_test.go
+++ b/internal/decide/limit/allowance_test.go
@@ -23,7 +23,7 @@
 			a.Set(tt.rate, tt.burst, epoch)
 			total := 0.0
 			for at := time.Duration(0); at < 10*time.Second; at += time.Millisecond {
-				if a.Wait(epoch.Add(at)) == 0 {
+				if a.Wait(tt.units, epoch.Add(at)) == 0 {
 					a.Spend(tt.units, epoch.Add(at))
 					total += tt.units
 				}
@@ -43,7 +43,7 @@
 		a.Spend(1, epoch)
 	}
 	a.Set(20, 20, epoch)
-	if a.Wait(epoch) == 0 {
+	if a.Wait(1, epoch) == 0 {
 		t.Error("an empty allowance with new limits: something is left, want nothing until time passes")
 	}
 }
@@ -53,7 +53,23 @@
 	var a Allowance
 	a.Set(10, 10, epoch)
 	a.Charge(1e6, 30, epoch)
-	if got, most := a.Wait(epoch), 4*time.Second; got == 0 || got > most {
+	if got, most := a.Wait(1, epoch), 4*time.Second; got == 0 || got > most {
 		t.Errorf("wait after a charge of 1e6 with a debt of 30 at 10 a second: got %v, want up to %v", got, most)
 	}
 }
+
+// Guards against small uses that starve behind large ones, which need much to
+// be left.
+func TestAllowancePrefersSmallUses(t *testing.T) {
+	var a Allowance
+	a.Set(100, 1000, epoch)
+	a.Spend(900, epoch)
+	for units, want := range map[float64]bool{1: true, 100: true, 400: false, 5000: false} {
+		if got := a.Wait(units, epoch) == 0; got != want {
+			t.Errorf("use of %v with 100 of 1000 left: admitted %v, want %v", units, got, want)
+		}
+	}
+	if got, want := a.Wait(5000, epoch), 4*time.Second; got != want {
+		t.Errorf("use of 5000: wait %v, want %v", got, want)
+	}
+}
--- a/internal/entry/front/allowances.go
+++ b/internal/entry/front/allowances.go
@@ -81,7 +81,7 @@
 		a.shares[w.Name] = s
 		a.set(w, s, a.front.unheard(time.Now()), now)
 	}
-	if wait := max(s.all.Wait(now), s.own.Wait(now)); wait > 0 {
+	if wait := max(s.all.Wait(units, now), s.own.Wait(units, now)); wait > 0 {
 		return false, wait
 	}
 	s.all.Spend(units, now)
