--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	bin/slopes
 
 # BENCHED are the packages whose speed is followed from commit to commit.
-BENCHED := ./internal/caller/openai ./internal/backend/engine ./internal/backend/fleet ./internal/operator/burn \
+BENCHED := ./platform ./internal/caller/openai ./internal/backend/engine ./internal/backend/fleet ./internal/operator/burn \
 	wasabiworks.example/wasabiworks/internal/decide/route wasabiworks.example/wasabiworks/internal/decide/evidence \
 	wasabiworks.example/wasabiworks/internal/decide/move
 
--- /dev/null
+++ b/internal/caller/forward/fuzz_test.go
@@ -0,0 +1,47 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+)
+
+// Guards against events whose bytes change or get lost when a stream is cut
+// into events.
+func FuzzReadEvent(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nrest"))
+	f.Add([]byte("\n\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bufio.NewReaderSize(bytes.NewReader(data), 16)
+		var got []byte
+		for {
+			event, err := readEvent(r)
+			got = append(got, event...)
+			if errors.Is(err, io.EOF) {
+				break
+			}
+			if err != nil {
+				return // longer than an event may be
+			}
+			eventID(event)
+		}
+		if !bytes.Equal(got, data) {
+			t.Errorf("events of %q: got %q", data, got)
+		}
+	})
+}
+
+// Guards against sizes of a prompt that overflow.
+func FuzzParsePrompt(f *testing.F) {
+	f.Add("1460,80", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+	f.Add("-1,99999999999999999999", ",:,a:b,:1")
+	f.Fuzz(func(t *testing.T, tokens, prefix string) {
+		p := parsePrompt(tokens, prefix)
+		shared, _ := p.Shared()
+		if p.Tokens < 0 || p.Total < p.Tokens || shared < 0 || len(p.Parts) > maxParts {
+			t.Errorf("%q, %q: got %+v with %d shared tokens", tokens, prefix, p, shared)
+		}
+	})
+}
