Never join the answer of another server to a stream that broke off

Found by reading: a server that answers a resumed stream in one piece was passed on behind the events of the first.

Also: one loop for what instances do periodically, and one table of counters for allowances and moves.

--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -54,7 +54,8 @@
 		return e.improper(s)
 	}
 	c := &collected{status: r.StatusCode, header: r.Header, body: body}
-	if r.StatusCode >= 500 && e.streaming {
+	if e.streaming {
+		// The client has the head of a stream, which this does not go on with.
 		s.worker.Failed(now)
 		return lost
 	}
--- a/internal/entry/front/allowances.go
+++ b/internal/entry/front/allowances.go
@@ -46,7 +46,6 @@
 	front *Front
 	slack float64 // units beyond the allowance that all instances may admit
 	start time.Time
-	spent evidence.Table
 
 	mu     sync.Mutex
 	shares map[string]*share
@@ -62,9 +61,7 @@
 }
 
 func newAllowances(f *Front, slack float64) *allowances {
-	a := &allowances{front: f, slack: slack, start: f.now(), shares: make(map[string]*share)}
-	a.spent.SetDomain(f.config.FailureDomain)
-	return a
+	return &allowances{front: f, slack: slack, start: f.now(), shares: make(map[string]*share)}
 }
 
 // Take implements forward.Allowances.
@@ -113,7 +110,7 @@
 func (a *allowances) compute(t *routes.Table) {
 	now, wall := a.front.now(), time.Now()
 	unheard := a.front.unheard(wall)
-	a.spent.Forget(epoch(wall.Add(-spentKept)))
+	a.front.counters.Forget(epoch(wall.Add(-spentKept)))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	current := epoch(wall)
@@ -121,7 +118,7 @@
 	for name, s := range a.shares {
 		if s.spent > 0 {
 			low = low || s.all.Low(now)
-			a.spent.Add(a.front.node, evidence.Key{Move: current, Version: name}, evidence.Count{Answered: s.spent})
+			a.front.counters.Add(a.front.node, evidence.Key{Move: current, Version: name}, evidence.Count{Answered: s.spent})
 			s.seen[current] += s.spent // it was charged when it was admitted
 			s.spent = 0
 		}
@@ -132,7 +129,7 @@
 	}
 	for back := time.Duration(0); back < spentKept; back += spentEpoch {
 		name := epoch(wall.Add(-back))
-		for key, count := range a.spent.Totals(name) {
+		for key, count := range a.front.counters.Totals(name) {
 			s, ok := a.shares[key.Version]
 			w, known := t.Workspace(key.Version)
 			if !ok || !known || count.Answered <= s.seen[name] {
@@ -179,17 +176,10 @@
 
 // share keeps the allowances up to date until ctx ends.
 func (f *Front) share(ctx context.Context) {
-	t := time.NewTicker(sharePeriod)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			if table := f.table.Load(); table != nil {
-				f.allowances.compute(table)
-			}
-			f.crashes.Set.Expire(time.Now())
+	every(ctx, sharePeriod, func() {
+		if table := f.table.Load(); table != nil {
+			f.allowances.compute(table)
 		}
-	}
+		f.crashes.Set.Expire(time.Now())
+	})
 }
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -18,6 +18,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
 	"wasabiworks.example/wasabiworks/internal/caller/forward"
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/decide/retry"
@@ -56,6 +57,9 @@
 	// regained is how long after a failed call an entry that is gone counts as
 	// lapsed: the first answers after it tell of all that lapsed.
 	regained = 800 * time.Millisecond
+	// expirePeriod is how often it is looked for servers that did not register
+	// again.
+	expirePeriod = 200 * time.Millisecond
 	// troubled is how long after a failed call the store counts as ailing.
 	troubled = 3 * time.Second
 	// defaultWindow is the length of a window of counts where usage is not
@@ -128,11 +132,14 @@
 	exchange   *exchange.Node
 	allowances *allowances
 	crashes    crash.Records
-	counter    *counter
-	collector  *collector
-	duty       *duty.Holder
-	mover      *mover
-	plans      sync.Map // service name to the planned number of servers
+	// counters are what instances count for each other: what workspaces spent,
+	// and how requests on either version of a move ended.
+	counters  evidence.Table
+	counter   *counter
+	collector *collector
+	duty      *duty.Holder
+	mover     *mover
+	plans     sync.Map // service name to the planned number of servers
 }
 
 // New returns a front; Run starts it.
@@ -179,11 +186,12 @@
 	f.collector = &collector{front: f}
 	f.mover = newMover(f)
 	f.duty = duty.New(duty.Config{Store: c.Store, Key: dutyKey, Instance: c.Instance, Now: f.now, Log: c.Log})
-	spent := exchange.Evidence{Table: &f.allowances.spent, Domain: c.FailureDomain, Self: c.Instance}
+	f.counters.SetDomain(c.FailureDomain)
+	counters := exchange.Evidence{Table: &f.counters, Domain: c.FailureDomain, Self: c.Instance}
 	f.exchange, err = exchange.New(exchange.Config{
 		Members:    f.members,
-		Sources:    []exchange.Source{spent, f.crashes},
-		Sinks:      []exchange.Sink{spent, f.crashes},
+		Sources:    []exchange.Source{counters, f.crashes},
+		Sinks:      []exchange.Sink{counters, f.crashes},
 		Services:   exchange.Services{Usage: f.collector.serveUsage, Watch: f.serveWatch},
 		Registerer: f.registry,
 		Logger:     c.Log,
@@ -309,16 +317,23 @@
 
 // expire drops servers that did not register again, until ctx ends.
 func (f *Front) expire(ctx context.Context) {
-	t := time.NewTicker(200 * time.Millisecond)
+	every(ctx, expirePeriod, func() {
+		for _, id := range f.pool.Expire(f.now()) {
+			f.config.Log.Info("server dropped", zap.String("server", id), zap.String("reason", "entry did not come back"))
+		}
+	})
+}
+
+// every calls f once in each period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func()) {
+	t := time.NewTicker(period)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			for _, id := range f.pool.Expire(f.now()) {
-				f.config.Log.Info("server dropped", zap.String("server", id), zap.String("reason", "entry did not come back"))
-			}
+			f()
 		}
 	}
 }
--- a/internal/entry/front/moves.go
+++ b/internal/entry/front/moves.go
@@ -139,19 +139,12 @@
 
 // run decides on moves until ctx ends.
 func (m *mover) run(ctx context.Context) {
-	t := time.NewTicker(movePeriod)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			m.decide(time.Now())
-			if _, ok := m.front.duty.Fence(); ok {
-				m.record(ctx, time.Now())
-			}
+	every(ctx, movePeriod, func() {
+		m.decide(time.Now())
+		if _, ok := m.front.duty.Fence(); ok {
+			m.record(ctx, time.Now())
 		}
-	}
+	})
 }
 
 // decide computes this instance's share of each move. An order that no holder
@@ -179,7 +172,7 @@
 		default:
 			state := move.State{
 				Plan:     move.Plan{ID: r.ID, From: oldVersion, To: r.To, Start: r.Start, Deadline: r.Deadline, KeepUntil: r.Finish},
-				Evidence: m.front.allowances.spent.Totals(r.ID), Isolated: m.front.members.Isolated(now),
+				Evidence: m.front.counters.Totals(r.ID), Isolated: m.front.members.Isolated(now),
 			}
 			if have, ok := last[service]; ok && have.ID == r.ID {
 				state.Last = have.decision
@@ -301,5 +294,5 @@
 	default:
 		count.Answered = 1
 	}
-	m.front.allowances.spent.Add(m.front.node, evidence.Key{Move: c.Move, Version: version, Route: route, Step: c.Step}, count)
+	m.front.counters.Add(m.front.node, evidence.Key{Move: c.Move, Version: version, Route: route, Step: c.Step}, count)
 }
--- a/internal/entry/front/report.go
+++ b/internal/entry/front/report.go
@@ -88,18 +88,11 @@
 
 // run reports windows while this instance holds the duty, until ctx ends.
 func (c *collector) run(ctx context.Context) {
-	t := time.NewTicker(usageTick)
-	defer t.Stop()
-	read := int64(0)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	read := int64(0) // the fence under which the kept windows were read
+	every(ctx, usageTick, func() {
 		fence, ok := c.front.duty.Fence()
 		if !ok {
-			continue
+			return
 		}
 		c.mu.Lock()
 		c.reset()
@@ -107,14 +100,14 @@
 		if read != fence {
 			if err := c.readKept(ctx); err != nil {
 				c.front.config.Log.Info("kept usage could not be read", zap.Error(err))
-				continue
+				return
 			}
 			read = fence
 		}
 		for _, k := range c.due(time.Now()) {
 			c.report(ctx, k)
 		}
-	}
+	})
 }
 
 // readKept reads what a predecessor has written.
--- a/internal/entry/front/scale.go
+++ b/internal/entry/front/scale.go
@@ -65,18 +65,11 @@
 
 // run orders servers until ctx ends.
 func (s *scaler) run(ctx context.Context) {
-	t := time.NewTicker(scalePeriod)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	every(ctx, scalePeriod, func() {
 		fence, ok := s.front.duty.Fence()
 		table := s.front.table.Load()
 		if !ok || table == nil {
-			continue
+			return
 		}
 		if fence != s.fence {
 			s.fence, s.sent, s.totals = fence, make(map[orderKey]ordered), make(map[string]total)
@@ -87,7 +80,7 @@
 				s.scale(ctx, &table.Services[i])
 			}
 		}
-	}
+	})
 }
 
 // scale orders the servers of one service.
--- a/internal/entry/front/usage.go
+++ b/internal/entry/front/usage.go
@@ -121,16 +121,7 @@
 
 // sendUsage sends the counts of past windows to the holder until ctx ends.
 func (f *Front) sendUsage(ctx context.Context) {
-	t := time.NewTicker(usageTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f.flushUsage(ctx)
-		}
-	}
+	every(ctx, usageTick, func() { f.flushUsage(ctx) })
 }
 
 // flushUsage sends what the holder lacks. An instance that the store rejects
