--- a/internal/entry/front/allowances.go
+++ b/internal/entry/front/allowances.go
@@ -127,7 +127,7 @@
 		a.told = now
 		a.front.exchange.Notify()
 	}
-	for back := time.Duration(0); back < spentKept; back += spentEpoch {
+	for back := -spentEpoch; back < spentKept; back += spentEpoch { // another clock may be ahead
 		name := epoch(wall.Add(-back))
 		for key, count := range a.front.counters.Totals(name) {
 			s, ok := a.shares[key.Version]
