--- /dev/null
+++ b/internal/backend/pool/pool_test.go
@@ -0,0 +1,122 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/decide/route"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// Guards against memory that grows with all prompts ever sent, and against
+// parts that count as cached long after their use or without those before them.
+func TestPrompts(t *testing.T) {
+	var p Prompts
+	now := epoch
+	for n := range uint64(100_000) {
+		now = now.Add(promptKept / 100) // 100 parts are in use at a time
+		p.Add([]route.Part{{Chain: n, Tokens: 10}}, now)
+	}
+	if got, most := len(p.parts), 1000; got > most {
+		t.Errorf("got %d parts kept of 100 in use, want at most %d", got, most)
+	}
+	parts := []route.Part{{Chain: 1 << 40, Tokens: 100}, {Chain: 1<<40 + 1, Tokens: 50}}
+	p.Add(parts[:1], now)
+	tests := []struct {
+		name  string
+		parts []route.Part
+		after time.Duration
+		want  int
+	}{
+		{"both, one read", parts, 0, 100},
+		{"the second only", parts[1:], 0, 0},
+		{"later", parts, promptKept + 1, 0},
+	}
+	for _, tt := range tests {
+		if got := p.Cached(tt.parts, now.Add(tt.after)); got != tt.want {
+			t.Errorf("%s: got %d tokens cached, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against a server that is lost, doubled or brought back by entries that
+// change, lapse and return.
+func TestPool(t *testing.T) {
+	p := New()
+	s := Server{ID: "a", Service: "s", Address: "127.0.0.1:1", Incarnation: 1}
+	usable := func() int {
+		n := 0
+		for _, w := range p.Service("s") {
+			if w.Usable() {
+				n++
+			}
+		}
+		return n
+	}
+	leaving, reborn, moved := s, s, s
+	leaving.Leaving = true
+	reborn.Incarnation = 2
+	moved.Incarnation, moved.Service = 2, "other"
+	steps := []struct {
+		name string
+		do   func()
+		want int
+	}{
+		{"registered", func() { p.Put(s) }, 1},
+		{"registered again", func() { p.Put(s) }, 1},
+		{"leaving", func() { p.Put(leaving) }, 0},
+		{"the old entry again", func() { p.Put(s) }, 0},
+		{"born again", func() { p.Put(reborn) }, 1},
+		{"entry lapsed", func() { p.Remove("a", epoch.Add(time.Second)) }, 1},
+		{"not yet gone", func() { p.Expire(epoch) }, 1},
+		{"back in time", func() { p.Put(reborn); p.Expire(epoch.Add(time.Minute)) }, 1},
+		{"lapsed for good", func() { p.Remove("a", epoch.Add(time.Second)); p.Expire(epoch.Add(time.Minute)) }, 0},
+		{"registered anew", func() { p.Put(reborn) }, 1},
+		{"of another service", func() { p.Put(moved) }, 0},
+		{"removed", func() { p.Remove("a", time.Time{}) }, 0},
+	}
+	for _, st := range steps {
+		st.do()
+		if got := usable(); got != st.want {
+			t.Errorf("%s: got %d usable servers, want %d", st.name, got, st.want)
+		}
+	}
+	if p.Len() != 0 {
+		t.Errorf("got %d servers at the end, want none", p.Len())
+	}
+}
+
+// Guards against a silent server that keeps getting requests, and against one
+// failure that shuts a server out for long.
+func TestSuspect(t *testing.T) {
+	w := newWorker(Server{ID: "a"})
+	now := epoch
+	check := func(what string, want bool) {
+		t.Helper()
+		if got := w.Suspect(now); got != want {
+			t.Errorf("%s: suspect %v, want %v", what, got, want)
+		}
+	}
+	check("idle", false)
+	w.Begin(0, now)
+	now = now.Add(silenceAfter + 1)
+	check("silent with a request", true)
+	w.Heard(now)
+	check("heard", false)
+	w.End()
+	now = now.Add(time.Hour)
+	check("idle for long", false)
+	w.Failed(now)
+	check("failed", true)
+	now = now.Add(avoidFirst + 1)
+	check("a while after one failure", false)
+	for range 20 {
+		w.Failed(now)
+	}
+	now = now.Add(avoidMost + 1)
+	check("after many failures", false)
+	w.Failed(now)
+	w.Succeeded(now)
+	check("answered again", false)
+}
--- a/internal/backend/pool/prompts.go
+++ b/internal/backend/pool/prompts.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// maxPrompts bounds the parts that are remembered of one server.
+	// maxPrompts bounds the parts that are remembered of one server, and
+	// fewPrompts is the number below which old ones are not looked for.
 	maxPrompts = 4096
+	fewPrompts = 64
 	// promptKept is how long a part counts as cached after its last use. The
 	// least recently used parts yield, which this instance does not see.
 	promptKept = 30 * time.Second
@@ -20,6 +22,7 @@
 type Prompts struct {
 	mu    sync.Mutex
 	parts map[uint64]time.Time
+	sweep int // the number of parts at which old ones are dropped
 }
 
 // Cached returns the tokens of the leading parts that the server has read.
@@ -45,7 +48,7 @@
 	for _, part := range parts {
 		p.parts[part.Chain] = now
 	}
-	if len(p.parts) <= maxPrompts {
+	if len(p.parts) <= max(fewPrompts, p.sweep) {
 		return
 	}
 	for chain, used := range p.parts {
@@ -53,4 +56,6 @@
 			delete(p.parts, chain)
 		}
 	}
+	// Each part is looked at once for each that is added, on average.
+	p.sweep = 2 * len(p.parts)
 }
