--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -221,7 +221,7 @@
 		"--operations-address", i.addresses["operations"], "--store", i.link.address(), "--cloud", r.base["cloud"],
 		"--usage-window", "1s", "--duties", "metering", "--drain-notice", "4s", "--revoke-within", revokeWithin.String())
 	i.cmd.Stdout, i.cmd.Stderr = r.Log, r.Log
-	i.disturbed = time.Now()
+	r.disturbInstance(i)
 	return i.cmd.Start()
 }
 
