Let reclaimable servers carry the load and ordinary ones stand in

Change: the plan counts the reclaimable servers that take requests. What would be left when one failure domain loses all of its own counts against the need; ordinary servers, which start within seconds, make up the difference, and leave when the others are back. Three reclaimable servers are ordered for each that is needed, and the need begins at 0.45 of the planned number.

--- a/internal/decide/capacity/capacity.go
+++ b/internal/decide/capacity/capacity.go
@@ -11,6 +11,8 @@
 	Name string
 	// Price is the price of an ordinary server.
 	Price float64
+	// Reclaimable is the number of reclaimable servers that take requests.
+	Reclaimable int
 }
 
 // Service is what is known of a service.
@@ -42,7 +44,7 @@
 const (
 	// start is the part of the planned servers that is needed at first: what the
 	// operator planned carries the load without the reuse of prompts.
-	start = 0.7
+	start = 0.45
 	// most bounds the need, in parts of the planned servers.
 	most = 1.0
 	// lateAbove is the part of late streams above which more servers are needed,
@@ -75,23 +77,30 @@
 }
 
 const (
-	// cushion is the part of the need that reclaimable servers come on top of
-	// it. They shorten waits, but may all be gone when one is.
-	cushion = 1.0
+	// spare is the number of reclaimable servers to order, in parts of the need.
+	// They shorten waits, and those of other domains stand in for one whose are
+	// taken away.
+	spare = 3.0
 	// worthwhile is the highest part of the price at which reclaimable servers
 	// pay.
 	worthwhile = 0.5
+	// kept is the number of ordinary servers in a domain that reclaimable ones
+	// never replace: a domain whose reclaimable servers are taken away and that
+	// is cut off from the others serves on with them.
+	kept = 1
 )
 
-// Plan returns the orders for a service. Ordinary servers carry the need, the
-// remainder in the cheapest domains. Reclaimable ones are taken away together,
-// and none are to be had for a while after that, so they come on top.
+// Plan returns the orders for a service. Reclaimable servers carry the load as
+// far as enough of them stay when one domain loses all of its own, as happens
+// at short notice and at times when none are to be had elsewhere. Ordinary
+// servers make up what is missing, the remainder in the cheapest domains.
 func Plan(s Service) []Order {
 	n := len(s.Domains)
 	if n == 0 {
 		return nil
 	}
-	total := int(math.Ceil(max(float64(n), s.Need)))
+	reclaimable := s.ReclaimablePrice > 0 && s.ReclaimablePrice <= worthwhile
+	total := max(n*kept, int(math.Ceil(s.Need))-s.staying())
 	byPrice := make([]int, n)
 	for i := range byPrice {
 		byPrice[i] = i
@@ -104,12 +113,23 @@
 			each++
 		}
 		orders[i] = Order{Domain: s.Domains[i].Name, Ordinary: s.bound(each)}
-		if s.ReclaimablePrice > 0 && s.ReclaimablePrice <= worthwhile {
-			both := s.bound(orders[i].Ordinary + int(math.Ceil(cushion*s.Need/float64(n))))
+		if reclaimable {
+			both := s.bound(orders[i].Ordinary + int(math.Ceil(spare*s.Need/float64(n))))
 			orders[i].Reclaimable = both - orders[i].Ordinary
 		}
 	}
 	return orders
 }
 
+// staying returns the number of reclaimable servers that are left when the
+// domain with the most of them loses its own.
+func (s Service) staying() int {
+	sum, largest := 0, 0
+	for _, d := range s.Domains {
+		sum += d.Reclaimable
+		largest = max(largest, d.Reclaimable)
+	}
+	return sum - largest
+}
+
 func (s Service) bound(n int) int { return min(max(n, s.Min), max(s.Max, s.Min)) }
--- a/internal/decide/capacity/capacity_test.go
+++ b/internal/decide/capacity/capacity_test.go
@@ -2,26 +2,42 @@
 
 import "testing"
 
-func service(need float64) Service {
-	return Service{
-		Domains: []Domain{{"a", 1}, {"b", 0.8}, {"c", 1.25}, {"d", 0.9}}, Min: 1, Max: 10, ReclaimablePrice: 0.15, Need: need,
+func service(need float64, reclaimable ...int) Service {
+	s := Service{
+		Domains: []Domain{{Name: "a", Price: 1}, {Name: "b", Price: 0.8}, {Name: "c", Price: 1.25}, {Name: "d", Price: 0.9}},
+		Min:     1, Max: 10, ReclaimablePrice: 0.15, Need: need,
 	}
+	for i, n := range reclaimable {
+		s.Domains[i].Reclaimable = n
+	}
+	return s
 }
 
-// Guards against orders beyond the bounds, fewer ordinary servers than are
-// needed, and a remainder in dear domains.
+// Guards against orders beyond the bounds, a remainder in dear domains, and a
+// load that nobody carries: reclaimable servers that are not there yet, that
+// were taken away, or that a domain may lose at any moment do not count.
 func TestPlan(t *testing.T) {
+	priced := func(price float64) Service {
+		s := service(13, 9, 9, 9, 9)
+		s.ReclaimablePrice = price
+		return s
+	}
 	tests := []struct {
 		name                  string
 		service               Service
 		ordinary, reclaimable int
 		extraIn               string // the domain that gets the remainder
 	}{
-		{"need of 13", service(13), 13, 16, "b"},
+		{"none yet", service(13), 13, 27, "b"},
+		{"some are there", service(13, 2, 2, 2, 2), 7, 33, ""},
+		{"enough when a domain loses its own", service(13, 5, 5, 5, 5), 4, 36, ""},
+		{"all in one domain", service(13, 20), 13, 27, "b"},
+		{"two domains have lost theirs", service(13, 5, 5, 0, 0), 8, 32, ""},
 		{"no need", service(0), 4, 0, ""},
 		{"above the bounds", service(100), 40, 0, ""},
 		{"no reclaimable ones", func() Service { s := service(13); s.ReclaimablePrice = 0; return s }(), 13, 0, "b"},
 		{"dear reclaimable ones", func() Service { s := service(13); s.ReclaimablePrice = 0.9; return s }(), 13, 0, "b"},
+		{"price went up", priced(0.9), 4, 0, ""},
 	}
 	for _, tt := range tests {
 		ordinary, reclaimable := 0, 0
--- a/internal/entry/front/scale.go
+++ b/internal/entry/front/scale.go
@@ -98,8 +98,9 @@
 	c := capacity.Service{
 		Min: service.Scaling.Min, Max: service.Scaling.Max, ReclaimablePrice: service.Scaling.ReclaimablePrice, Need: s.needed(service.Name, planned),
 	}
+	usable := s.reclaimable(service.Name)
 	for domain, price := range service.Scaling.Prices {
-		c.Domains = append(c.Domains, capacity.Domain{Name: domain, Price: price})
+		c.Domains = append(c.Domains, capacity.Domain{Name: domain, Price: price, Reclaimable: usable[domain]})
 	}
 	slices.SortFunc(c.Domains, func(a, b capacity.Domain) int { return strings.Compare(a.Name, b.Name) })
 	for _, o := range capacity.Plan(c) {
@@ -110,6 +111,18 @@
 	}
 }
 
+// reclaimable returns the number of a service's reclaimable servers that take
+// requests, by failure domain.
+func (s *scaler) reclaimable(service string) map[string]int {
+	n := make(map[string]int)
+	for _, w := range s.front.pool.Service(service) {
+		if w.Reclaimable && w.Usable() {
+			n[w.FailureDomain]++
+		}
+	}
+	return n
+}
+
 // needed returns the number of servers that the streams of the past windows
 // show to be needed.
 func (s *scaler) needed(service string, planned int) float64 {
