Let one instance of each failure domain decide on an allowance

Change: in each failure domain the owner by rendezvous hashing decides on a workspace's uses, and the others ask it over gRPC (150 ms at most; an instance that does not answer is avoided for 1 s, then the next one decides, and without any each keeps to an even part). Owners learn of each other by the exchange of counters as before. The limiter is a package of its own, and a refusal says who decided and what was used up.

Test: TestUsesBelowTheAllowanceAreAdmitted, TestAllowanceHoldsForAllInstances.

--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 )
 
@@ -22,9 +24,8 @@
 
 // Allowances limits what workspaces use.
 type Allowances interface {
-	// Take uses units of a workspace's allowance if they are left, and
-	// otherwise returns when to come back.
-	Take(w *routes.Workspace, units float64) (ok bool, retryAfter time.Duration)
+	// Take uses units of a workspace's allowance if they are left.
+	Take(ctx context.Context, w *routes.Workspace, units float64) limit.Admission
 }
 
 // Budget limits the repeated sends to a service.
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -84,15 +84,16 @@
 	fingerprint uint64
 	deadline    time.Time
 
-	retryAfter time.Duration // of a refusal, if not the usual
-	reason     Reason
-	status     int
-	first      time.Time // first byte of the answer to the client
-	sends      []send
-	streaming  bool // the client has the head of a stream
-	stream     progress
-	began      bool       // counted as usage
-	held       *collected // a failure that a server answered with
+	units     float64 // of the workspace's allowance
+	admission limit.Admission
+	reason    Reason
+	status    int
+	first     time.Time // first byte of the answer to the client
+	sends     []send
+	streaming bool // the client has the head of a stream
+	stream    progress
+	began     bool       // counted as usage
+	held      *collected // a failure that a server answered with
 }
 
 // accept reads and checks the request. It returns the reason to refuse it, or
@@ -130,8 +131,8 @@
 	}
 	if workspace != nil {
 		e.workspace = workspace.Name
-		if ok, after := c.Allowances.Take(workspace, units(workspace, e.prompt)); !ok {
-			e.retryAfter = after
+		e.units = units(workspace, e.prompt)
+		if e.admission = c.Allowances.Take(e.r.Context(), workspace, e.units); !e.admission.Admitted {
 			return OverAllowance
 		}
 	}
@@ -251,8 +252,8 @@
 		return
 	}
 	status, notRun, after := reason.status()
-	if e.retryAfter > 0 {
-		after = e.retryAfter
+	if reason == OverAllowance {
+		after = max(e.admission.RetryAfter, minRetryAfter)
 	}
 	header := e.w.Header()
 	if e.id != "" {
@@ -346,8 +347,9 @@
 	if e.choice.Move != "" {
 		fields = append(fields, zap.String("move", e.choice.Move), zap.Bool("new-version", e.choice.New), zap.Uint8("step", e.choice.Step))
 	}
-	if e.retryAfter > 0 {
-		fields = append(fields, zap.Duration("retry-after", e.retryAfter))
+	if e.reason == OverAllowance {
+		fields = append(fields, zap.Float64("units", e.units), zap.Duration("retry-after", e.admission.RetryAfter),
+			zap.String("decided-by", e.admission.By), zap.String("used-up", e.admission.Bound))
 	}
 	if !e.first.IsZero() {
 		fields = append(fields, zap.Duration("first-byte", e.first.Sub(e.start)), zap.String("last-event", e.stream.last))
--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -60,6 +60,10 @@
 // come back.
 const retryPause = 300 * time.Millisecond
 
+// minRetryAfter is the shortest time after which a client whose workspace is
+// over its allowance is told to come back; 0 would mean at once.
+const minRetryAfter = time.Millisecond
+
 // status returns the status of the instance's own answer, whether it promises
 // that the request did not run, and when to come back.
 func (r Reason) status() (status int, notRun bool, retryAfter time.Duration) {
--- a/internal/decide/limit/allowance.go
+++ b/internal/decide/limit/allowance.go
@@ -6,6 +6,15 @@
 	"time"
 )
 
+// Admission is the decision on one use of an allowance.
+type Admission struct {
+	Admitted bool
+	// RetryAfter is when to come back if the use was not admitted.
+	RetryAfter time.Duration
+	// By is who decided, and Bound what was used up; both are for logs.
+	By, Bound string
+}
+
 // Allowance limits what is used of a quantity, such as tokens. Uses differ in
 // size: one that is larger than half of the burst is admitted when that is
 // left and leaves a debt, so that it is not rejected for ever. The zero value admits
--- a/internal/decide/membership/links.go
+++ b/internal/decide/membership/links.go
@@ -27,7 +27,7 @@
 	}
 	key := xxhash.Sum64String(t.self.ID)
 	for _, ids := range remote {
-		links = append(links, top(key, ids, RemoteLinks)...)
+		links = append(links, Owners(key, ids, RemoteLinks)...)
 	}
 	slices.Sort(links)
 	return links
--- a/internal/decide/membership/rendezvous.go
+++ b/internal/decide/membership/rendezvous.go
@@ -21,8 +21,9 @@
 	return owner
 }
 
-// top returns the n owners of key among ids with the highest scores.
-func top(key uint64, ids []string, n int) []string {
+// Owners returns the n owners of key among ids with the highest scores, the
+// highest first.
+func Owners(key uint64, ids []string, n int) []string {
 	ids = slices.Clone(ids)
 	slices.SortFunc(ids, func(a, b string) int {
 		return cmp.Or(cmp.Compare(score(key, b), score(key, a)), cmp.Compare(a, b))
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -23,6 +23,7 @@
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/decide/retry"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
+	"wasabiworks.example/wasabiworks/internal/peer/allowance"
 	"wasabiworks.example/wasabiworks/internal/peer/crash"
 	"wasabiworks.example/wasabiworks/internal/peer/duty"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
@@ -128,7 +129,7 @@
 	listed     atomic.Pointer[[]membership.Member]
 	count      recent
 	exchange   *exchange.Node
-	allowances *allowances
+	allowances *allowance.Limiter
 	crashes    crash.Records
 	// counters are what instances count for each other: what workspaces spent,
 	// and how requests on either version of a move ended.
@@ -174,7 +175,9 @@
 	f.members = membership.NewTable(membership.Member{
 		ID: c.Instance, Incarnation: incarnation, FailureDomain: c.FailureDomain, PeerAddress: c.Peer.Addr().String(),
 	})
-	f.allowances = newAllowances(f, c.AllowanceSlack)
+	if f.allowances, err = f.newAllowances(); err != nil {
+		return err
+	}
 	f.crashes = crash.Records{Set: new(poison.Set), Now: time.Now}
 	window := c.Window
 	if window == 0 {
@@ -190,7 +193,7 @@
 		Members:    f.members,
 		Sources:    []exchange.Source{counters, f.crashes},
 		Sinks:      []exchange.Sink{counters, f.crashes},
-		Services:   exchange.Services{Usage: f.collector.serveUsage, Watch: f.serveWatch},
+		Services:   exchange.Services{Usage: f.collector.serveUsage, Watch: f.serveWatch, Spend: f.serveSpend},
 		Registerer: f.registry,
 		Logger:     c.Log,
 	})
--- a/internal/peer/exchange/call.go
+++ b/internal/peer/exchange/call.go
@@ -43,6 +43,11 @@
 	return call[*peerpb.WatchReply](ctx, n, id, func(c clients) endpoint.Endpoint { return c.watch }, r)
 }
 
+// Spend asks a member to admit a use of a workspace's allowance.
+func (n *Node) Spend(ctx context.Context, id string, r *peerpb.SpendRequest) (*peerpb.SpendReply, error) {
+	return call[*peerpb.SpendReply](ctx, n, id, func(c clients) endpoint.Endpoint { return c.spend }, r)
+}
+
 // call calls the procedure of a member that of picks.
 func call[Reply any](ctx context.Context, n *Node, id string, of func(clients) endpoint.Endpoint, r any) (Reply, error) {
 	var none Reply
--- a/internal/peer/exchange/transport.go
+++ b/internal/peer/exchange/transport.go
@@ -26,12 +26,13 @@
 	Handover Method[*peerpb.HandoverRequest, *peerpb.HandoverReply]
 	Usage    Method[*peerpb.UsageRequest, *peerpb.UsageReply]
 	Watch    Method[*peerpb.WatchRequest, *peerpb.WatchReply]
+	Spend    Method[*peerpb.SpendRequest, *peerpb.SpendReply]
 }
 
 // server adapts go-kit handlers to the generated service interface.
 type server struct {
 	peerpb.UnimplementedPeerServer
-	exchange, pull, reserve, complete, handover, usage, watch kitgrpc.Handler
+	exchange, pull, reserve, complete, handover, usage, watch, spend kitgrpc.Handler
 }
 
 func newServer(exchange Method[*peerpb.Digest, *peerpb.Digest], s Services, m *metrics) *server {
@@ -43,6 +44,7 @@
 		handover: newHandler("Handover", s.Handover, m),
 		usage:    newHandler("Usage", s.Usage, m),
 		watch:    newHandler("Watch", s.Watch, m),
+		spend:    newHandler("Spend", s.Spend, m),
 	}
 }
 
@@ -74,6 +76,10 @@
 	return serve[*peerpb.WatchReply](ctx, s.watch, r)
 }
 
+func (s *server) Spend(ctx context.Context, r *peerpb.SpendRequest) (*peerpb.SpendReply, error) {
+	return serve[*peerpb.SpendReply](ctx, s.spend, r)
+}
+
 // newHandler puts a method behind a go-kit endpoint and server.
 func newHandler[Request, Reply proto.Message](name string, f Method[Request, Reply], m *metrics) kitgrpc.Handler {
 	e := func(ctx context.Context, r any) (any, error) {
@@ -112,7 +118,7 @@
 
 // clients are the go-kit endpoints of one connection.
 type clients struct {
-	exchange, pull, reserve, complete, handover, usage, watch endpoint.Endpoint
+	exchange, pull, reserve, complete, handover, usage, watch, spend endpoint.Endpoint
 }
 
 func newClients(c *grpc.ClientConn, m *metrics) clients {
@@ -124,6 +130,7 @@
 		handover: newClient(c, "Handover", peerpb.HandoverReply{}, m),
 		usage:    newClient(c, "Usage", peerpb.UsageReply{}, m),
 		watch:    newClient(c, "Watch", peerpb.WatchReply{}, m),
+		spend:    newClient(c, "Spend", peerpb.SpendReply{}, m),
 	}
 }
 
