Call the store less often

Change: changes are gathered for 200 ms (40 before); refused calls are retried with a doubling pause up to 0.8 s; after a peer that does not relay the store the next one is asked, and all pass over the failed one for 5 s; a listing without the duty's key tells that its lease ended, so that the key is read once a minute instead of every 10 s.

Tests: TestAnotherPeerIsAskedBeforeTheStore, TestRefusedCallsBecomeRare.

--- a/internal/entry/front/apply.go
+++ b/internal/entry/front/apply.go
@@ -13,7 +13,7 @@
 // apply takes what the store told.
 func (f *Front) apply(c follow.Change) {
 	seen := make(map[string]bool)
-	peers := c.Whole
+	peers, held := c.Whole, false
 	if c.Whole {
 		clear(f.registered)
 	}
@@ -35,6 +35,7 @@
 		case strings.HasPrefix(item.Key, planPrefix):
 			f.applyPlan(item)
 		case item.Key == dutyKey:
+			held = true
 			f.duty.Seen(item)
 		}
 	}
@@ -44,6 +45,9 @@
 	if !c.Whole {
 		return
 	}
+	if !held {
+		f.duty.Seen(store.Item{Key: dutyKey, Revision: c.Revision, Removed: true})
+	}
 	for _, id := range f.pool.IDs() {
 		if !seen[id] {
 			f.removeServer(id, 0)
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -117,6 +117,9 @@
 	handler  *forward.Handler
 	table    atomic.Pointer[routes.Table]
 	draining atomic.Bool
+	// silent holds until when a peer is not asked to relay the store; the
+	// follower alone uses it.
+	silent map[string]time.Time
 	// revisions are those of the servers' entries; apply alone uses it.
 	revisions map[string]int64
 	wasReady  atomic.Bool
@@ -149,7 +152,7 @@
 	}
 	f := &Front{
 		config: c, now: boottime.Now, registry: c.Registry, pool: pool.New(),
-		revisions: make(map[string]int64), registered: make(map[string]membership.Member),
+		silent: make(map[string]time.Time), revisions: make(map[string]int64), registered: make(map[string]membership.Member),
 	}
 	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay, Now: f.now, Log: c.Log})
 	if err := f.newPeers(); err != nil {
--- a/internal/entry/front/relay.go
+++ b/internal/entry/front/relay.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 	"wasabiworks.example/wasabiworks/internal/platform/follow"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
@@ -13,15 +17,30 @@
 // maxRelayWait bounds how long a peer may be kept waiting.
 const maxRelayWait = 2 * time.Second
 
+// watchKey is what the owner of the store's watch is chosen by.
+var watchKey = xxhash.Sum64String("watch")
+
 var errRelayGap = errors.New("peer lacks changes or has lost the store")
 
+// relayAvoided is how long a peer that failed to relay the store is not asked.
+const relayAvoided = 5 * time.Second
+
 // relay asks the instance of the failure domain that watches the store for what
-// it has seen.
-func (f *Front) relay(ctx context.Context, after int64, wait time.Duration) (follow.Relayed, error) {
-	holder := f.members.Holder(time.Now())
+// it has seen. An instance that fails is passed over for a while, so that all
+// agree on the next one instead of each calling the store.
+func (f *Front) relay(ctx context.Context, after int64, wait time.Duration) (r follow.Relayed, err error) {
+	now := f.now()
+	live := f.members.Live(f.config.FailureDomain, time.Now())
+	live = slices.DeleteFunc(live, func(id string) bool { return now.Before(f.silent[id]) })
+	holder := membership.Owner(watchKey, live)
 	if holder == "" || holder == f.config.Instance || f.draining.Load() {
 		return follow.Relayed{}, follow.ErrNoRelay
 	}
+	defer func() {
+		if err != nil {
+			f.silent[holder] = now.Add(relayAvoided)
+		}
+	}()
 	reply, err := f.exchange.Watch(ctx, holder, &peerpb.WatchRequest{After: after, Wait: wait.Milliseconds()})
 	if err != nil {
 		return follow.Relayed{}, err
@@ -29,7 +48,7 @@
 	if reply.GetGap() {
 		return follow.Relayed{}, errRelayGap
 	}
-	r := follow.Relayed{Next: reply.GetRevision(), Age: time.Duration(reply.GetAge()) * time.Millisecond, Waited: time.Duration(reply.GetWaited()) * time.Millisecond}
+	r = follow.Relayed{Next: reply.GetRevision(), Age: time.Duration(reply.GetAge()) * time.Millisecond, Waited: time.Duration(reply.GetWaited()) * time.Millisecond}
 	for _, i := range reply.GetItems() {
 		r.Items = append(r.Items, store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Removed: i.GetRemoved()})
 	}
--- a/internal/peer/duty/holder.go
+++ b/internal/peer/duty/holder.go
@@ -22,9 +22,10 @@
 	// margin is how long before the end of its lease the holder stops, so that
 	// no call of it is on its way when a successor begins.
 	margin = 1200 * time.Millisecond
-	// lookEvery is how often an instance looks for a lease that ended without
-	// word.
-	lookEvery = 10 * time.Second
+	// lookEvery is how often an instance looks whether the lease ended without
+	// its removal being seen. The watch tells of it, so that each call of this
+	// kind is one of many by as many instances.
+	lookEvery = time.Minute
 	// spread is the time over which the instances try to succeed a holder.
 	spread = 400 * time.Millisecond
 )
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -14,13 +14,15 @@
 )
 
 const (
-	// retryLeast and retryMost bound the random pause after a failed call.
-	retryLeast = 50 * time.Millisecond
-	retryMost  = 250 * time.Millisecond
-	// gather is the pause after a change, so that the changes of a storm share
-	// calls. It delays a change by a small part of the time in which it must be
-	// in force everywhere.
-	gather = 40 * time.Millisecond
+	// retryFirst bounds the random pause after a failed call. Each further
+	// failure in a row doubles it up to retryMost: calls that the store refuses
+	// count towards its rate as well.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// gather is the pause after a change, so that changes that follow each other
+	// share calls. It delays a change by a small part of the time in which it
+	// must be in force everywhere.
+	gather = 200 * time.Millisecond
 	// relayWait is how long a peer may wait for a change. A peer that is gone
 	// shows after it and relayMargin, well before a change must be in force.
 	relayWait   = 500 * time.Millisecond
@@ -28,15 +30,21 @@
 	// relayAge is the age from which on a peer's copy is not good enough. The
 	// peer's own watch confirms it every second.
 	relayAge = 2500 * time.Millisecond
-	// relayRest is how long the store is called directly after a peer failed.
+	// relayTries is the number of peers that are asked before the store is
+	// called. The second one must answer at once.
+	relayTries = 2
+	// relayRest is how long the store is called directly after all of them
+	// failed.
 	relayRest = 3 * time.Second
 )
 
 // Change is what a listing or a watch brought.
 type Change struct {
 	Items []store.Item
-	// Whole tells that the items are all that there are; others are gone.
-	Whole bool
+	// Whole tells that the items are all that there are as of Revision; others
+	// are gone.
+	Whole    bool
+	Revision int64
 }
 
 // Relayed is what a peer has seen of the store.
@@ -63,8 +71,8 @@
 	// Apply takes a change. It is called from Run only.
 	Apply func(Change)
 	// Relay returns the changes that a peer has seen, so that not every instance
-	// calls the store. It returns ErrNoRelay if the instance is to call the
-	// store itself. Nil always does.
+	// calls the store. After an error it is to ask another peer. It returns
+	// ErrNoRelay if the instance is to call the store itself. Nil always does.
 	Relay func(ctx context.Context, after int64, wait time.Duration) (Relayed, error)
 	// Now reads the boot clock.
 	Now func() time.Time
@@ -107,7 +115,7 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var from int64
-	down := false
+	failures := 0 // in a row
 	for ctx.Err() == nil {
 		sent := f.config.Now()
 		if next, n, ok := f.relay(ctx, from, sent); ok {
@@ -124,15 +132,16 @@
 		}
 		if err != nil {
 			f.trouble.Store(now.UnixNano())
-			if !down {
-				down = true
+			if failures == 0 {
 				f.config.Log.Warn("store lost", zap.Error(err), zap.Int64("revision", from), zap.Duration("confirmed-before", now.Sub(f.Confirmed())))
 			}
-			pause(ctx, retryLeast+rand.N(retryMost-retryLeast))
+			most := min(retryMost, retryFirst<<min(failures, 10))
+			pause(ctx, most/2+rand.N(most/2))
+			failures++
 			continue
 		}
-		if down {
-			down = false
+		if failures > 0 {
+			failures = 0
 			f.config.Log.Info("store regained", zap.Int64("revision", next), zap.Duration("confirmed-before", now.Sub(f.Confirmed())))
 		}
 		if next != 0 {
@@ -153,7 +162,7 @@
 		if err != nil {
 			return 0, 0, err
 		}
-		f.config.Apply(Change{Items: items, Whole: true})
+		f.config.Apply(Change{Items: items, Whole: true, Revision: next})
 		f.log.reset(next)
 		return next, len(items), nil
 	}
@@ -173,28 +182,40 @@
 	return next, len(items), nil
 }
 
-// relay asks a peer instead of the store, if there is one to ask.
+// relay asks peers instead of the store, if there is one to ask.
 func (f *Follower) relay(ctx context.Context, from int64, sent time.Time) (next int64, n int, ok bool) {
 	if f.config.Relay == nil || from == 0 || sent.Before(f.direct) {
 		return 0, 0, false
 	}
-	call, cancel := context.WithTimeout(ctx, relayWait+relayMargin)
-	defer cancel()
-	r, err := f.config.Relay(call, from, relayWait)
-	if errors.Is(err, ErrNoRelay) {
-		return 0, 0, false
+	wait := relayWait
+	for range relayTries {
+		r, err := f.ask(ctx, from, wait)
+		if err == nil {
+			return f.take(r, from, sent), len(r.Items), true
+		}
+		if errors.Is(err, ErrNoRelay) || ctx.Err() != nil {
+			return 0, 0, false
+		}
+		f.config.Log.Info("peer does not relay the store", zap.Error(err), zap.Int64("revision", from))
+		sent, wait = f.config.Now(), 0
 	}
-	now := f.config.Now()
+	f.direct = f.config.Now().Add(relayRest)
+	return 0, 0, false
+}
+
+// ask asks one peer.
+func (f *Follower) ask(ctx context.Context, from int64, wait time.Duration) (Relayed, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+relayMargin)
+	defer cancel()
+	r, err := f.config.Relay(ctx, from, wait)
 	if err == nil && r.Age > relayAge {
 		err = fmt.Errorf("copy of the peer is %v old", r.Age)
 	}
-	if err != nil {
-		if ctx.Err() == nil {
-			f.config.Log.Info("peer does not relay the store; calling it directly", zap.Error(err), zap.Int64("revision", from))
-		}
-		f.direct = now.Add(relayRest)
-		return 0, 0, false
-	}
+	return r, err
+}
+
+// take applies what a peer that was asked at sent has answered.
+func (f *Follower) take(r Relayed, from int64, sent time.Time) (next int64) {
 	if len(r.Items) > 0 {
 		f.config.Apply(Change{Items: r.Items})
 	}
@@ -205,7 +226,7 @@
 		f.confirmed.Store(at)
 	}
 	f.log.confirm()
-	return max(from, r.Next), len(r.Items), true
+	return max(from, r.Next)
 }
 
 // Serve returns the changes after a revision for a peer as soon as there are
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/platform/store"
@@ -85,3 +87,64 @@
 		t.Error("an instance that lost the store serves its copy")
 	}
 }
+
+// directStore counts the calls of a follower and fails them all.
+type directStore struct {
+	store.Store
+	calls int
+}
+
+func (d *directStore) Watch(context.Context, string, int64, time.Duration) ([]store.Item, int64, error) {
+	d.calls++
+	return nil, 0, store.ErrUnavailable
+}
+
+func (d *directStore) List(context.Context, string) ([]store.Item, int64, error) {
+	d.calls++
+	return nil, 0, store.ErrUnavailable
+}
+
+// Guards against a whole failure domain that calls the store because the one
+// instance that did so has failed.
+func TestAnotherPeerIsAskedBeforeTheStore(t *testing.T) {
+	tests := []struct {
+		name   string
+		errs   []error // of the peers, one after the other
+		asked  int
+		direct bool
+	}{
+		{"first answers", []error{nil}, 1, false},
+		{"second answers", []error{errors.New("silent"), nil}, 2, false},
+		{"none answers", []error{errors.New("silent"), errors.New("silent"), nil}, 2, true},
+		{"no other is left", []error{errors.New("silent"), ErrNoRelay}, 2, true},
+	}
+	for _, tt := range tests {
+		c := &clock{now: time.Unix(1000, 0)}
+		asked := 0
+		f := New(Config{Now: c.read, Apply: func(Change) {}, Relay: func(context.Context, int64, time.Duration) (Relayed, error) {
+			asked++
+			return Relayed{Next: 5}, tt.errs[asked-1]
+		}})
+		_, _, ok := f.relay(t.Context(), 5, c.read())
+		if asked != tt.asked || ok == tt.direct {
+			t.Errorf("%s: %d peers asked and relayed %v, want %d and %v", tt.name, asked, ok, tt.asked, !tt.direct)
+		}
+	}
+}
+
+// Guards against a store that is overwhelmed, and priced, by instances that it
+// refuses.
+func TestRefusedCallsBecomeRare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const length = time.Minute
+		d := &directStore{}
+		f := New(Config{Store: d, Now: time.Now, Apply: func(Change) {}})
+		ctx, cancel := context.WithTimeout(t.Context(), length)
+		defer cancel()
+		f.Run(ctx)
+		// Pauses are half of their bound at least.
+		if most := 5 + int(2*length/retryMost); d.calls > most {
+			t.Errorf("%d calls in %v, want at most %d", d.calls, length, most)
+		}
+	})
+}
