Hand usage counts over at planned stops, and keep the duty over an outage

An instance that stops sent only windows that were over, so the counts of the current one went with it; a holder that stops took along what stopped instances had sent to it; after an outage of the store longer than the lease the holder gave up a lease that still stood, and nobody acted for another 4 s; a new holder waited 1.5 s for counts that come within half a second; and an instance that restarted in a window counted for another one that was missing.

Change: counting and reporting are a package, internal/peer/usage. A stopping instance sends all windows at once; a holder that stops gives what it collected to another instance, which passes it on to the next holder. The holder goes on renewing and regains the duty if the store still knows the lease.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -27,6 +27,8 @@
 	"wasabiworks.example/wasabiworks/internal/peer/crash"
 	"wasabiworks.example/wasabiworks/internal/peer/duty"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+	"wasabiworks.example/wasabiworks/internal/peer/usage"
 	"wasabiworks.example/wasabiworks/internal/platform/boottime"
 	"wasabiworks.example/wasabiworks/internal/platform/follow"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
@@ -66,6 +68,9 @@
 	defaultWindow = 5 * time.Second
 	// dutyKey is the key of the holder of the duties.
 	dutyKey = "wasabiworks/duty"
+	// usagePrefix is where the sums of windows are kept before they are
+	// reported.
+	usagePrefix = "wasabiworks/usage/"
 )
 
 // Format translates what the operator and the servers write to the store.
@@ -136,12 +141,11 @@
 	crashes    crash.Records
 	// counters are what instances count for each other: what workspaces spent,
 	// and how requests on either version of a move ended.
-	counters  evidence.Table
-	counter   *counter
-	collector *collector
-	duty      *duty.Holder
-	mover     *mover
-	plans     sync.Map // service name to the planned number of servers
+	counters evidence.Table
+	usage    *usage.Reporter
+	duty     *duty.Holder
+	mover    *mover
+	plans    sync.Map // service name to the planned number of servers
 }
 
 // New returns a front; Run starts it.
@@ -161,7 +165,7 @@
 	var err error
 	f.handler, err = forward.New(forward.Config{
 		Headers: c.Format.Headers, FailureDomain: c.FailureDomain, View: f.view, Pool: f.pool,
-		Allowances: f.allowances, Usage: f.counter, Poison: poisons{f}, Versions: f.mover,
+		Allowances: f.allowances, Usage: f.usage, Poison: poisons{f}, Versions: f.mover,
 		Budget: &budgets{config: retry.SharedConfig{
 			Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instances, Now: f.now,
 		}},
@@ -186,17 +190,23 @@
 	if window == 0 {
 		window = defaultWindow
 	}
-	f.counter = newCounter(window)
-	f.collector = &collector{front: f}
 	f.mover = newMover(f)
 	f.duty = duty.New(duty.Config{Store: c.Store, Key: dutyKey, Instance: c.Instance, Now: f.now, Log: c.Log})
+	f.usage = usage.New(usage.Config{
+		Instance: c.Instance, Node: f.node, Window: window, Duty: f.duty, Store: c.Store, Prefix: usagePrefix,
+		Report: c.Cloud.ReportUsage,
+		Tell: func(ctx context.Context, id string, r *peerpb.UsageRequest) (*peerpb.UsageReply, error) {
+			return f.exchange.Usage(ctx, id, r)
+		},
+		Live: func() []string { return f.members.Live("", time.Now()) }, Registered: f.registeredNow, Log: c.Log,
+	})
 	f.counters.SetDomain(c.FailureDomain)
 	counters := exchange.Evidence{Table: &f.counters, Domain: c.FailureDomain, Self: c.Instance}
 	f.exchange, err = exchange.New(exchange.Config{
 		Members:    f.members,
 		Sources:    []exchange.Source{counters, f.crashes},
 		Sinks:      []exchange.Sink{counters, f.crashes},
-		Services:   exchange.Services{Usage: f.collector.serveUsage, Watch: f.serveWatch, Spend: f.serveSpend},
+		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.serveWatch, Spend: f.serveSpend},
 		Registerer: f.registry,
 		Logger:     c.Log,
 	})
@@ -222,11 +232,11 @@
 	wg.Go(func() { f.register(work) })
 	wg.Go(func() { f.share(work) })
 	wg.Go(func() { f.exchangeWithPeers(work) })
-	wg.Go(func() { f.duty.Run(duties) })
+	var holding sync.WaitGroup
+	holding.Go(func() { f.duty.Run(duties) })
 	wg.Go(func() { f.mover.run(work) })
 	if f.config.Window > 0 {
-		wg.Go(func() { f.sendUsage(work) })
-		wg.Go(func() { f.collector.run(work) })
+		wg.Go(func() { f.usage.Run(work) })
 	}
 	if f.config.Window > 0 && f.config.Scale {
 		wg.Go(func() { (&scaler{front: f}).run(work) })
@@ -249,8 +259,10 @@
 	case <-ctx.Done():
 		err = f.drain(clients)
 	}
-	f.flushUsage(context.Background())
+	f.usage.Flush(work)
 	release()
+	holding.Wait()
+	f.usage.HandOver(work)
 	stop()
 	err = errors.Join(err, clients.Close(), ready.Close(), operation.Close())
 	wg.Wait()
--- a/internal/entry/front/members.go
+++ b/internal/entry/front/members.go
@@ -111,12 +111,16 @@
 // included.
 func (f *Front) instances() int { return max(1, f.count.get(f.now())) }
 
-// registeredNow returns the number of registered instances.
-func (f *Front) registeredNow() int {
-	if l := f.listed.Load(); l != nil {
-		return max(1, len(*l))
+// registeredNow returns the registered instances.
+func (f *Front) registeredNow() (ids []string) {
+	l := f.listed.Load()
+	if l == nil {
+		return nil
 	}
-	return 1
+	for _, m := range *l {
+		ids = append(ids, m.ID)
+	}
+	return ids
 }
 
 // recent is a number that falls only after some time.
--- a/internal/entry/front/scale.go
+++ b/internal/entry/front/scale.go
@@ -130,15 +130,14 @@
 	if n.servers == 0 {
 		n.servers = capacity.Next(0, planned, capacity.Load{})
 	}
-	last := s.front.counter.at(time.Now()) - 1
-	loads, nodes := s.front.collector.loads(last)
-	if l, ok := loads[service]; ok && last > n.window && 2*nodes >= s.front.instances() {
-		next := capacity.Next(n.servers, planned, capacity.Load{Prompts: int(l.Prompts), Late: int(l.Late)})
+	window, l, nodes := s.front.usage.Load(service)
+	if window > n.window && 2*nodes >= s.front.instances() {
+		next := capacity.Next(n.servers, planned, capacity.Load{Prompts: int(l.GetPrompts()), Late: int(l.GetLate())})
 		if next != n.servers {
 			s.front.config.Log.Info("need changed", zap.String("service", service), zap.Float64("servers", next), zap.Float64("before", n.servers),
-				zap.Int64("window", last), zap.Int64("prompts", l.Prompts), zap.Int64("late", l.Late))
+				zap.Int64("window", window), zap.Int64("prompts", l.GetPrompts()), zap.Int64("late", l.GetLate()))
 		}
-		n.servers, n.window = next, last
+		n.servers, n.window = next, window
 	}
 	s.needs[service] = n
 	return n.servers
--- a/internal/peer/duty/holder.go
+++ b/internal/peer/duty/holder.go
@@ -198,10 +198,12 @@
 	h.config.Log.Info("duty taken", zap.Int64("fence", revision))
 }
 
-// renew extends the lease. After an error its end stays as it was.
+// renew extends the lease. After an error its end stays as it was. A lease that
+// may have ended is still renewed: if the store knows it, because time stood
+// still there while it was away, nobody else has held the duty.
 func (h *Holder) renew(ctx context.Context) {
 	h.mu.Lock()
-	lease := h.lease
+	lease, lost := h.lease, !h.config.Now().Before(h.until)
 	h.mu.Unlock()
 	sent := h.config.Now()
 	err := h.config.Store.Renew(ctx, lease)
@@ -210,9 +212,14 @@
 	switch {
 	case err == nil:
 		h.until = sent.Add(ttl)
-	case errors.Is(err, store.ErrLeaseEnded) || !h.config.Now().Before(h.until):
+		if lost {
+			h.config.Log.Info("duty regained", zap.Int64("fence", h.fence))
+		}
+	case errors.Is(err, store.ErrLeaseEnded):
 		h.config.Log.Warn("duty lost", zap.Int64("fence", h.fence), zap.Error(err))
 		h.fence, h.lease = 0, 0
+	case !lost && !h.config.Now().Before(h.until):
+		h.config.Log.Warn("duty suspended; its lease is not confirmed", zap.Int64("fence", h.fence), zap.Error(err))
 	}
 }
 
--- a/internal/entry/front/report.go
+++ b/internal/peer/usage/collector.go
@@ -1,4 +1,4 @@
-package front
+package usage
 
 import (
 	"context"
@@ -17,27 +17,29 @@
 )
 
 const (
-	// usagePrefix is where the counts of a window are kept before they are
-	// reported, so that a successor reports the same.
-	usagePrefix = "wasabiworks/usage/"
-	// usageStays is the number of windows after which a kept one is removed.
-	usageStays = 12
+	// stays is the number of windows after which the kept sums of one are
+	// removed.
+	stays = 12
 	// waitForAll is how long after a window's end the holder waits for counts of
 	// instances that are cut off. It leaves time for a successor to report in
 	// time.
 	waitForAll = 6 * time.Second
-	// waitAtStart is how long a new holder waits for what its predecessor had.
-	waitAtStart = 1500 * time.Millisecond
+	// waitAtStart is how long a new holder waits for the counts that its
+	// predecessor had: the instances send them within a tick of learning of it.
+	waitAtStart = 800 * time.Millisecond
 	// reportUntil is how long after its end a window is still reported.
 	reportUntil = 20 * time.Second
 	// collectUntil is how far back a new holder looks.
 	collectUntil = 12 * time.Second
+	// maxNode bounds the length of a peer's name in bytes.
+	maxNode = 256
 )
 
 // collector collects the counts of all instances while this one holds the
-// duty, and reports them.
+// duty, and reports the sums.
 type collector struct {
-	front *Front
+	config  Config
+	counter *counter
 
 	mu       sync.Mutex
 	fence    int64
@@ -47,16 +49,21 @@
 	reported map[int64]bool
 }
 
+// valid reports whether counts may still be reported.
+func (c *collector) valid(r *peerpb.UsageRequest, now time.Time) bool {
+	current := c.counter.at(now)
+	return r.GetWindow() <= current && r.GetWindow() >= current-stays && len(r.GetNode()) <= maxNode
+}
+
 // take takes one instance's counts and reports whether this one is the holder.
-func (c *collector) take(r *peerpb.UsageRequest) bool {
-	if _, ok := c.front.duty.Fence(); !ok {
+func (c *collector) take(r *peerpb.UsageRequest, now time.Time) bool {
+	if _, ok := c.config.Duty.Fence(); !ok {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reset()
-	now := c.front.counter.at(time.Now())
-	if r.GetWindow() > now || r.GetWindow() < now-usageStays || len(r.GetNode()) > 256 {
+	if !c.valid(r, now) {
 		return true // nothing to wait for
 	}
 	byNode, ok := c.got[r.GetWindow()]
@@ -68,15 +75,24 @@
 	return true
 }
 
-// serveUsage answers a peer's counts.
-func (c *collector) serveUsage(_ context.Context, r *peerpb.UsageRequest) (*peerpb.UsageReply, error) {
-	holder, fence := c.front.duty.Current()
-	return &peerpb.UsageReply{Held: c.take(r), Holder: holder, Fence: fence}, nil
+// unreported returns the counts of the windows that were not reported.
+func (c *collector) unreported() (rs []*peerpb.UsageRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k, byNode := range c.got {
+		if c.reported[k] {
+			continue
+		}
+		for _, r := range byNode {
+			rs = append(rs, r)
+		}
+	}
+	return rs
 }
 
 // reset forgets what was collected under another fence.
 func (c *collector) reset() {
-	fence, ok := c.front.duty.Fence()
+	fence, ok := c.config.Duty.Fence()
 	if !ok || fence == c.fence {
 		return
 	}
@@ -88,9 +104,9 @@
 
 // run reports windows while this instance holds the duty, until ctx ends.
 func (c *collector) run(ctx context.Context) {
-	read := int64(0) // the fence under which the kept windows were read
-	every(ctx, usageTick, func() {
-		fence, ok := c.front.duty.Fence()
+	read := int64(0) // the fence under which the kept sums were read
+	every(ctx, tick, func() {
+		fence, ok := c.config.Duty.Fence()
 		if !ok {
 			return
 		}
@@ -99,7 +115,7 @@
 		c.mu.Unlock()
 		if read != fence {
 			if err := c.readKept(ctx); err != nil {
-				c.front.config.Log.Info("kept usage could not be read", zap.Error(err))
+				c.config.Log.Info("kept usage could not be read", zap.Error(err))
 				return
 			}
 			read = fence
@@ -112,17 +128,17 @@
 
 // readKept reads what a predecessor has written.
 func (c *collector) readKept(ctx context.Context) error {
-	items, _, err := c.front.config.Store.List(ctx, usagePrefix)
+	items, _, err := c.config.Store.List(ctx, c.config.Prefix)
 	if err != nil {
 		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, item := range items {
-		k, err := strconv.ParseInt(strings.TrimPrefix(item.Key, usagePrefix), 10, 64)
+		k, err := strconv.ParseInt(strings.TrimPrefix(item.Key, c.config.Prefix), 10, 64)
 		var counts map[string]int64
 		if err != nil || json.Unmarshal(item.Value, &counts) != nil {
-			c.front.config.Log.Warn("kept usage is not readable", zap.String("key", item.Key))
+			c.config.Log.Warn("kept usage is not readable", zap.String("key", item.Key))
 			continue
 		}
 		c.kept[k] = counts
@@ -132,10 +148,10 @@
 
 // due returns the windows to report now, the earliest first.
 func (c *collector) due(now time.Time) (ks []int64) {
+	registered := c.config.Registered()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	counter := c.front.counter
-	for k := counter.at(now.Add(-reportUntil)); now.After(counter.end(k)); k++ {
+	for k := c.counter.at(now.Add(-reportUntil)); now.After(c.counter.end(k)); k++ {
 		if c.reported[k] {
 			continue
 		}
@@ -143,18 +159,34 @@
 			ks = append(ks, k)
 			continue
 		}
-		late := now.Sub(counter.end(k))
+		late := now.Sub(c.counter.end(k))
 		if late > collectUntil || now.Sub(c.since) < waitAtStart {
 			continue
 		}
-		if late > waitForAll || len(c.got[k]) >= c.front.registeredNow() {
+		if late > waitForAll || c.complete(k, registered) {
 			ks = append(ks, k)
 		}
 	}
 	return ks
 }
 
-// report writes the counts of a window to the store, unless they stand there,
+// complete reports whether all registered instances have sent their counts of
+// a window.
+func (c *collector) complete(k int64, registered []string) bool {
+	have := make(map[string]bool, len(c.got[k]))
+	for node := range c.got[k] {
+		id, _, _ := strings.Cut(node, "/")
+		have[id] = true
+	}
+	for _, id := range registered {
+		if !have[id] {
+			return false
+		}
+	}
+	return len(have) > 0
+}
+
+// report writes the sums of a window to the store, unless they stand there,
 // and reports exactly what is written.
 func (c *collector) report(ctx context.Context, k int64) {
 	c.mu.Lock()
@@ -167,27 +199,27 @@
 	if !ok {
 		var err error
 		if counts, err = c.keep(ctx, k, counts); err != nil {
-			c.front.config.Log.Info("usage could not be kept", zap.Int64("window", k), zap.Error(err))
+			c.config.Log.Info("usage could not be kept", zap.Int64("window", k), zap.Error(err))
 			return
 		}
 		c.mu.Lock()
 		c.kept[k] = counts
 		c.mu.Unlock()
 	}
-	fence, held := c.front.duty.Fence()
+	fence, held := c.config.Duty.Fence()
 	if !held {
 		return
 	}
-	if err := c.front.config.Cloud.ReportUsage(ctx, fence, k, counts); err != nil {
-		c.front.config.Log.Info("usage was not reported; it is tried again", zap.Int64("window", k), zap.Error(err))
+	if err := c.config.Report(ctx, fence, k, counts); err != nil {
+		c.config.Log.Info("usage was not reported; it is tried again", zap.Int64("window", k), zap.Error(err))
 		return
 	}
-	c.front.config.Log.Info("usage reported", zap.Int64("window", k), zap.Int64("fence", fence), zap.Int("instances", nodes), zap.Any("counts", counts))
+	c.config.Log.Info("usage reported", zap.Int64("window", k), zap.Int64("fence", fence), zap.Int("instances", nodes), zap.Any("counts", counts))
 	c.mu.Lock()
 	c.reported[k] = true
-	delete(c.got, k-usageStays)
-	delete(c.kept, k-usageStays)
-	delete(c.reported, k-usageStays)
+	delete(c.got, k-stays)
+	delete(c.kept, k-stays)
+	delete(c.reported, k-stays)
 	c.mu.Unlock()
 }
 
@@ -202,16 +234,16 @@
 	return counts
 }
 
-// keep writes the counts of a window and returns those that stand there.
+// keep writes the sums of a window and returns those that stand there.
 func (c *collector) keep(ctx context.Context, k int64, counts map[string]int64) (map[string]int64, error) {
 	value, err := json.Marshal(counts)
 	if err != nil {
 		return nil, err
 	}
-	key := usagePrefix + strconv.FormatInt(k, 10)
-	_, err = c.front.config.Store.Commit(ctx, store.Commit{
+	key := c.config.Prefix + strconv.FormatInt(k, 10)
+	_, err = c.config.Store.Commit(ctx, store.Commit{
 		Conditions: []store.Condition{{Key: key}}, Puts: []store.Put{{Key: key, Value: value}},
-		Removes: []string{usagePrefix + strconv.FormatInt(k-usageStays, 10)},
+		Removes: []string{c.config.Prefix + strconv.FormatInt(k-stays, 10)},
 	})
 	if err == nil {
 		return counts, nil
@@ -221,32 +253,27 @@
 		// what stands there.
 		return nil, err
 	}
-	item, err := c.front.config.Store.Get(ctx, key)
+	item, err := c.config.Store.Get(ctx, key)
 	if err != nil {
 		return nil, err
 	}
-	kept := make(map[string]int64)
-	if err := json.Unmarshal(item.Value, &kept); err != nil {
+	there := make(map[string]int64)
+	if err := json.Unmarshal(item.Value, &there); err != nil {
 		return nil, fmt.Errorf("kept usage of window %d: %w", k, err)
 	}
-	return kept, nil
+	return there, nil
 }
 
-// loads returns the sums over all instances of a window's loads.
-func (c *collector) loads(k int64) (loads map[string]*peerpb.ServiceLoad, nodes int) {
+// load returns the sum over all instances of what was asked of a service in a
+// window.
+func (c *collector) load(k int64, service string) (sum *peerpb.ServiceLoad, nodes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	loads = make(map[string]*peerpb.ServiceLoad)
+	sum = new(peerpb.ServiceLoad)
 	for _, r := range c.got[k] {
-		for service, l := range r.GetLoads() {
-			sum, ok := loads[service]
-			if !ok {
-				sum = new(peerpb.ServiceLoad)
-				loads[service] = sum
-			}
-			sum.Prompts += l.GetPrompts()
-			sum.Late += l.GetLate()
-		}
+		l := r.GetLoads()[service]
+		sum.Prompts += l.GetPrompts()
+		sum.Late += l.GetLate()
 	}
-	return loads, len(c.got[k])
+	return sum, len(c.got[k])
 }
