Let servers fetch prefixes that another one has read

Change: a request that leaves its home names a server that has read more of the prompt, and the choice counts half the time of reading for what is fetched. A server that joined within 10 s fetches from the server that was at home before, which may be leaving.

Tests: TestPromptLeavesItsHome, TestNewHomeFetchesFromTheOneBefore.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -40,7 +40,7 @@
 }
 
 // Put adds or updates a server and reports whether requests may notice.
-func (p *Pool) Put(s Server) (changed bool) {
+func (p *Pool) Put(s Server, now time.Time) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.expires, s.ID)
@@ -55,7 +55,7 @@
 	if ok {
 		have.retire()
 	}
-	p.workers[s.ID] = newWorker(s)
+	p.workers[s.ID] = newWorker(s, now)
 	p.publish()
 	return true
 }
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -63,17 +63,17 @@
 		do   func()
 		want int
 	}{
-		{"registered", func() { p.Put(s) }, 1},
-		{"registered again", func() { p.Put(s) }, 1},
-		{"leaving", func() { p.Put(leaving) }, 0},
-		{"the old entry again", func() { p.Put(s) }, 0},
-		{"born again", func() { p.Put(reborn) }, 1},
+		{"registered", func() { p.Put(s, epoch) }, 1},
+		{"registered again", func() { p.Put(s, epoch) }, 1},
+		{"leaving", func() { p.Put(leaving, epoch) }, 0},
+		{"the old entry again", func() { p.Put(s, epoch) }, 0},
+		{"born again", func() { p.Put(reborn, epoch) }, 1},
 		{"entry lapsed", func() { p.Remove("a", epoch.Add(time.Second)) }, 1},
 		{"not yet gone", func() { p.Expire(epoch) }, 1},
-		{"back in time", func() { p.Put(reborn); p.Expire(epoch.Add(time.Minute)) }, 1},
+		{"back in time", func() { p.Put(reborn, epoch); p.Expire(epoch.Add(time.Minute)) }, 1},
 		{"lapsed for good", func() { p.Remove("a", epoch.Add(time.Second)); p.Expire(epoch.Add(time.Minute)) }, 0},
-		{"registered anew", func() { p.Put(reborn) }, 1},
-		{"of another service", func() { p.Put(moved) }, 0},
+		{"registered anew", func() { p.Put(reborn, epoch) }, 1},
+		{"of another service", func() { p.Put(moved, epoch) }, 0},
 		{"removed", func() { p.Remove("a", time.Time{}) }, 0},
 	}
 	for _, st := range steps {
@@ -90,7 +90,7 @@
 // Guards against a silent server that keeps getting requests, and against one
 // failure that shuts a server out for long.
 func TestSuspect(t *testing.T) {
-	w := newWorker(Server{ID: "a"})
+	w := newWorker(Server{ID: "a"}, epoch)
 	now := epoch
 	check := func(what string, want bool) {
 		t.Helper()
--- a/internal/backend/pool/worker.go
+++ b/internal/backend/pool/worker.go
@@ -46,6 +46,7 @@
 	// Prompts are the parts of prompts that the server has read.
 	Prompts Prompts
 
+	joined  time.Time // on the boot clock
 	leaving atomic.Bool
 	running atomic.Int64 // requests sent and not ended
 	pending atomic.Int64 // prompt tokens sent and not answered by an event
@@ -56,8 +57,8 @@
 	full    atomic.Int64 // rejected requests until then
 }
 
-func newWorker(s Server) *Worker {
-	w := &Worker{Server: s}
+func newWorker(s Server, now time.Time) *Worker {
+	w := &Worker{Server: s, joined: now}
 	w.Transport = tcp.NewTransport(tcp.Config{DialTimeout: dialTimeout, IdleTimeout: idleTimeout})
 	w.leaving.Store(s.Leaving)
 	return w
@@ -70,6 +71,13 @@
 // Usable reports whether the server may be sent new requests.
 func (w *Worker) Usable() bool { return !w.leaving.Load() }
 
+// newFor is how long a server counts as new: then it has read, or fetched, the
+// prefixes that are in use.
+const newFor = 10 * time.Second
+
+// New reports whether the server joined lately.
+func (w *Worker) New(now time.Time) bool { return now.Sub(w.joined) < newFor }
+
 // Begin records a request with prompt tokens that is sent at now.
 func (w *Worker) Begin(tokens int64, now time.Time) {
 	if w.running.Add(1) == 1 {
--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -5,34 +5,50 @@
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 )
 
-// choose returns the server to send the request to, or nil, and the prompt
-// tokens that it is expected to read.
-func (e *exchange) choose() (w *pool.Worker, unread int64) {
+// target is the server to send a request to.
+type target struct {
+	worker *pool.Worker
+	// unread are the prompt tokens that it is expected to read.
+	unread int64
+	// source has read a part of the prompt that worker should fetch; it may be
+	// nil.
+	source *pool.Worker
+}
+
+// choose returns the server to send the request to, or none.
+func (e *exchange) choose() (t target, ok bool) {
 	ws := e.config.Pool.Service(e.service)
 	now := e.config.Now()
 	candidates := make([]route.Candidate, 0, len(ws))
-	usable := make([]*pool.Worker, 0, len(ws))
+	servers := make([]*pool.Worker, 0, len(ws))
 	for _, w := range ws {
 		may, preferred := e.choice.takes(w.Version)
-		if !may || !w.Usable() {
+		if !may {
 			continue
 		}
-		usable = append(usable, w)
+		servers = append(servers, w)
 		candidates = append(candidates, route.Candidate{
 			ID: w.ID, Pending: float64(w.Pending()), Running: w.Running(), Slots: w.Slots,
 			Cached:  w.Prompts.Cached(e.prompt.Parts, now),
 			Local:   w.FailureDomain == e.config.FailureDomain,
 			Suspect: w.Suspect(now) || e.tried(w) || !preferred,
+			New:     w.New(now), Leaving: !w.Usable(),
 		})
 	}
-	var i, cached int
-	if len(e.prompt.Parts) > 0 {
-		i, cached = route.ChoosePrompt(candidates, e.prompt)
-	} else {
-		i = route.ChooseService(candidates, e.config.Random())
+	if len(e.prompt.Parts) == 0 {
+		i := route.ChooseService(candidates, e.config.Random())
+		if i < 0 || e.tried(servers[i]) {
+			return target{}, false
+		}
+		return target{worker: servers[i], unread: int64(e.prompt.Tokens)}, true
+	}
+	p := route.ChoosePrompt(candidates, e.prompt)
+	if p.Index < 0 || e.tried(servers[p.Index]) {
+		return target{}, false
 	}
-	if i < 0 || e.tried(usable[i]) {
-		return nil, 0
+	t = target{worker: servers[p.Index], unread: max(0, int64(e.prompt.Tokens-p.Cached-p.Fetched))}
+	if p.Source >= 0 {
+		t.source = servers[p.Source]
 	}
-	return usable[i], max(0, int64(e.prompt.Tokens-cached))
+	return t, true
 }
--- a/internal/caller/forward/headers.go
+++ b/internal/caller/forward/headers.go
@@ -30,6 +30,9 @@
 	// Backup names the server to which a request's memory is copied, and
 	// ContinueFrom the copy that a request goes on from.
 	Backup, ContinueFrom string
+	// FetchFrom names a server from which another one fetches what was read of a
+	// prompt.
+	FetchFrom string
 	// ReservedForUser are further headers that a client must not set.
 	ReservedForUser []string
 }
@@ -63,7 +66,7 @@
 
 // reserve removes the headers that are the system's to set.
 func (h *Headers) reserve(header http.Header) {
-	for _, name := range []string{h.Key, h.Workspace, h.ExpectServer, h.Priority, h.Backup, h.ContinueFrom, h.Remaining} {
+	for _, name := range []string{h.Key, h.Workspace, h.ExpectServer, h.Priority, h.Backup, h.ContinueFrom, h.FetchFrom, h.Remaining} {
 		header.Del(name)
 	}
 	for _, name := range h.ReservedForUser {
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -47,8 +47,8 @@
 			e.giveUp(ctx, reason, runs)
 			return
 		}
-		w, unread := e.choose()
-		if w == nil {
+		t, ok := e.choose()
+		if !ok {
 			if last == "" {
 				last = NoServer
 			}
@@ -59,7 +59,7 @@
 			continue
 		}
 		again := false
-		switch f := e.send(ctx, w, unread); f {
+		switch f := e.send(ctx, t); f {
 		case answered:
 			return
 		case unreachable:
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -20,6 +20,7 @@
 // send is one send of the request to a server.
 type send struct {
 	worker *pool.Worker
+	source *pool.Worker // of a part of the prompt; may be nil
 	at     time.Time
 	after  time.Duration // since the request came
 	took   time.Duration
@@ -34,6 +35,9 @@
 func (s send) MarshalLogObject(o zapcore.ObjectEncoder) error {
 	o.AddString("server", s.worker.ID)
 	o.AddString("address", s.worker.Address)
+	if s.source != nil {
+		o.AddString("fetches-from", s.source.ID)
+	}
 	o.AddDuration("after", s.after)
 	o.AddDuration("took", s.took)
 	o.AddString("fate", s.fate.String())
@@ -57,11 +61,12 @@
 
 // send sends the request to a server and passes its answer on, unless the
 // request is to be sent again.
-func (e *exchange) send(ctx context.Context, w *pool.Worker, unread int64) (f fate) {
+func (e *exchange) send(ctx context.Context, t target) (f fate) {
+	w, unread := t.worker, t.unread
 	now := e.config.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e.sends = append(e.sends, send{worker: w, at: now, after: now.Sub(e.start), cancel: cancel})
+	e.sends = append(e.sends, send{worker: w, source: t.source, at: now, after: now.Sub(e.start), cancel: cancel})
 	s := &e.sends[len(e.sends)-1]
 	w.Begin(unread, now)
 	defer func() {
@@ -74,7 +79,7 @@
 		e.metrics.sends.WithLabelValues(f.String()).Inc()
 	}()
 	var sent tcp.Sent
-	request := e.outgoing(sent.Context(ctx), w, now)
+	request := e.outgoing(sent.Context(ctx), t, now)
 	stop := e.patience(cancel)
 	response, err := w.Transport.RoundTrip(request)
 	stop()
@@ -89,7 +94,7 @@
 }
 
 // outgoing returns the request as the server gets it.
-func (e *exchange) outgoing(ctx context.Context, w *pool.Worker, now time.Time) *http.Request {
+func (e *exchange) outgoing(ctx context.Context, t target, now time.Time) *http.Request {
 	names := &e.config.Headers
 	header := make(http.Header, len(e.r.Header)+4)
 	copyEndToEnd(header, e.r.Header)
@@ -98,15 +103,18 @@
 		header["User-Agent"] = nil // net/http must not add its own
 	}
 	header.Set(names.Remaining, strconv.FormatInt(max(1, e.deadline.Sub(now).Milliseconds()), 10))
-	header.Set(names.ExpectServer, w.ID)
+	header.Set(names.ExpectServer, t.worker.ID)
 	if e.workspace != "" {
 		header.Set(names.Workspace, e.workspace)
 	}
+	if t.source != nil {
+		header.Set(names.FetchFrom, t.source.Address)
+	}
 	if e.stream.last != "" {
 		header.Set(lastEvent, e.stream.last)
 	}
 	request := &http.Request{
-		Method: e.r.Method, URL: &url.URL{Scheme: "http", Host: w.Address, Opaque: e.target}, Host: e.r.Host,
+		Method: e.r.Method, URL: &url.URL{Scheme: "http", Host: t.worker.Address, Opaque: e.target}, Host: e.r.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
 		Body: once{bytes.NewReader(e.body)}, ContentLength: int64(len(e.body)),
 	}
--- a/internal/decide/route/prompt.go
+++ b/internal/decide/route/prompt.go
@@ -49,6 +49,10 @@
 	Local bool
 	// Suspect servers are used only if there is no other.
 	Suspect bool
+	// New servers joined lately: they are at home for prompts that others have
+	// read. Leaving ones get no requests, but what they have read can still be
+	// fetched.
+	New, Leaving bool
 }
 
 const (
@@ -60,6 +64,11 @@
 	runningTokens = 150
 	// pendingWeight accounts for the prompts that other instances have sent.
 	pendingWeight = 1.5
+	// fetchCost is the time to fetch tokens from another server, in parts of the
+	// time to read them.
+	fetchCost = 0.5
+	// minFetch is the number of tokens that are worth a fetch.
+	minFetch = 2000
 	// remoteTokens is what a server of another failure domain costs, in prompt
 	// tokens.
 	remoteTokens = 100
@@ -67,23 +76,46 @@
 	remoteSlots = 0.2
 )
 
-// ChoosePrompt returns the index of the server that is expected to answer the
-// prompt first, or -1 if there is none, and the tokens that it is expected to
-// have cached. Each shared prefix has a home, the
-// server with the highest hash, which all instances agree on without messages;
-// a request leaves it when the wait there exceeds reading the prefix again.
-func ChoosePrompt(cs []Candidate, p Prompt) (index, cached int) {
+// Placement is the choice of a server for a prompt.
+type Placement struct {
+	// Index is that of the server, or -1 if there is none.
+	Index int
+	// Cached are the tokens of the prompt that it is expected to have read.
+	Cached int
+	// Source is the index of a server from which it should fetch the tokens up
+	// to Fetched instead of reading them again, or -1.
+	Source, Fetched int
+}
+
+// ChoosePrompt returns the server that is expected to answer the prompt first.
+// Each shared prefix has a home, the server with the highest hash, which all
+// instances agree on without messages; a request leaves it when the wait there
+// exceeds fetching the prefix, or reading it again.
+func ChoosePrompt(cs []Candidate, p Prompt) Placement {
 	shared, chain := p.Shared()
-	home := homeOf(cs, chain)
+	home := homeOf(cs, chain, func(c *Candidate) bool { return !c.Leaving })
 	expected := func(i int) int {
 		if i == home {
 			return max(cs[i].Cached, int(homeCached*float64(shared)))
 		}
 		return cs[i].Cached
 	}
-	index = least(cs, func(i int) float64 {
+	source := -1
+	for i := range cs {
+		if !cs[i].Suspect && expected(i) > 0 && (source < 0 || expected(i) > expected(source)) {
+			source = i
+		}
+	}
+	fetched := func(i int) int {
+		if source < 0 || source == i || expected(source)-expected(i) < minFetch {
+			return 0
+		}
+		return expected(source) - expected(i)
+	}
+	index := least(cs, func(i int) float64 {
 		c := &cs[i]
-		cost := pendingWeight*c.Pending + runningTokens*float64(c.Running) + max(0, float64(p.Tokens-expected(i)))
+		own := max(0, float64(p.Tokens-expected(i))-(1-fetchCost)*float64(fetched(i)))
+		cost := pendingWeight*c.Pending + runningTokens*float64(c.Running) + own
 		if !c.Local {
 			cost += remoteTokens
 		}
@@ -93,17 +125,28 @@
 		return cost
 	})
 	if index < 0 {
-		return index, 0
+		return Placement{Index: -1, Source: -1}
+	}
+	placement := Placement{Index: index, Cached: expected(index), Source: -1}
+	if n := fetched(index); n > 0 {
+		placement.Source, placement.Fetched = source, n
+	}
+	if missing := expected(index) - cs[index].Cached; index == home && cs[index].New && missing >= minFetch {
+		// Another instance may have made it fetch the prefix before; then there is
+		// nothing left to fetch.
+		if before := homeOf(cs, chain, func(c *Candidate) bool { return !c.New }); before >= 0 {
+			placement.Source, placement.Cached, placement.Fetched = before, cs[index].Cached, missing
+		}
 	}
-	return index, expected(index)
+	return placement
 }
 
-// homeOf returns the index of the server with the highest hash for a chain.
-// Suspects are passed over.
-func homeOf(cs []Candidate, chain uint64) int {
+// homeOf returns the index of the server with the highest hash for a chain
+// among those that may be one. Suspects are passed over.
+func homeOf(cs []Candidate, chain uint64, may func(*Candidate) bool) int {
 	home, best := -1, uint64(0)
 	for i := range cs {
-		if cs[i].Suspect {
+		if cs[i].Suspect || !may(&cs[i]) {
 			continue
 		}
 		if s := mixPair(chain, xxhash.Sum64String(cs[i].ID)); home < 0 || s > best {
@@ -142,7 +185,7 @@
 	for _, suspects := range []bool{false, true} {
 		best, lowest := -1, math.Inf(1)
 		for i := range cs {
-			if cs[i].Suspect != suspects {
+			if cs[i].Suspect != suspects || cs[i].Leaving {
 				continue
 			}
 			if v := cost(i); v < lowest {
--- a/internal/decide/route/prompt_test.go
+++ b/internal/decide/route/prompt_test.go
@@ -27,15 +27,14 @@
 	}
 	homes := make(map[int]int)
 	for n := range 1000 {
-		a, cached := ChoosePrompt(cs, prompts(n))
-		b, _ := ChoosePrompt(other, prompts(n))
-		if a != b {
-			t.Errorf("prompt %d: got servers %d and %d, want one", n, a, b)
+		a, b := ChoosePrompt(cs, prompts(n)), ChoosePrompt(other, prompts(n))
+		if a.Index != b.Index {
+			t.Errorf("prompt %d: got servers %d and %d, want one", n, a.Index, b.Index)
 		}
-		if cached == 0 {
-			t.Errorf("prompt %d: nothing expected to be cached at home", n)
+		if a.Cached == 0 || a.Source >= 0 {
+			t.Errorf("prompt %d: got %+v, want the prefix cached at home", n, a)
 		}
-		homes[a]++
+		homes[a.Index]++
 	}
 	for i := range cs {
 		if homes[i] < 20 {
@@ -45,11 +44,12 @@
 }
 
 // Guards against prompts that wait at their home for longer than another server
-// takes to read them, and against suspects that are chosen.
+// takes to fetch or read them, and against suspects that are chosen or fetched
+// from.
 func TestPromptLeavesItsHome(t *testing.T) {
 	p := prompts(7)
 	cs := idle(6)
-	home, _ := ChoosePrompt(cs, p)
+	home := ChoosePrompt(cs, p).Index
 	tests := []struct {
 		name   string
 		change func(c *Candidate)
@@ -62,19 +62,55 @@
 	for _, tt := range tests {
 		changed := append([]Candidate(nil), cs...)
 		tt.change(&changed[home])
-		got, _ := ChoosePrompt(changed, p)
-		if left := got != home; left != tt.leaves {
+		got := ChoosePrompt(changed, p)
+		if left := got.Index != home; left != tt.leaves {
 			t.Errorf("%s: left the home %v, want %v", tt.name, left, tt.leaves)
 		}
+		fetches := tt.leaves && !changed[home].Suspect
+		if fetches != (got.Source == home) || fetches != (got.Fetched > minFetch) {
+			t.Errorf("%s: got %+v, want the prefix fetched from home %d: %v", tt.name, got, home, fetches)
+		}
 	}
 	for i := range cs {
 		cs[i].Suspect = true
 	}
-	if got, _ := ChoosePrompt(cs, p); got < 0 {
-		t.Error("all suspect: got no server, want one")
+	if got := ChoosePrompt(cs, p); got.Index < 0 || got.Source >= 0 {
+		t.Errorf("all suspect: got %+v, want a server that fetches from none", got)
+	}
+	if got := ChoosePrompt(nil, p); got.Index != -1 {
+		t.Errorf("no server: got %+v, want none", got)
+	}
+}
+
+// Guards against prefixes that are read again because servers join or leave,
+// although those that have read them are still there.
+func TestNewHomeFetchesFromTheOneBefore(t *testing.T) {
+	p := prompts(7)
+	cs := idle(6)
+	home := ChoosePrompt(cs, p).Index
+	cs[home].Leaving = true
+	next := ChoosePrompt(cs, p).Index
+	if next == home || next < 0 {
+		t.Fatalf("home %d leaves: got server %d", home, next)
+	}
+	cs[home].Leaving, cs[home].New = false, true
+	got := ChoosePrompt(cs, p)
+	if got.Index != home || got.Source != next || got.Fetched < minFetch {
+		t.Errorf("home %d joined lately: got %+v, want it to fetch from %d", home, got, next)
+	}
+	cs[next].Leaving = true
+	if got := ChoosePrompt(cs, p); got.Index != home || got.Source != next {
+		t.Errorf("home before %d leaves: got %+v, want it as the source", next, got)
+	}
+	cs[home].Cached = 13_000
+	if got := ChoosePrompt(cs, p); got.Source >= 0 {
+		t.Errorf("prefix is known to be at home: got %+v, want no fetch", got)
+	}
+	for i := range cs {
+		cs[i] = Candidate{ID: cs[i].ID, New: true}
 	}
-	if got, _ := ChoosePrompt(nil, p); got != -1 {
-		t.Errorf("no server: got %d, want -1", got)
+	if got := ChoosePrompt(cs, p); got.Index < 0 || got.Source >= 0 {
+		t.Errorf("all joined lately: got %+v, want a server that fetches from none", got)
 	}
 }
 
--- a/internal/entry/front/apply.go
+++ b/internal/entry/front/apply.go
@@ -89,7 +89,7 @@
 		f.config.Log.Warn("entry names no server to use", zap.String("server", id), zap.Int64("revision", item.Revision), zap.Error(err))
 		return
 	}
-	if f.pool.Put(s) {
+	if f.pool.Put(s, f.now()) {
 		f.config.Log.Info("server changed", zap.String("server", id), zap.String("service", s.Service), zap.String("address", s.Address),
 			zap.String("domain", s.FailureDomain), zap.Bool("leaving", s.Leaving), zap.Int64("revision", item.Revision))
 	}
