Try to share which servers do not answer

Change: an instance that hears nothing for 1.3 s from a server that has its requests, or cannot connect, tells its links at once; the others avoid the server for 2 to 8 s unless they heard from it since.

--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -120,3 +120,69 @@
 	w.Succeeded(now)
 	check("answered again", false)
 }
+
+// Guards against a server that another instance found silent and that still gets
+// this one's requests, and against one that answers here and is avoided.
+func TestAvoid(t *testing.T) {
+	now := epoch.Add(time.Minute)
+	tests := []struct {
+		name    string
+		heard   time.Time
+		suspect bool
+	}{
+		{"not heard for long", now.Add(-time.Minute), true},
+		{"heard before it fell silent", now.Add(-3 * time.Second), true},
+		{"heard since", now.Add(-time.Second), false},
+	}
+	for _, tt := range tests {
+		p := New()
+		p.Put(Server{ID: "a", Service: "s", Incarnation: 1}, epoch)
+		w := p.Service("s")[0]
+		w.Heard(tt.heard)
+		p.Avoid("a", 2, now, now.Add(time.Second)) // another lifetime
+		if w.Suspect(now) {
+			t.Errorf("%s: suspect for another lifetime's silence", tt.name)
+		}
+		p.Avoid("a", 1, now.Add(-2*time.Second), now.Add(time.Second))
+		if got := w.Suspect(now); got != tt.suspect {
+			t.Errorf("%s: suspect %v, want %v", tt.name, got, tt.suspect)
+		}
+		if w.Suspect(now.Add(time.Second)) {
+			t.Errorf("%s: suspect for longer than reported", tt.name)
+		}
+	}
+}
+
+// Guards against a server that hangs, or that accepts no connections, and that
+// the other instances are not told of, and against one that reads a long prompt.
+func TestSilent(t *testing.T) {
+	w := newWorker(Server{ID: "a"}, epoch)
+	now := epoch.Add(time.Minute)
+	silent := func() bool { _, ok := w.Silent(now); return ok }
+	w.Begin(10, now)
+	now = now.Add(hangingAfter - 1)
+	if silent() {
+		t.Error("silent while a prompt may be read")
+	}
+	now = now.Add(2)
+	if !silent() {
+		t.Error("not silent after it sent nothing for long")
+	}
+	w.Heard(now)
+	if silent() {
+		t.Error("silent right after bytes came")
+	}
+	w.End()
+	now = now.Add(time.Hour)
+	if silent() {
+		t.Error("silent without requests")
+	}
+	w.Unreachable(now)
+	if !silent() {
+		t.Error("not silent although no connection could be made")
+	}
+	now = now.Add(deadFor)
+	if silent() {
+		t.Error("silent for long after one failed connection")
+	}
+}
