--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -60,16 +60,6 @@
 	return true
 }
 
-// Avoid makes requests prefer other servers than one that another instance found
-// silent, unless this instance heard from it since.
-func (p *Pool) Avoid(id string, incarnation int64, since, until time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if w, ok := p.workers[id]; ok && w.Incarnation == incarnation {
-		w.Avoid(since, until)
-	}
-}
-
 // Remove drops a server, at once if until is zero, and otherwise at until
 // unless it is put again before.
 func (p *Pool) Remove(id string, until time.Time) (changed bool) {
--- a/internal/backend/pool/worker.go
+++ b/internal/backend/pool/worker.go
@@ -32,12 +32,6 @@
 	// silenceAfter is how long a server with requests of this instance may send
 	// nothing before others are preferred.
 	silenceAfter = 900 * time.Millisecond
-	// hangingAfter is how long a server with requests of this instance may send
-	// nothing before the others are told. It may read a long prompt meanwhile;
-	// then those that get bytes from it do not avoid it.
-	hangingAfter = 1300 * time.Millisecond
-	// deadFor is how long a failed connection counts.
-	deadFor = time.Second
 	// avoidFirst is how long a server is avoided after a failure; each further
 	// failure in a row doubles it up to avoidMost.
 	avoidFirst = 500 * time.Millisecond
@@ -61,9 +55,6 @@
 	failed  atomic.Int64 // failures in a row
 	avoid   atomic.Int64 // nanoseconds on the boot clock
 	full    atomic.Int64 // rejected requests until then
-	dead    atomic.Int64 // when a connection could not be made
-	// silentSince and silentUntil are what other instances say.
-	silentSince, silentUntil atomic.Int64
 }
 
 func newWorker(s Server, now time.Time) *Worker {
@@ -111,11 +102,6 @@
 // Heard records that bytes came from the server at now.
 func (w *Worker) Heard(now time.Time) { w.heard.Store(now.UnixNano()) }
 
-// HeardWithin reports whether bytes came from the server in the time before now.
-func (w *Worker) HeardWithin(d time.Duration, now time.Time) bool {
-	return now.UnixNano()-w.heard.Load() < int64(d)
-}
-
 // Succeeded records a complete answer.
 func (w *Worker) Succeeded(now time.Time) {
 	w.Heard(now)
@@ -133,30 +119,6 @@
 	w.avoid.Store(now.Add(pause).UnixNano())
 }
 
-// Unreachable records that no connection to the server could be made at now.
-func (w *Worker) Unreachable(now time.Time) { w.dead.Store(now.UnixNano()) }
-
-// Silent reports whether the server answers neither requests nor connections,
-// and since when nothing has come from it.
-func (w *Worker) Silent(now time.Time) (since time.Time, ok bool) {
-	n, heard := now.UnixNano(), w.heard.Load()
-	if dead := w.dead.Load(); dead > heard && n-dead < int64(deadFor) {
-		return time.Unix(0, dead), true
-	}
-	if w.running.Load() == 0 {
-		return time.Time{}, false
-	}
-	last := max(heard, w.idle.Load())
-	return time.Unix(0, last), n-last > int64(hangingAfter)
-}
-
-// Avoid takes what another instance says: nothing has come from the server since
-// a time, and it is to be avoided until another.
-func (w *Worker) Avoid(since, until time.Time) {
-	w.silentSince.Store(since.UnixNano())
-	w.silentUntil.Store(until.UnixNano())
-}
-
 // Rejected records that the server was full at now.
 func (w *Worker) Rejected(now time.Time, pause time.Duration) {
 	w.Heard(now)
@@ -169,10 +131,6 @@
 	if n < w.avoid.Load() || n < w.full.Load() {
 		return true
 	}
-	// What this instance heard itself since then goes before what others say.
-	if n < w.silentUntil.Load() && w.heard.Load() <= w.silentSince.Load() {
-		return true
-	}
 	if w.running.Load() == 0 {
 		return false
 	}
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -141,9 +141,6 @@
 		s.worker.Failed(e.config.Now())
 	}
 	if nothingSent {
-		if !left {
-			s.worker.Unreachable(e.config.Now())
-		}
 		return unreachable
 	}
 	if !left && !errors.Is(s.err, context.Canceled) && !errors.Is(s.err, context.DeadlineExceeded) {
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -28,7 +28,6 @@
 	"wasabiworks.example/wasabiworks/internal/peer/duty"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
-	"wasabiworks.example/wasabiworks/internal/peer/suspect"
 	"wasabiworks.example/wasabiworks/internal/peer/usage"
 	"wasabiworks.example/wasabiworks/internal/platform/boottime"
 	"wasabiworks.example/wasabiworks/internal/platform/follow"
@@ -140,7 +139,6 @@
 	exchange   *exchange.Node
 	allowances *allowance.Limiter
 	crashes    crash.Records
-	suspects   *suspect.Set
 	// counters are what instances count for each other: what workspaces spent,
 	// and how requests on either version of a move ended.
 	counters evidence.Table
@@ -188,7 +186,6 @@
 		return err
 	}
 	f.crashes = crash.Records{Set: new(poison.Set), Now: time.Now}
-	f.suspects = suspect.New(suspect.Config{FailureDomain: c.FailureDomain, Now: f.now, Apply: f.avoid, Notify: func() { f.exchange.Notify() }})
 	window := c.Window
 	if window == 0 {
 		window = defaultWindow
@@ -207,8 +204,8 @@
 	counters := exchange.Evidence{Table: &f.counters, Domain: c.FailureDomain, Self: c.Instance}
 	f.exchange, err = exchange.New(exchange.Config{
 		Members:    f.members,
-		Sources:    []exchange.Source{counters, f.crashes, f.suspects},
-		Sinks:      []exchange.Sink{counters, f.crashes, f.suspects},
+		Sources:    []exchange.Source{counters, f.crashes},
+		Sinks:      []exchange.Sink{counters, f.crashes},
 		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.serveWatch, Spend: f.serveSpend},
 		Registerer: f.registry,
 		Logger:     c.Log,
@@ -234,7 +231,6 @@
 	wg.Go(func() { f.expire(work) })
 	wg.Go(func() { f.register(work) })
 	wg.Go(func() { f.share(work) })
-	wg.Go(func() { f.watchServers(work) })
 	wg.Go(func() { f.exchangeWithPeers(work) })
 	var holding sync.WaitGroup
 	holding.Go(func() { f.duty.Run(duties) })
