--- a/cmd/wasabiworks/main.go
+++ b/cmd/wasabiworks/main.go
@@ -43,7 +43,7 @@
 	c.Explain.app = a
 	c.Catalogue.Check.app, c.Catalogue.Diff.app, c.Catalogue.Apply.app = a, a, a
 	c.Catalogue.Show.app, c.Catalogue.History.app, c.Catalogue.HashToken.app = a, a, a
-	c.Moves.app, c.Status.app, c.Report.Burn.app = a, a, a
+	c.Moves.app, c.Status.app, c.Report.Burn.app, c.Report.Forward.app = a, a, a, a
 	p := flags.NewNamedParser("wasabiworks", flags.HelpFlag|flags.PassDoubleDash)
 	p.CommandHandler = func(c flags.Commander, args []string) error {
 		if c == nil || !execute {
--- a/cmd/wasabiworks/report.go
+++ b/cmd/wasabiworks/report.go
@@ -2,16 +2,23 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"wasabiworks.example/wasabiworks/internal/entry/front"
 	"wasabiworks.example/wasabiworks/internal/operator/admin"
 	"wasabiworks.example/wasabiworks/internal/operator/burn"
+	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
+	"wasabiworks.example/wasabiworks/internal/operator/routes"
 	"wasabiworks.example/wasabiworks/internal/platform/instances"
+	"wasabiworks.example/wasabiworks/platform"
 )
 
 type reportCommand struct {
-	Burn burnCommand `command:"burn" description:"print the service-level burn report"`
+	Burn    burnCommand        `command:"burn" description:"print the service-level burn report"`
+	Forward forwardBurnCommand `command:"forward" description:"print the service-level burn report of the instances that forward on the users' platform"`
 }
 
 type burnCommand struct {
@@ -42,6 +49,52 @@
 	return burn.Build(in, c.app.now()).Write(c.app.out, c.Format)
 }
 
+type forwardBurnCommand struct {
+	Store   string        `long:"store" env:"WASABIWORKS_STORE" value-name:"IP:PORT" description:"address of the platform's key-value store" required:"yes"`
+	Success float64       `long:"success" env:"WASABIWORKS_SUCCESS" value-name:"SHARE" default:"0.99" description:"share of the requests that are to be answered within their route's objective, above 0 and below 1"`
+	Timeout time.Duration `long:"timeout" env:"WASABIWORKS_TIMEOUT" value-name:"DURATION" default:"30s" description:"time that the command may take"`
+	Format  string        `long:"format" env:"WASABIWORKS_FORMAT" choice:"text" choice:"json" choice:"html" default:"text" description:"format of the report"`
+	app     *app
+}
+
+// Execute implements flags.Commander.
+func (c *forwardBurnCommand) Execute([]string) error {
+	if c.Success <= 0 || c.Success >= 1 {
+		return fmt.Errorf("success is %v; allowed: above 0 and below 1", c.Success)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	s := platform.NewStore(c.Store)
+	item, err := s.Get(ctx, platform.ConfigKey)
+	if err != nil {
+		return fmt.Errorf("read the configuration: %w", err)
+	}
+	table, err := platform.DecodeConfig(item.Value)
+	if err != nil {
+		return err
+	}
+	members, err := front.Registered(ctx, s)
+	if err != nil {
+		return fmt.Errorf("read the instances: %w", err)
+	}
+	entries := make([]instances.Instance, 0, len(members))
+	for _, m := range members {
+		entries = append(entries, instances.Instance{ID: m.ID, Role: instances.RoleEntry, FailureDomain: m.FailureDomain, OperationsAddress: m.OperationsAddress})
+	}
+	fleet := admin.NewFleet(admin.FleetConfig{})
+	in := burn.Input{Snapshot: objectives(table, item.Revision, c.Success), Scrapes: scrapes(ctx, fleet, entries)}
+	return burn.Build(in, c.app.now()).Write(c.app.out, c.Format)
+}
+
+// objectives returns the routes of a table as entries with their objectives.
+func objectives(t *routes.Table, revision int64, success float64) *catalogue.Snapshot {
+	var c catalogue.Catalogue
+	for _, r := range t.Routes {
+		c.Entries = append(c.Entries, catalogue.Entry{Name: r.Name, Objective: catalogue.Objective{FirstToken: r.Objective, Success: success}})
+	}
+	return catalogue.NewSnapshot(revision, &c)
+}
+
 // maxScrapes bounds the concurrent scrapes.
 const maxScrapes = 32
 
--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -43,6 +43,16 @@
 	First(service string, late bool)
 }
 
+// Ended describes a request that has ended.
+type Ended struct {
+	// Route and Workspace are empty if the request got no further.
+	Route, Workspace string
+	Reason           Reason
+	// Failed tells that the server answered with a failure, and Late that the
+	// first byte came after the route's objective.
+	Failed, Late bool
+}
+
 // Choice says which version of a service a request goes to while its traffic
 // moves to another one.
 type Choice struct {
@@ -81,7 +91,7 @@
 	Lost(server, address string, incarnation int64, fingerprint uint64)
 }
 
-// Config configures a Handler. All fields are required but Log.
+// Config configures a Handler. All fields are required but Log and Ended.
 type Config struct {
 	Headers       Headers
 	FailureDomain string
@@ -92,6 +102,8 @@
 	Usage         Usage
 	Poison        Poison
 	Versions      Versions
+	// Ended is told of each request; it may be nil.
+	Ended func(Ended)
 	// Now reads the boot clock.
 	Now        func() time.Time
 	Random     func() uint64
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -289,6 +289,7 @@
 	}
 	e.metrics.duration.WithLabelValues(class).Observe(now.Sub(e.start).Seconds())
 	e.log(now)
+	e.tell()
 	if e.streaming && e.reason != Served {
 		// The connection ends without the end of the body, so that the client
 		// sees that the stream is not whole.
@@ -296,6 +297,19 @@
 	}
 }
 
+// tell reports how the request ended.
+func (e *exchange) tell() {
+	if e.config.Ended == nil {
+		return
+	}
+	v := Ended{Workspace: e.workspace, Reason: e.reason, Failed: e.status >= http.StatusInternalServerError}
+	if e.route != nil {
+		v.Route = e.route.Name
+		v.Late = e.route.Objective > 0 && e.first.Sub(e.start) > e.route.Objective
+	}
+	e.config.Ended(v)
+}
+
 type metrics struct {
 	requests, sends *prometheus.CounterVec
 	omitted         *prometheus.CounterVec
--- /dev/null
+++ b/internal/entry/front/burn.go
@@ -0,0 +1,51 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/caller/forward"
+	"wasabiworks.example/wasabiworks/internal/operator/burn"
+)
+
+// samplePeriod is how often the counters of the burn report are recorded.
+const samplePeriod = time.Minute
+
+// sampleBurn records the counters until ctx ends.
+func (f *Front) sampleBurn(ctx context.Context) {
+	f.burn.Sample()
+	every(ctx, samplePeriod, f.burn.Sample)
+}
+
+// ended counts a request for the burn report.
+func (f *Front) ended(e forward.Ended) {
+	result, ok := result(e)
+	if result == burn.Rejected {
+		f.burn.Rejected(string(e.Reason))
+	}
+	if ok && e.Route != "" {
+		f.burn.Outcome(e.Route, e.Workspace, result)
+	}
+}
+
+// result returns what a request says about the service level, and false if it
+// says nothing because no system could have answered it.
+func result(e forward.Ended) (burn.Result, bool) {
+	switch e.Reason {
+	case forward.Served:
+		switch {
+		case e.Failed:
+			return burn.Failed, true
+		case e.Late:
+			return burn.Slow, true
+		}
+		return burn.Good, true
+	case forward.ClientLeft, forward.NoRoute, forward.BadKey, forward.BadRequest, forward.TooLarge, forward.PoisonRequest:
+		return burn.Good, false
+	case forward.OverAllowance:
+		return burn.Limited, true
+	case forward.NoTable, forward.StaleTable, forward.NoServer, forward.AllFull, forward.Unreachable, forward.TimedOutUnsent:
+		return burn.Rejected, true
+	}
+	return burn.Failed, true
+}
--- /dev/null
+++ b/internal/entry/front/burn_test.go
@@ -0,0 +1,33 @@
+package front
+
+import (
+	"testing"
+
+	"wasabiworks.example/wasabiworks/internal/caller/forward"
+	"wasabiworks.example/wasabiworks/internal/operator/burn"
+)
+
+// Guards against failures of the system that the burn report does not count,
+// and against faults of clients that spend the error budget.
+func TestResult(t *testing.T) {
+	want := map[forward.Reason]burn.Result{
+		forward.OverAllowance: burn.Limited,
+		forward.NoTable:       burn.Rejected, forward.StaleTable: burn.Rejected, forward.NoServer: burn.Rejected,
+		forward.AllFull: burn.Rejected, forward.Unreachable: burn.Rejected, forward.TimedOutUnsent: burn.Rejected,
+		forward.Lost: burn.Failed, forward.Invalid: burn.Failed, forward.TimedOut: burn.Failed, forward.BrokenOff: burn.Failed,
+		forward.Served: burn.Good,
+	}
+	for _, reason := range forward.Reasons {
+		got, ok := result(forward.Ended{Reason: reason})
+		w, counts := want[reason]
+		if ok != counts || counts && got != w {
+			t.Errorf("%s: got %v, counted %v; want %v, counted %v", reason, got, ok, w, counts)
+		}
+	}
+	if got, _ := result(forward.Ended{Reason: forward.Served, Late: true}); got != burn.Slow {
+		t.Errorf("served late: got %v, want %v", got, burn.Slow)
+	}
+	if got, _ := result(forward.Ended{Reason: forward.Served, Failed: true}); got != burn.Failed {
+		t.Errorf("failure of the server: got %v, want %v", got, burn.Failed)
+	}
+}
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -22,6 +22,7 @@
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/decide/retry"
+	"wasabiworks.example/wasabiworks/internal/operator/burn"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 	"wasabiworks.example/wasabiworks/internal/peer/allowance"
 	"wasabiworks.example/wasabiworks/internal/peer/crash"
@@ -143,6 +144,7 @@
 	// and how requests on either version of a move ended.
 	counters evidence.Table
 	usage    *usage.Reporter
+	burn     *burn.Metrics
 	duty     *duty.Holder
 	mover    *mover
 	plans    sync.Map // service name to the planned number of servers
@@ -154,6 +156,13 @@
 	if c.Registry == nil {
 		c.Registry = prometheus.NewRegistry()
 	}
+	var err error
+	if c.Store, err = store.Measured(c.Store, c.Registry); err != nil {
+		return nil, err
+	}
+	if c.Cloud, err = newMeasuredCloud(c.Cloud, c.Registry); err != nil {
+		return nil, err
+	}
 	f := &Front{
 		config: c, now: boottime.Now, registry: c.Registry, pool: pool.New(),
 		silent: make(map[string]time.Time), revisions: make(map[string]int64), registered: make(map[string]membership.Member),
@@ -162,14 +171,16 @@
 	if err := f.newPeers(); err != nil {
 		return nil, err
 	}
-	var err error
+	if f.burn, err = burn.New(burn.Config{Registry: f.registry}); err != nil {
+		return nil, err
+	}
 	f.handler, err = forward.New(forward.Config{
 		Headers: c.Format.Headers, FailureDomain: c.FailureDomain, View: f.view, Pool: f.pool,
 		Allowances: f.allowances, Usage: f.usage, Poison: poisons{f}, Versions: f.mover,
 		Budget: &budgets{config: retry.SharedConfig{
 			Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instances, Now: f.now,
 		}},
-		Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
+		Ended: f.ended, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
 	})
 	return f, err
 }
@@ -181,6 +192,7 @@
 	f.node = fmt.Sprintf("%s/%d", c.Instance, incarnation)
 	f.members = membership.NewTable(membership.Member{
 		ID: c.Instance, Incarnation: incarnation, FailureDomain: c.FailureDomain, PeerAddress: c.Peer.Addr().String(),
+		OperationsAddress: c.Operation.Addr().String(),
 	})
 	if f.allowances, err = f.newAllowances(); err != nil {
 		return err
@@ -235,6 +247,7 @@
 	var holding sync.WaitGroup
 	holding.Go(func() { f.duty.Run(duties) })
 	wg.Go(func() { f.mover.run(work) })
+	wg.Go(func() { f.sampleBurn(work) })
 	if f.config.Window > 0 {
 		wg.Go(func() { f.usage.Run(work) })
 	}
--- a/internal/entry/front/members.go
+++ b/internal/entry/front/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -33,6 +34,31 @@
 	Incarnation   int64  `json:"incarnation"`
 	FailureDomain string `json:"failure-domain"`
 	PeerAddress   string `json:"peer-address"`
+	// OperationsAddress is where operators read metrics.
+	OperationsAddress string `json:"operations-address,omitempty"`
+}
+
+// Registered returns the instances that are registered in a store.
+func Registered(ctx context.Context, s store.Store) ([]membership.Member, error) {
+	items, _, err := s.List(ctx, instancesPrefix)
+	if err != nil {
+		return nil, err
+	}
+	ms := make([]membership.Member, 0, len(items))
+	for _, item := range items {
+		var r registration
+		if err := json.Unmarshal(item.Value, &r); err != nil {
+			return nil, fmt.Errorf("entry %s: %w", item.Key, err)
+		}
+		ms = append(ms, r.member())
+	}
+	return ms, nil
+}
+
+func (r registration) member() membership.Member {
+	return membership.Member{
+		ID: r.ID, Incarnation: r.Incarnation, FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress, OperationsAddress: r.OperationsAddress,
+	}
 }
 
 // register keeps the instance's entry in the store until ctx ends, then removes
@@ -66,7 +92,7 @@
 
 func (f *Front) registerAnew(ctx context.Context) (lease int64, err error) {
 	self := f.members.Self()
-	value, err := json.Marshal(registration{self.ID, self.Incarnation, self.FailureDomain, self.PeerAddress})
+	value, err := json.Marshal(registration{self.ID, self.Incarnation, self.FailureDomain, self.PeerAddress, self.OperationsAddress})
 	if err != nil {
 		return 0, err
 	}
@@ -93,7 +119,7 @@
 		f.config.Log.Warn("entry names no instance", zap.String("instance-entry", id), zap.Error(err))
 		return
 	}
-	f.registered[id] = membership.Member{ID: r.ID, Incarnation: r.Incarnation, FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress}
+	f.registered[id] = r.member()
 }
 
 // listInstances publishes the registered instances.
