--- a/cmd/wasabiworks/pages_test.go
+++ b/cmd/wasabiworks/pages_test.go
@@ -1,11 +1,15 @@
 package main
 
 import (
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
+
+	"wasabiworks.example/wasabiworks/internal/bench/metastore"
+	"wasabiworks.example/wasabiworks/platform"
 )
 
 const pages = "../../docs/operate/"
@@ -54,6 +58,7 @@
 // Guards against pages with commands or flags that the program does not have.
 func TestPagesParse(t *testing.T) {
 	t.Setenv("WASABIWORKS_PLATFORM", "127.0.0.1:9000")
+	t.Setenv("WASABIWORKS_STORE", "127.0.0.1:9001")
 	names, err := filepath.Glob(pages + "*.md")
 	if err != nil || len(names) < 4 {
 		t.Fatalf("Glob = %q, %v, want the pages", names, err)
@@ -95,6 +100,11 @@
 		blocks = append(blocks, bs...)
 	}
 	s := newShell(t)
+	store := metastore.New()
+	store.Put(platform.ConfigKey, []byte(`{"version":1,"routes":[{"name":"draft","host":"h","path_prefix":"/d/","type":"streaming","service":"s"}]}`))
+	server := httptest.NewServer(store)
+	defer server.Close()
+	t.Setenv("WASABIWORKS_STORE", strings.TrimPrefix(server.URL, "http://"))
 	s.write("token.txt", "example-token-0001\n")
 	for _, b := range blocks {
 		if name, ok := strings.CutPrefix(b.info, "yaml "); ok {
