--- a/cmd/wasabiworks/catalogue.go
+++ b/cmd/wasabiworks/catalogue.go
@@ -14,6 +14,7 @@
 	"wasabiworks.example/wasabiworks/internal/operator/admin"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 	"wasabiworks.example/wasabiworks/internal/platform/kv"
+	"wasabiworks.example/wasabiworks/platform"
 )
 
 type catalogueCommand struct {
@@ -82,7 +83,7 @@
 }
 
 func (o *storeOptions) client() *admin.Client {
-	return admin.New(admin.Config{Store: kv.New(kv.Config{Address: o.Platform}), Now: o.app.now})
+	return admin.New(admin.Config{Store: kv.New(platform.NewStore(o.Platform)), Now: o.app.now})
 }
 
 // propose parses a file and checks it against the store.
--- a/cmd/wasabiworks/serve.go
+++ b/cmd/wasabiworks/serve.go
@@ -14,6 +14,7 @@
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 	"wasabiworks.example/wasabiworks/internal/entry/instance"
 	"wasabiworks.example/wasabiworks/internal/operator/settings"
+	"wasabiworks.example/wasabiworks/platform"
 )
 
 type serveCommand struct {
@@ -65,7 +66,7 @@
 	}
 	return instance.New(instance.Config{
 		ID: c.Instance, Region: c.Region, FailureDomain: c.FailureDomain, Class: c.Class,
-		Price: c.Price, Reclaimable: c.Reclaimable, Platform: c.Platform,
+		Price: c.Price, Reclaimable: c.Reclaimable, Platform: c.Platform, Store: platform.NewStore(c.Platform),
 		Client: listeners[0], Peer: listeners[1], Operations: listeners[2],
 		ClientTLS: clientTLS, PeerTLS: peerTLS, DrainNotice: c.DrainNotice, Log: log,
 		Route: routePolicies[c.RoutePolicy], Move: movePolicies[c.MovePolicy],
--- a/internal/bench/metastore/store.go
+++ b/internal/bench/metastore/store.go
@@ -11,8 +11,12 @@
 	"time"
 )
 
-// pageSize is the number of items in a page of a listing.
-const pageSize = 50
+const (
+	// pageSize is the number of items in a page of a listing.
+	pageSize = 50
+	// maxHistory is the number of changes that watches can go back to.
+	maxHistory = 2000
+)
 
 // Item is a key of the store as it is on the wire.
 type Item struct {
@@ -41,6 +45,7 @@
 
 // Store is the key-value service. Its methods are safe for concurrent use.
 type Store struct {
+	now       func() time.Time
 	mu        sync.Mutex
 	revision  int64
 	items     map[string]Item
@@ -54,8 +59,11 @@
 }
 
 // New returns an empty store.
-func New() *Store {
-	return &Store{revision: 1, items: make(map[string]Item), leases: make(map[int64]lease), nextLease: 100, changed: make(chan struct{}), calls: make(map[string]int)}
+func New() *Store { return NewAt(time.Now) }
+
+// NewAt returns an empty store whose leases run on a clock.
+func NewAt(now func() time.Time) *Store {
+	return &Store{now: now, revision: 1, items: make(map[string]Item), leases: make(map[int64]lease), nextLease: 100, changed: make(chan struct{}), calls: make(map[string]int)}
 }
 
 // SetFaults replaces the faults.
@@ -65,6 +73,15 @@
 	s.faults = f
 }
 
+// Lapse ends all leases without their holders' knowledge.
+func (s *Store) Lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLease(id)
+	}
+}
+
 // Compact drops the history.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -122,8 +139,7 @@
 		item.Created = have.Created
 	}
 	s.items[key] = item
-	s.history = append(s.history, item)
-	s.wake()
+	s.record(item)
 }
 
 func (s *Store) remove(key string) {
@@ -132,7 +148,16 @@
 	}
 	s.revision++
 	delete(s.items, key)
-	s.history = append(s.history, Item{Key: key, Revision: s.revision, Tombstone: true})
+	s.record(Item{Key: key, Revision: s.revision, Tombstone: true})
+}
+
+// record adds a change to the history and wakes watches.
+func (s *Store) record(item Item) {
+	s.history = append(s.history, item)
+	if n := len(s.history) - maxHistory; n > maxHistory/10 {
+		s.compacted = s.history[n-1].Revision
+		s.history = append([]Item(nil), s.history[n:]...)
+	}
 	s.wake()
 }
 
@@ -143,9 +168,9 @@
 
 // expire ends the leases that have run out.
 func (s *Store) expire() {
-	now := time.Now()
+	now := s.now()
 	for id, l := range s.leases {
-		if now.After(l.end) {
+		if !now.Before(l.end) {
 			s.endLease(id)
 		}
 	}
@@ -328,7 +353,7 @@
 	defer s.mu.Unlock()
 	s.nextLease++
 	ttl := time.Duration(q.TTLMs) * time.Millisecond
-	s.leases[s.nextLease] = lease{ttl, time.Now().Add(ttl)}
+	s.leases[s.nextLease] = lease{ttl, s.now().Add(ttl)}
 	return http.StatusOK, map[string]int64{"lease": s.nextLease, "ttl_ms": q.TTLMs}
 }
 
@@ -344,7 +369,7 @@
 		s.endLease(id)
 		return http.StatusOK, nil
 	}
-	l.end = time.Now().Add(l.ttl)
+	l.end = s.now().Add(l.ttl)
 	s.leases[id] = l
 	return http.StatusOK, map[string]int64{"ttl_ms": l.ttl.Milliseconds()}
 }
--- a/internal/bench/slopes/world.go
+++ b/internal/bench/slopes/world.go
@@ -21,6 +21,7 @@
 	"wasabiworks.example/wasabiworks/internal/operator/admin"
 	"wasabiworks.example/wasabiworks/internal/platform/instances"
 	"wasabiworks.example/wasabiworks/internal/platform/kv"
+	wire "wasabiworks.example/wasabiworks/platform"
 )
 
 const (
@@ -75,7 +76,7 @@
 	if w.address, err = w.serve("platform", bodies(w.counters, w.platform)); err != nil {
 		return w, err
 	}
-	w.store = kv.New(kv.Config{Address: w.address})
+	w.store = kv.New(wire.NewStore(w.address))
 	workers, err := w.serve("workers", http.HandlerFunc(report))
 	if err != nil {
 		return w, err
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -32,6 +32,7 @@
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
 	"wasabiworks.example/wasabiworks/internal/peer/journal"
 	"wasabiworks.example/wasabiworks/internal/platform/kv"
+	"wasabiworks.example/wasabiworks/internal/platform/store"
 )
 
 const (
@@ -49,8 +50,10 @@
 	// Price is per hour.
 	Price       float64
 	Reclaimable bool
-	// Platform is the address of the platform API.
-	Platform                 string
+	// Platform is the address of the platform's instance list and cloud API.
+	Platform string
+	// Store is the platform's key-value service.
+	Store                    store.Store
 	Client, Peer, Operations net.Listener
 	ClientTLS, PeerTLS       *tls.Config
 	// DrainNotice is how long requests in progress have at a planned shutdown.
@@ -110,7 +113,7 @@
 		ID: c.ID, Incarnation: i.now().UnixNano(), FailureDomain: c.FailureDomain,
 		PeerAddress: c.Peer.Addr().String(), OperationsAddress: c.Operations.Addr().String(),
 	})
-	store := kv.New(kv.Config{Address: c.Platform})
+	values := kv.New(c.Store)
 	table := new(evidence.Table)
 	table.SetDomain(c.FailureDomain)
 	node := fmt.Sprintf("%s/%d", c.ID, i.members.Self().Incarnation)
@@ -120,9 +123,9 @@
 	}
 	i.metrics = metrics
 	i.recorder = &recorder{node: node, evidence: table, metrics: metrics}
-	i.newMover(store, table)
+	i.newMover(values, table)
 	i.newFleet()
-	if err := i.newPeers(store, table); err != nil {
+	if err := i.newPeers(values, table); err != nil {
 		return nil, err
 	}
 	i.newPlatform()
--- a/internal/platform/kv/doc.go
+++ b/internal/platform/kv/doc.go
@@ -1,2 +1,3 @@
-// Package kv is a client of the platform's key-value service.
+// Package kv reads, writes by compare-and-swap and watches single keys of the
+// platform's store.
 package kv
