Keep the suspects of a crash apart among all instances

Change: instances deal the servers out among all suspects of the last 10 s in the same order, by fingerprint and server ID, after a pause of 0.5 s in which they learn of each other's.

Tests: TestPartsKeepSuspectsApart, TestSuspects.

--- a/internal/caller/openai/choose.go
+++ b/internal/caller/openai/choose.go
@@ -13,6 +13,15 @@
 // the server's patience.
 func (r *run) choose(ctx context.Context, again bool) error {
 	begun := r.s.c.Now()
+	if r.suspect && again {
+		// The other instances' suspects of the crash must be known before a
+		// server is chosen.
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(suspectPause):
+		}
+	}
 	for {
 		r.pickVersion()
 		if r.pick(again) {
@@ -62,6 +71,9 @@
 	view := s.c.Fleet.View(r.g.entry)
 	exclude := slices.Concat(r.exclude, r.busy)
 	r.crowded = false
+	if r.suspect {
+		exclude = r.apart(view, exclude)
+	}
 	for range len(view) {
 		i, ok := r.index(view, exclude)
 		if !ok {
@@ -87,6 +99,31 @@
 	return false
 }
 
+// suspectPause is how long a request that was in flight at a crash waits before
+// it runs again. Peers tell each other of suspects at once.
+const suspectPause = 500 * time.Millisecond
+
+// apart adds the servers that are other suspects' to those that are excluded,
+// as long as one of its own is left.
+func (r *run) apart(view []route.Backend, exclude []string) []string {
+	ids := make([]string, 0, len(view))
+	for i := range view {
+		ids = append(ids, view[i].ID)
+	}
+	slices.Sort(ids)
+	part := r.s.c.Poison.Part(r.g.fingerprint, ids)
+	if !slices.ContainsFunc(part, func(id string) bool { return !slices.Contains(r.exclude, id) }) {
+		return exclude
+	}
+	for _, id := range ids {
+		if !slices.Contains(part, id) {
+			exclude = append(exclude, id)
+		}
+	}
+	r.crowded = len(part) < len(ids)
+	return exclude
+}
+
 func (r *run) index(view []route.Backend, exclude []string) (int, bool) {
 	if r.imported != "" {
 		i := slices.IndexFunc(view, func(b route.Backend) bool { return b.ID == r.target })
--- a/internal/caller/openai/config.go
+++ b/internal/caller/openai/config.go
@@ -63,6 +63,9 @@
 // Poisons knows the requests that were in flight when servers crashed.
 type Poisons interface {
 	Verdict(fingerprint uint64) Verdict
+	// Part returns those of the sorted servers that a suspect may use, so that
+	// the suspects of one crash do not meet on a server.
+	Part(fingerprint uint64, servers []string) []string
 	Crash(backend, incarnation string, fingerprints []uint64)
 }
 
--- a/internal/caller/openai/fake_test.go
+++ b/internal/caller/openai/fake_test.go
@@ -279,6 +279,8 @@
 	return Verdict(min(len(p.crashes[fp]), 2))
 }
 
+func (p *fakePoison) Part(_ uint64, servers []string) []string { return servers }
+
 func (p *fakePoison) Crash(backend, incarnation string, fps []uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/caller/openai/soak_test.go
+++ b/internal/caller/openai/soak_test.go
@@ -30,6 +30,8 @@
 	budgets map[string]*retry.Budget
 }
 
+func (d *decided) Part(_ uint64, servers []string) []string { return servers }
+
 func (d *decided) Verdict(fp uint64) Verdict { return Verdict(d.set.Verdict(fp, time.Now())) }
 func (d *decided) Crash(backend, incarnation string, fps []uint64) {
 	d.set.Crash(backend, incarnation, fps, time.Now().Add(time.Hour))
--- a/internal/decide/poison/set.go
+++ b/internal/decide/poison/set.go
@@ -91,6 +91,20 @@
 	return v
 }
 
+// Suspects returns the sorted fingerprints of the suspects whose record lapses
+// after a time, which are those of recent crashes.
+func (s *Set) Suspects(now, after time.Time) (fingerprints []uint64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for fp, r := range s.rows {
+		if r.crashes[0].deadline.After(after) && !r.crashes[1].deadline.After(now) {
+			fingerprints = append(fingerprints, fp)
+		}
+	}
+	slices.Sort(fingerprints)
+	return fingerprints
+}
+
 // Merge adds the records of another set and returns the number that changed
 // this one.
 func (s *Set) Merge(rs []Record) (changed int) {
--- a/internal/decide/poison/set_test.go
+++ b/internal/decide/poison/set_test.go
@@ -158,3 +158,50 @@
 	is.Equal(len(s.rows), 1)
 	is.Equal(s.Verdict(8, epoch), Suspect)
 }
+
+// Guards against suspects of one crash that meet on a server because they are
+// on different instances, and against suspects without a server.
+func TestPartsKeepSuspectsApart(t *testing.T) {
+	servers := []string{"a", "b", "c", "d", "e"}
+	for n := 1; n <= len(servers); n++ {
+		var suspects []uint64
+		for i := range n {
+			suspects = append(suspects, uint64(i*i+3))
+		}
+		owner := make(map[string]uint64)
+		for _, fp := range suspects {
+			part := Part(fp, suspects, servers)
+			if len(part) == 0 {
+				t.Errorf("%d suspects: none of the servers is for %d", n, fp)
+			}
+			for _, id := range part {
+				if other, ok := owner[id]; ok {
+					t.Errorf("%d suspects: server %s is for %d and %d", n, id, other, fp)
+				}
+				owner[id] = fp
+			}
+		}
+		if len(owner) != len(servers) {
+			t.Errorf("%d suspects: %d of %d servers are used", n, len(owner), len(servers))
+		}
+	}
+	if got := Part(1, []uint64{2, 3}, servers); len(got) != len(servers) {
+		t.Errorf("no suspect: got %v, want all servers", got)
+	}
+	if got := Part(2, []uint64{1, 2}, nil); len(got) != 0 {
+		t.Errorf("no server: got %v, want none", got)
+	}
+}
+
+// Guards against suspects of long ago that take servers from those of now.
+func TestSuspects(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s Set
+	s.Crash("a", "1", []uint64{9, 4}, now.Add(time.Hour))
+	s.Crash("b", "1", []uint64{4, 7}, now.Add(time.Hour)) // 4 is poison
+	s.Crash("c", "1", []uint64{5}, now.Add(time.Minute))
+	got := s.Suspects(now, now.Add(time.Hour-time.Second))
+	if want := []uint64{7, 9}; !slices.Equal(got, want) {
+		t.Errorf("got suspects %v, want %v", got, want)
+	}
+}
--- a/internal/entry/instance/adapters.go
+++ b/internal/entry/instance/adapters.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// recentCrash is how long after a crash its suspects are kept apart among all
+// instances. By then they have run again.
+const recentCrash = 10 * time.Second
+
+// Part returns the servers that a suspect may use.
+func (p poisons) Part(fingerprint uint64, servers []string) []string {
+	now := p.now()
+	return poison.Part(fingerprint, p.set.Suspects(now, now.Add(crash.Kept-recentCrash)), servers)
+}
+
 // Crash records a crash and tells the peers at once.
 func (p poisons) Crash(backend, incarnation string, fingerprints []uint64) {
 	p.set.Crash(backend, incarnation, fingerprints, p.now().Add(crash.Kept))
