Let a node use more than its part of a capacity that is free

Change: while less than 0.8 of the capacity is in use, a node may take twice its part.

Tests: TestSpareCapacity.

--- a/internal/entry/instance/limits.go
+++ b/internal/entry/instance/limits.go
@@ -24,6 +24,11 @@
 	// the excess times the mean duration of a response, which is seconds; with
 	// half the capacity in queues the first token is late under overload.
 	queueFactor = 1.1
+	// spareBelow is the part of an entry's capacity in use below which a node may
+	// take spareReach times its part: what comes unevenly is not rejected while
+	// servers have free slots. Load reports are up to 1.5 s old.
+	spareBelow = 0.8
+	spareReach = 2
 )
 
 // gate limits one workspace on one entry at this node.
@@ -103,7 +108,7 @@
 		return
 	}
 	others := l.demands.Others()
-	capacity := make(map[string]float64)
+	capacity, used := make(map[string]float64), make(map[string]float64)
 	own := make(map[string]float64)
 	foreign := make(map[string][]float64)
 	var published []demand.Demand
@@ -129,8 +134,9 @@
 		name := s.Catalogue.Entries[i].Name
 		for _, b := range l.fleet.View(name) {
 			capacity[name] += float64(b.Capacity)
+			used[name] += float64(b.Running + b.Queued)
 		}
-		l.setCapacity(name, capacity[name], own[name], foreign[name])
+		l.setCapacity(name, capacity[name], used[name], own[name], foreign[name])
 	}
 }
 
@@ -157,10 +163,13 @@
 // setCapacity gives the node its part of an entry's capacity: by demand, but
 // no less than an equal part, since demand is known with a lag and the backend
 // servers' queues absorb the difference.
-func (l *limiter) setCapacity(entry string, capacity, own float64, others []float64) {
+func (l *limiter) setCapacity(entry string, capacity, used, own float64, others []float64) {
 	if capacity == 0 {
 		return // no load report yet; the servers reject what they cannot run
 	}
 	part := max(limit.Share(capacity, own, others), capacity/float64(max(1, l.nodes())))
+	if used < spareBelow*capacity {
+		part = min(capacity, spareReach*part)
+	}
 	l.shedder(entry).SetCapacity(max(1, queueFactor*part))
 }
--- a/internal/entry/instance/limits_test.go
+++ b/internal/entry/instance/limits_test.go
@@ -98,3 +98,32 @@
 		})
 	}
 }
+
+// Guards against requests that are rejected as over the capacity of a node's
+// part while most slots are free, and against a node that takes more than its
+// part while they are not.
+func TestSpareCapacity(t *testing.T) {
+	const capacity = 60
+	for _, tt := range []struct {
+		name           string
+		used           float64
+		atLeast, below int // requests that one of six nodes may have at a time
+	}{
+		{"most slots free", 10, 18, 23},
+		{"hardly a slot free", 50, 9, 12},
+		{"all in use", 60, 9, 12},
+	} {
+		s := newLimited(2, 3, catalogue.Limit{})
+		l := s.nodes[0]
+		l.setCapacity("e", capacity, tt.used, 1, []float64{1, 1, 1, 1, 1})
+		admitted := 0
+		for range capacity {
+			if _, err := l.Admit("w", &s.snapshot.Catalogue.Entries[0], s.now); err == nil {
+				admitted++
+			}
+		}
+		if admitted < tt.atLeast || admitted >= tt.below {
+			t.Errorf("%s: %d requests admitted, want %d and below %d", tt.name, admitted, tt.atLeast, tt.below)
+		}
+	}
+}
