Remove what nothing uses, and wait in one place

Four copies of waiting with a context are one package. The check whether a server crashed is waited for at the stop. Cells of the matrix that pass have no cause of failing any more.

--- a/internal/bench/matrix/cells_pairs.go
+++ b/internal/bench/matrix/cells_pairs.go
@@ -12,7 +12,7 @@
 // pairCells combine faults that hide each other's remedy.
 func pairCells() []*Cell {
 	return []*Cell{
-		{Name: "wave+store-outage", Fault: "reclaim wave with 2 s notice during a store outage of 6 s", cause: shedCause, reclaims: true, bookingsFail: journalDown,
+		{Name: "wave+store-outage", Fault: "reclaim wave with 2 s notice during a store outage of 6 s", reclaims: true, bookingsFail: journalDown,
 			script: func(ctx, _ context.Context, t *trial) error {
 				if err := t.storeFault(ctx, platform.Outage, outageTime); err != nil {
 					return err
@@ -122,9 +122,6 @@
 	}
 }
 
-const shedCause = `each instance sheds load at its own part of the capacity, here 64 slots after the wave in 6
-parts; requests of one instance can exceed its part while the engines have free slots.`
-
 // noticeMissed is why completions fail with a frozen entry instance.
 const noticeMissed = "the frozen instance learns of the reclaim after its deadline"
 
--- a/internal/bench/matrix/cells_poison.go
+++ b/internal/bench/matrix/cells_poison.go
@@ -13,12 +13,6 @@
 	"wasabiworks.example/wasabiworks/internal/bench/load"
 )
 
-// poisonCause is by reading the code; the runs were not traced.
-const poisonCause = `an entry instance lets at most one suspect run on an engine, but does not know
-the suspects of other instances. The retry of an innocent request can therefore share an engine with that of
-the poison request, crash with it a second time and be rejected. Streams that a crash breaks beyond the retry
-budget, which is empty after the start, are unknown.`
-
 // maxPoisonCrashes is the number of engines that a poison request may crash: the
 // first crash makes it a suspect, the second is the proof.
 const maxPoisonCrashes = 2
@@ -26,7 +20,7 @@
 func poisonCells() []*Cell {
 	return []*Cell{{
 		Name: "poison", Fault: "a request that crashes its engine is sent again through all entry instances; engines restart after 1 s",
-		cause: poisonCause, engineArgs: []string{"--restart", "--restart-delay", "1s", "--fault", "crash-on=" + load.PoisonMarker},
+		engineArgs: []string{"--restart", "--restart-delay", "1s", "--fault", "crash-on=" + load.PoisonMarker},
 		script: func(ctx, _ context.Context, t *trial) error {
 			for _, e := range t.top.Entries {
 				status, outcome, err := t.sendPoison(ctx, e)
--- a/internal/caller/forward/headers.go
+++ b/internal/caller/forward/headers.go
@@ -25,11 +25,6 @@
 	Tokens string
 	// Prefix lists the parts of the prompt in order, as ID:TOKENS.
 	Prefix string
-	// Priority is the urgency at the server, from 0 to 9; 0 is first.
-	Priority string
-	// Backup names the server to which a request's memory is copied, and
-	// ContinueFrom the copy that a request goes on from.
-	Backup, ContinueFrom string
 	// FetchFrom names a server from which another one fetches what was read of a
 	// prompt.
 	FetchFrom string
@@ -66,7 +61,7 @@
 
 // reserve removes the headers that are the system's to set.
 func (h *Headers) reserve(header http.Header) {
-	for _, name := range []string{h.Key, h.Workspace, h.ExpectServer, h.Priority, h.Backup, h.ContinueFrom, h.FetchFrom, h.Remaining} {
+	for _, name := range []string{h.Key, h.Workspace, h.ExpectServer, h.FetchFrom, h.Remaining} {
 		header.Del(name)
 	}
 	for _, name := range h.ReservedForUser {
--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -24,8 +24,6 @@
 	NoRoute Reason = "no-route"
 	// BadKey means that no workspace holds the key.
 	BadKey Reason = "unknown-key"
-	// BadRequest means that the request is malformed.
-	BadRequest Reason = "malformed"
 	// TooLarge means that the body exceeds the limit.
 	TooLarge Reason = "body-too-large"
 	// OverAllowance means that the workspace's allowance is used up.
@@ -52,7 +50,7 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	Served, ClientLeft, NoTable, StaleTable, NoRoute, BadKey, BadRequest, TooLarge, OverAllowance, PoisonRequest,
+	Served, ClientLeft, NoTable, StaleTable, NoRoute, BadKey, TooLarge, OverAllowance, PoisonRequest,
 	NoServer, AllFull, Unreachable, Lost, Invalid, TimedOut, TimedOutUnsent, BrokenOff,
 }
 
@@ -74,8 +72,6 @@
 		return http.StatusNotFound, true, 0
 	case BadKey:
 		return http.StatusUnauthorized, true, 0
-	case BadRequest:
-		return http.StatusBadRequest, true, 0
 	case TooLarge:
 		return http.StatusRequestEntityTooLarge, true, 0
 	case OverAllowance:
--- a/internal/entry/front/allowances.go
+++ b/internal/entry/front/allowances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"time"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/peer/allowance"
@@ -66,7 +67,7 @@
 
 // share keeps the allowances up to date until ctx ends.
 func (f *Front) share(ctx context.Context) {
-	every(ctx, allowance.RefreshPeriod, func() {
+	wait.Every(ctx, allowance.RefreshPeriod, func() {
 		f.allowances.Refresh()
 		f.crashes.Set.Expire(time.Now())
 	})
--- a/internal/entry/front/burn.go
+++ b/internal/entry/front/burn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"time"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 
 	"wasabiworks.example/wasabiworks/internal/caller/forward"
 	"wasabiworks.example/wasabiworks/internal/operator/burn"
@@ -14,7 +15,7 @@
 // sampleBurn records the counters until ctx ends.
 func (f *Front) sampleBurn(ctx context.Context) {
 	f.burn.Sample()
-	every(ctx, samplePeriod, f.burn.Sample)
+	wait.Every(ctx, samplePeriod, f.burn.Sample)
 }
 
 // ended counts a request for the burn report.
@@ -40,7 +41,7 @@
 			return burn.Slow, true
 		}
 		return burn.Good, true
-	case forward.ClientLeft, forward.NoRoute, forward.BadKey, forward.BadRequest, forward.TooLarge, forward.PoisonRequest:
+	case forward.ClientLeft, forward.NoRoute, forward.BadKey, forward.TooLarge, forward.PoisonRequest:
 		return burn.Good, false
 	case forward.OverAllowance:
 		return burn.Limited, true
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -33,6 +33,7 @@
 	"wasabiworks.example/wasabiworks/internal/platform/boottime"
 	"wasabiworks.example/wasabiworks/internal/platform/follow"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 const (
@@ -140,6 +141,7 @@
 	exchange   *exchange.Node
 	allowances *allowance.Limiter
 	crashes    crash.Records
+	checks     sync.WaitGroup // of servers that may have crashed
 	// counters are what instances count for each other: what workspaces spent,
 	// and how requests on either version of a move ended.
 	counters evidence.Table
@@ -279,6 +281,7 @@
 	stop()
 	err = errors.Join(err, clients.Close(), ready.Close(), operation.Close())
 	wg.Wait()
+	f.checks.Wait()
 	f.config.Log.Info("stopped", zap.Error(err))
 	return err
 }
@@ -346,23 +349,9 @@
 
 // expire drops servers that did not register again, until ctx ends.
 func (f *Front) expire(ctx context.Context) {
-	every(ctx, expirePeriod, func() {
+	wait.Every(ctx, expirePeriod, func() {
 		for _, id := range f.pool.Expire(f.now()) {
 			f.config.Log.Info("server dropped", zap.String("server", id), zap.String("reason", "entry did not come back"))
 		}
 	})
 }
-
-// every calls f once in each period until ctx ends.
-func every(ctx context.Context, period time.Duration, f func()) {
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f()
-		}
-	}
-}
--- a/internal/entry/front/members.go
+++ b/internal/entry/front/members.go
@@ -13,6 +13,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 const (
@@ -73,12 +74,12 @@
 			lease = 0
 			continue
 		}
-		wait := registerEvery
+		pause := registerEvery
 		if err != nil {
 			f.config.Log.Debug("registration failed", zap.Error(err))
-			wait = time.Second
+			pause = time.Second
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, pause)
 	}
 	if lease == 0 {
 		return
@@ -175,12 +176,3 @@
 	}
 	return r.current
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/entry/front/moves.go
+++ b/internal/entry/front/moves.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 
 	"go.uber.org/zap"
 
@@ -139,7 +140,7 @@
 
 // run decides on moves until ctx ends.
 func (m *mover) run(ctx context.Context) {
-	every(ctx, movePeriod, func() {
+	wait.Every(ctx, movePeriod, func() {
 		m.decide(time.Now())
 		if _, ok := m.front.duty.Fence(); ok {
 			m.record(ctx, time.Now())
--- a/internal/entry/front/poison.go
+++ b/internal/entry/front/poison.go
@@ -26,7 +26,7 @@
 // Lost implements forward.Poison. A server that lost one answer still accepts
 // connections; one that has crashed does not.
 func (p poisons) Lost(server, address string, incarnation int64, fingerprint uint64) {
-	go func() {
+	p.front.checks.Go(func() {
 		conn, err := net.DialTimeout("tcp", address, crashCheck)
 		if err == nil {
 			_ = conn.Close() // nothing was sent on it
@@ -37,5 +37,5 @@
 		f.exchange.Notify()
 		f.config.Log.Info("server crashed while it ran a request", zap.String("server", server), zap.Uint64("fingerprint", fingerprint),
 			zap.Stringer("verdict", f.crashes.Set.Verdict(fingerprint, time.Now())))
-	}()
+	})
 }
--- a/internal/entry/front/scale.go
+++ b/internal/entry/front/scale.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 
 	"go.uber.org/zap"
 
@@ -68,7 +69,7 @@
 
 // run orders servers until ctx ends.
 func (s *scaler) run(ctx context.Context) {
-	every(ctx, scalePeriod, func() {
+	wait.Every(ctx, scalePeriod, func() {
 		fence, ok := s.front.duty.Fence()
 		table := s.front.table.Load()
 		if !ok || table == nil {
--- a/internal/operator/routes/routes.go
+++ b/internal/operator/routes/routes.go
@@ -38,15 +38,11 @@
 	Objective time.Duration
 	// Pause is the longest time between two events of a stream that is on time.
 	Pause time.Duration
-	// Priority is the rank; 0 is the most urgent.
-	Priority int
-	Split    []Target
+	Split []Target
 	// Attempts is the number of backend servers that may run one request.
 	Attempts int
 	// Public requests carry no key.
-	Public bool
-	// Sticky requests name the shared parts of their prompt.
-	Sticky    bool
+	Public    bool
 	Resumable bool
 }
 
@@ -63,32 +59,14 @@
 
 // Service is a group of backend servers that run the same software.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections bounds the connections to one server from all instances.
-	MaxConnections int
-	// Engine is set if the servers run a language model.
-	Engine *Engine
+	Name string
 	// Scaling is set if the number of servers may be changed.
 	Scaling *Scaling
 }
 
-// Engine describes the servers of a language model.
-type Engine struct {
-	// Slots is the number of requests that run at once.
-	Slots int
-	// CacheTokens is the memory for running and cached tokens.
-	CacheTokens int
-	// Moves and Backups tell whether the memory of a running request can be
-	// copied to another server.
-	Moves, Backups bool
-}
-
 // Scaling bounds the number of servers of a service in a failure domain.
 type Scaling struct {
 	Min, Max int
-	// Boot is the time until an ordered server serves.
-	Boot time.Duration
 	// ReclaimablePrice is the part of the price at which a reclaimable server
 	// costs; 0 if there are none.
 	ReclaimablePrice float64
@@ -98,10 +76,8 @@
 
 // Workspace is a customer with its keys and allowance.
 type Workspace struct {
-	Name string
-	Keys []string
-	// Priority takes precedence over the route's; nil keeps the route's.
-	Priority  *int
+	Name      string
+	Keys      []string
 	Allowance Allowance
 }
 
--- a/internal/peer/usage/collector.go
+++ b/internal/peer/usage/collector.go
@@ -14,6 +14,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 const (
@@ -105,7 +106,7 @@
 // run reports windows while this instance holds the duty, until ctx ends.
 func (c *collector) run(ctx context.Context) {
 	read := int64(0) // the fence under which the kept sums were read
-	every(ctx, tick, func() {
+	wait.Every(ctx, tick, func() {
 		fence, ok := c.config.Duty.Fence()
 		if !ok {
 			return
--- a/internal/peer/usage/reporter.go
+++ b/internal/peer/usage/reporter.go
@@ -12,6 +12,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 const (
@@ -76,7 +77,7 @@
 // ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { every(ctx, tick, func() { r.flush(ctx, false) }) })
+	wg.Go(func() { wait.Every(ctx, tick, func() { r.flush(ctx, false) }) })
 	wg.Go(func() { r.collector.run(ctx) })
 	wg.Wait()
 }
@@ -164,17 +165,3 @@
 	}
 	return ids[rand.IntN(len(ids))]
 }
-
-// every calls f once in each period until ctx ends.
-func every(ctx context.Context, period time.Duration, f func()) {
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f()
-		}
-	}
-}
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"wasabiworks.example/wasabiworks/internal/platform/store"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 const (
@@ -121,7 +122,7 @@
 		if next, n, ok := f.relay(ctx, from, sent); ok {
 			from = next
 			if n > 0 {
-				pause(ctx, gather)
+				wait.For(ctx, gather)
 			}
 			continue
 		}
@@ -136,7 +137,7 @@
 				f.config.Log.Warn("store lost", zap.Error(err), zap.Int64("revision", from), zap.Duration("confirmed-before", now.Sub(f.Confirmed())))
 			}
 			most := min(retryMost, retryFirst<<min(failures, 10))
-			pause(ctx, most/2+rand.N(most/2))
+			wait.For(ctx, most/2+rand.N(most/2))
 			failures++
 			continue
 		}
@@ -150,7 +151,7 @@
 		}
 		from = next
 		if n > 0 || now.Sub(sent) < gather {
-			pause(ctx, gather)
+			wait.For(ctx, gather)
 		}
 	}
 }
@@ -241,12 +242,3 @@
 	}
 	return Relayed{Items: items, Next: next, Age: now.Sub(f.Confirmed()), Waited: now.Sub(came)}, true
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- /dev/null
+++ b/internal/platform/wait/doc.go
@@ -0,0 +1,2 @@
+// Package wait waits for a time or until a context ends.
+package wait
