--- a/internal/caller/services/fake_test.go
+++ b/internal/caller/services/fake_test.go
@@ -55,12 +55,12 @@
 func (d *deps) Version(*catalogue.Entry, uint64) (string, string, uint8) { return "v1", "", 0 }
 func (d *deps) Deposit(string)                                           {}
 func (d *deps) Withdraw(string) bool                                     { return !d.broke }
-func (d *deps) Part(_ uint64, servers []string) []string { return servers }
+func (d *deps) Part(_ uint64, servers []string) []string                 { return servers }
 
-func (d *deps) Verdict(uint64) openai.Verdict                            { return openai.Clear }
-func (d *deps) Crash(string, string, []uint64)                           {}
-func (d *deps) Attempt(*openai.Attempt)                                  {}
-func (d *deps) Request(*openai.Request)                                  {}
+func (d *deps) Verdict(uint64) openai.Verdict  { return openai.Clear }
+func (d *deps) Crash(string, string, []uint64) {}
+func (d *deps) Attempt(*openai.Attempt)        {}
+func (d *deps) Request(*openai.Request)        {}
 func (d *deps) Call(c *services.Call) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
