--- a/internal/peer/usage/usage_test.go
+++ b/internal/peer/usage/usage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,10 +20,13 @@
 // values is a store that keeps keys in memory.
 type values struct {
 	store.Store
+	mu    sync.Mutex
 	items map[string][]byte
 }
 
 func (v *values) List(context.Context, string) (items []store.Item, next int64, err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	for key, value := range v.items {
 		items = append(items, store.Item{Key: key, Value: value})
 	}
@@ -30,6 +34,8 @@
 }
 
 func (v *values) Commit(_ context.Context, c store.Commit) (int64, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	for _, condition := range c.Conditions {
 		if _, ok := v.items[condition.Key]; ok {
 			return 0, store.ErrConflict
@@ -42,6 +48,8 @@
 }
 
 func (v *values) Get(_ context.Context, key string) (store.Item, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	return store.Item{Key: key, Value: v.items[key]}, nil
 }
 
@@ -51,13 +59,19 @@
 	id    string
 }
 
-func (h holder) Fence() (int64, bool)     { return h.fleet.fence, h.fleet.holder == h.id }
-func (h holder) Current() (string, int64) { return h.fleet.holder, h.fleet.fence }
-func (h holder) Learn(string, int64)      {}
+func (h holder) Fence() (int64, bool) {
+	current, fence := h.fleet.current()
+	return fence, current == h.id
+}
+
+func (h holder) Current() (string, int64) { return h.fleet.current() }
+
+func (h holder) Learn(string, int64) {}
 
 // fleet is a number of reporters that reach each other.
 type fleet struct {
 	t         *testing.T
+	mu        sync.Mutex
 	holder    string
 	fence     int64
 	reporters map[string]*Reporter
@@ -77,10 +91,25 @@
 	return f
 }
 
+func (f *fleet) current() (string, int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holder, f.fence
+}
+
+// appoint gives the duty to an instance, or to none.
+func (f *fleet) appoint(id string, fence int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holder, f.fence = id, fence
+}
+
 func (f *fleet) start(id string, incarnation int) {
 	r := New(Config{
 		Instance: id, Node: fmt.Sprintf("%s/%d", id, incarnation), Window: window, Duty: holder{f, id}, Store: &f.store, Prefix: "usage/",
 		Report: func(_ context.Context, _, k int64, counts map[string]int64) error {
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			if have, ok := f.reports[k]; ok && !maps.Equal(have, counts) {
 				f.t.Errorf("window %d is reported as %v and as %v", k, have, counts)
 			}
@@ -88,7 +117,9 @@
 			return nil
 		},
 		Tell: func(ctx context.Context, id string, r *peerpb.UsageRequest) (*peerpb.UsageReply, error) {
+			f.mu.Lock()
 			to, ok := f.reporters[id]
+			f.mu.Unlock()
 			if !ok {
 				return nil, fmt.Errorf("%s is gone", id)
 			}
@@ -97,11 +128,15 @@
 		Live: f.live, Registered: f.live, Log: zap.NewNop(),
 	})
 	ctx, stop := context.WithCancel(f.t.Context())
+	f.mu.Lock()
 	f.reporters[id], f.stops[id] = r, stop
+	f.mu.Unlock()
 	go r.Run(ctx)
 }
 
 func (f *fleet) live() (ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for id := range f.reporters {
 		ids = append(ids, id)
 	}
@@ -112,18 +147,22 @@
 func (f *fleet) stop(id, successor string) {
 	r := f.reporters[id]
 	r.Flush(f.t.Context())
+	f.mu.Lock()
 	delete(f.reporters, id)
-	if f.holder == id {
-		f.holder, f.fence = "", f.fence+1
+	f.mu.Unlock()
+	if current, fence := f.current(); current == id {
+		f.appoint("", fence+1)
 		r.HandOver(f.t.Context())
 		time.Sleep(2 * time.Second) // its lease runs out
-		f.holder = successor
+		f.appoint(successor, fence+1)
 	}
 	f.stops[id]()
 }
 
 // total returns what was reported of a workspace.
 func (f *fleet) total(workspace string) (n int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, counts := range f.reports {
 		n += counts[workspace]
 	}
