--- a/internal/peer/duty/holder.go
+++ b/internal/peer/duty/holder.go
@@ -47,12 +47,14 @@
 	config Config
 	free   chan struct{}
 
-	mu      sync.Mutex
-	lease   int64
-	fence   int64
-	until   time.Time
-	current string // the value of the key, as last seen
-	seen    int64  // the revision of that
+	mu    sync.Mutex
+	lease int64
+	fence int64
+	until time.Time
+	// suspended is true while the lease may have ended.
+	suspended bool
+	current   string // the value of the key, as last seen
+	seen      int64  // the revision of that
 }
 
 // New returns a holder; Run starts it.
@@ -203,7 +205,7 @@
 // still there while it was away, nobody else has held the duty.
 func (h *Holder) renew(ctx context.Context) {
 	h.mu.Lock()
-	lease, lost := h.lease, !h.config.Now().Before(h.until)
+	lease := h.lease
 	h.mu.Unlock()
 	sent := h.config.Now()
 	err := h.config.Store.Renew(ctx, lease)
@@ -212,13 +214,15 @@
 	switch {
 	case err == nil:
 		h.until = sent.Add(ttl)
-		if lost {
+		if h.suspended {
+			h.suspended = false
 			h.config.Log.Info("duty regained", zap.Int64("fence", h.fence))
 		}
 	case errors.Is(err, store.ErrLeaseEnded):
 		h.config.Log.Warn("duty lost", zap.Int64("fence", h.fence), zap.Error(err))
-		h.fence, h.lease = 0, 0
-	case !lost && !h.config.Now().Before(h.until):
+		h.fence, h.lease, h.suspended = 0, 0, false
+	case !h.suspended && !h.config.Now().Before(h.until):
+		h.suspended = true
 		h.config.Log.Warn("duty suspended; its lease is not confirmed", zap.Int64("fence", h.fence), zap.Error(err))
 	}
 }
--- a/internal/peer/duty/holder_test.go
+++ b/internal/peer/duty/holder_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"wasabiworks.example/wasabiworks/internal/platform/store"
 )
@@ -39,12 +40,14 @@
 
 // Guards against a holder that acts while its lease may have ended, and against
 // a duty that rests for a whole lease after the store was away, although the
-// lease stood still meanwhile and nobody else held it.
+// lease stood still meanwhile and nobody else held it; and against either without
+// a line in the log.
 func TestHolderWhileTheStoreIsAway(t *testing.T) {
 	for _, ended := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			s := &fakeStore{}
-			h := New(Config{Store: s, Key: "duty", Instance: "a", Now: time.Now, Log: zap.NewNop()})
+			core, lines := observer.New(zap.InfoLevel)
+			h := New(Config{Store: s, Key: "duty", Instance: "a", Now: time.Now, Log: zap.New(core)})
 			ctx, stop := context.WithCancel(t.Context())
 			go h.Run(ctx)
 			time.Sleep(2 * spread)
@@ -63,6 +66,15 @@
 			if fence, ok := h.Fence(); ok == ended {
 				t.Errorf("lease ended %v: holds the duty %v with token %d", ended, ok, fence)
 			}
+			last := "duty regained"
+			if ended {
+				last = "duty lost"
+			}
+			for _, message := range []string{"duty suspended; its lease is not confirmed", last} {
+				if n := lines.FilterMessage(message).Len(); n != 1 {
+					t.Errorf("lease ended %v: %d lines %q, want 1", ended, n, message)
+				}
+			}
 			stop()
 			synctest.Wait()
 		})
