Start allowances with a fifth of their burst

Change: an instance that starts has a fifth of each burst; the rest fills at the allowance's rate, before traffic comes where the whole system starts.

Test: TestAllowanceHoldsForAllInstances, "all are killed at once", fails without the change (7,884,000 units of 7,417,000).

--- a/internal/decide/limit/allowance.go
+++ b/internal/decide/limit/allowance.go
@@ -56,6 +56,14 @@
 	return time.Duration(math.Ceil((max(1, need) - a.level) / a.rate * float64(time.Second)))
 }
 
+// Keep leaves only a part of what is there.
+func (a *Allowance) Keep(part float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fill(now)
+	a.level *= part
+}
+
 // Low reports whether less than half of the burst is left.
 func (a *Allowance) Low(now time.Time) bool {
 	a.mu.Lock()
--- a/internal/peer/allowance/limiter.go
+++ b/internal/peer/allowance/limiter.go
@@ -40,6 +40,9 @@
 	// joining is how long after the start an instance takes what it learns of
 	// others for spending of earlier.
 	joining = 4 * time.Second
+	// startPart is the part of a burst that is there when an instance starts. It
+	// does not know what was spent before, and all may have been killed at once.
+	startPart = 0.2
 )
 
 var (
@@ -226,7 +229,13 @@
 	if !ok {
 		s = &share{seen: make(map[string]uint64)}
 		l.shares[w.Name] = s
-		s.set(w, l.fleet.Load(), l.config.Slack, now.Sub(l.start) < joining, now)
+		isJoining := now.Sub(l.start) < joining
+		s.set(w, l.fleet.Load(), l.config.Slack, isJoining, now)
+		if isJoining {
+			for _, a := range []*limit.Allowance{&s.all, &s.domain, &s.alone} {
+				a.Keep(startPart, now)
+			}
+		}
 	}
 	return s
 }
--- a/internal/peer/allowance/limiter_test.go
+++ b/internal/peer/allowance/limiter_test.go
@@ -60,9 +60,15 @@
 	for i := range domains * perDomain {
 		name := fmt.Sprint("instance-", i)
 		w.names = append(w.names, name)
-		w.counters[name] = new(evidence.Table)
 	}
+	w.start()
+	return w
+}
+
+// start starts all instances, which know nothing of before.
+func (w *world) start() {
 	for i, name := range w.names {
+		w.counters[name] = new(evidence.Table)
 		l, err := New(Config{
 			Instance: name, Node: name + "/1", Counters: w.counters[name], Slack: slack,
 			Fleet: func() Fleet { return w.fleet(i) }, Table: func() *routes.Table { return w.table },
@@ -75,11 +81,10 @@
 			Notify: func() { w.notified = true }, Now: func() time.Time { return w.now }, Wall: func() time.Time { return w.now },
 		})
 		if err != nil {
-			t.Fatal(err)
+			w.t.Fatal(err)
 		}
 		w.limiters[name] = l
 	}
-	return w
 }
 
 func (w *world) reaches(a, b string) bool { return (a == w.cut) == (b == w.cut) }
@@ -196,6 +201,7 @@
 			{"a failure domain is cut off and comes back", []func(w *world){
 				func(*world) {}, func(w *world) { w.cut = "domain-1" }, func(w *world) { w.cut = "" },
 			}},
+			{"all are killed at once", []func(w *world){func(*world) {}, func(w *world) { w.start() }}},
 			{"instances fall silent one after the other", []func(w *world){
 				func(*world) {}, func(w *world) { w.silent[w.names[0]] = true }, func(w *world) { w.silent[w.names[1]] = true },
 			}},
