Choose the owner of the store's watch in one place

The relay chose it by a key of its own that had to be the same as membership's. Imports of front are grouped. No change of behaviour; build, vet, staticcheck and the tests of both packages pass.

--- a/internal/decide/membership/table.go
+++ b/internal/decide/membership/table.go
@@ -296,9 +296,13 @@
 // Holder returns the member of the own failure domain that holds the store's
 // watch, or "" if none is left.
 func (t *Table) Holder(now time.Time) string {
-	return Owner(xxhash.Sum64String("watch"), t.Live(t.self.FailureDomain, now))
+	return WatchOwner(t.Live(t.self.FailureDomain, now))
 }
 
+// WatchOwner returns which of the members of a failure domain holds the store's
+// watch, or "" if there is none.
+func WatchOwner(ids []string) string { return Owner(xxhash.Sum64String("watch"), ids) }
+
 // Expire drops the members whose forget deadline has passed.
 func (t *Table) Expire(now time.Time) (forgotten []string) {
 	t.mu.Lock()
--- a/internal/entry/front/allowances.go
+++ b/internal/entry/front/allowances.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"time"
-	"wasabiworks.example/wasabiworks/internal/platform/wait"
 
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/peer/allowance"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 // newAllowances composes the limiter of what workspaces use.
--- a/internal/entry/front/burn.go
+++ b/internal/entry/front/burn.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"time"
-	"wasabiworks.example/wasabiworks/internal/platform/wait"
 
 	"wasabiworks.example/wasabiworks/internal/caller/forward"
 	"wasabiworks.example/wasabiworks/internal/operator/burn"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 // samplePeriod is how often the counters of the burn report are recorded.
--- a/internal/entry/front/moves.go
+++ b/internal/entry/front/moves.go
@@ -9,7 +9,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-	"wasabiworks.example/wasabiworks/internal/platform/wait"
 
 	"go.uber.org/zap"
 
@@ -17,6 +16,7 @@
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/move"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 const (
--- a/internal/entry/front/relay.go
+++ b/internal/entry/front/relay.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 	"wasabiworks.example/wasabiworks/internal/platform/follow"
@@ -17,9 +15,6 @@
 // maxRelayWait bounds how long a peer may be kept waiting.
 const maxRelayWait = 2 * time.Second
 
-// watchKey is what the owner of the store's watch is chosen by.
-var watchKey = xxhash.Sum64String("watch")
-
 var errRelayGap = errors.New("peer lacks changes or has lost the store")
 
 // relayAvoided is how long a peer that failed to relay the store is not asked.
@@ -32,7 +27,7 @@
 	now := f.now()
 	live := f.members.Live(f.config.FailureDomain, time.Now())
 	live = slices.DeleteFunc(live, func(id string) bool { return now.Before(f.silent[id]) })
-	holder := membership.Owner(watchKey, live)
+	holder := membership.WatchOwner(live)
 	if holder == "" || holder == f.config.Instance || f.draining.Load() {
 		return follow.Relayed{}, follow.ErrNoRelay
 	}
--- a/internal/entry/front/scale.go
+++ b/internal/entry/front/scale.go
@@ -7,13 +7,13 @@
 	"strconv"
 	"strings"
 	"time"
-	"wasabiworks.example/wasabiworks/internal/platform/wait"
 
 	"go.uber.org/zap"
 
 	"wasabiworks.example/wasabiworks/internal/decide/capacity"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 const (
