Report the silence of an engine whose stall timer fires early

Cause: newWatchdog starts its timer before it reads the clock for the deadline. Change: a timer that fires early is started again for the rest. Test: TestWatchdogSurvivesEarlyTimer fails before the change (the silence is not reported within a minute) and passes after it.

--- a/internal/backend/engine/watchdog.go
+++ b/internal/backend/engine/watchdog.go
@@ -50,7 +50,14 @@
 func (w *watchdog) onTimer() {
 	w.mu.Lock()
 	now := time.Now()
-	if !w.armed || now.Before(w.deadline) {
+	if !w.armed {
+		w.mu.Unlock()
+		return
+	}
+	if early := w.deadline.Sub(now); early > 0 {
+		// A pause between starting the timer and reading the clock for the deadline
+		// makes the timer fire first. Nothing else would start it again.
+		w.timer.Reset(early)
 		w.mu.Unlock()
 		return
 	}
--- a/internal/backend/engine/watchdog_test.go
+++ b/internal/backend/engine/watchdog_test.go
@@ -48,3 +48,25 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against an engine whose silence is never reported because the timer
+// fired before the deadline, which happens if the process pauses between the two
+// reads of the clock.
+func TestWatchdogSurvivesEarlyTimer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		stalled := make(chan time.Duration, 1)
+		w := newWatchdog(time.Second, func() { stalled <- time.Since(started) })
+		w.timer.Stop()
+		time.Sleep(500 * time.Millisecond)
+		w.onTimer()
+		select {
+		case got := <-stalled:
+			if want := time.Second + stallGrace; got != want {
+				t.Errorf("stalled after %v, want %v", got, want)
+			}
+		case <-time.After(time.Minute):
+			t.Error("silence was not reported within a minute")
+		}
+	})
+}
