Start allowances with a fifth of their burst again when joining ends

Cause: an instance does not charge what others spend in the first 4 s after its start. Change: at the end of joining, what is left is capped at the fraction of the burst with which allowances start.

--- a/internal/decide/limit/allowance.go
+++ b/internal/decide/limit/allowance.go
@@ -60,12 +60,12 @@
 	return time.Duration(math.Ceil((max(1, need) - a.level) / a.rate * float64(time.Second)))
 }
 
-// Scale multiplies the current level by fraction.
-func (a *Allowance) Scale(fraction float64, now time.Time) {
+// Cap lowers the level to a fraction of the burst if it is higher.
+func (a *Allowance) Cap(fraction float64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refill(now)
-	a.level *= fraction
+	a.level = min(a.level, fraction*a.burst)
 }
 
 // Low reports whether less than half of the burst is left.
--- a/internal/peer/allowance/limiter.go
+++ b/internal/peer/allowance/limiter.go
@@ -45,7 +45,8 @@
 	// and new allowances start with initialBurstFraction of their burst.
 	joinPeriod = 4 * time.Second
 	// initialBurstFraction is the fraction of a burst that is available when an
-	// instance starts. The instance does not know what was spent before, and all
+	// instance starts and at the end of joinPeriod. The instance does not know what
+	// was spent before its start or what others have spent since, and all
 	// instances may have been killed at once.
 	initialBurstFraction = 0.2
 )
@@ -114,6 +115,8 @@
 	// have been processed: charged, or ignored within joinPeriod.
 	counted     map[string]uint64
 	unpublished uint64 // units spent by this instance and not yet added to the counters
+	// isJoining is set until the instance charges the spending of others.
+	isJoining bool
 }
 
 // New returns a limiter. The caller must call Refresh every RefreshPeriod.
@@ -237,26 +240,33 @@
 func (l *Limiter) state(w *routes.Workspace, now time.Time) *workspaceState {
 	s, ok := l.states[w.Name]
 	if !ok {
-		s = &workspaceState{counted: make(map[string]uint64)}
+		s = &workspaceState{counted: make(map[string]uint64), isJoining: l.isJoining(now)}
 		l.states[w.Name] = s
-		isJoining := now.Sub(l.start) < joinPeriod
-		s.setLimits(w, l.fleet.Load(), l.config.Slack, isJoining, now)
-		if isJoining {
-			for _, a := range []*limit.Allowance{&s.all, &s.domain, &s.standalone} {
-				a.Scale(initialBurstFraction, now)
-			}
+		s.setLimits(w, l.fleet.Load(), l.config.Slack, now)
+		if s.isJoining {
+			s.capBursts(now)
 		}
 	}
 	return s
 }
 
+// isJoining reports whether the instance started less than joinPeriod ago.
+func (l *Limiter) isJoining(now time.Time) bool { return now.Sub(l.start) < joinPeriod }
+
+// capBursts limits what is left of each limit to initialBurstFraction.
+func (s *workspaceState) capBursts(now time.Time) {
+	for _, a := range []*limit.Allowance{&s.all, &s.domain, &s.standalone} {
+		a.Cap(initialBurstFraction, now)
+	}
+}
+
 // setLimits sets the limits of a workspace's allowance. A failure domain that has
 // lost contact with others, or has not heard from them yet, is limited to its
 // equal share.
-func (s *workspaceState) setLimits(w *routes.Workspace, f *Fleet, slack float64, isJoining bool, now time.Time) {
+func (s *workspaceState) setLimits(w *routes.Workspace, f *Fleet, slack float64, now time.Time) {
 	n := float64(max(1, f.Instances))
 	fraction := float64(len(f.Local)) / n
-	if f.Unreachable == 0 && !isJoining {
+	if f.Unreachable == 0 && !s.isJoining {
 		fraction *= ownerShareFactor
 	}
 	rate, burst := w.Allowance.Rate, w.Allowance.Burst+burstSlackFraction*slack
--- a/internal/peer/allowance/limiter_test.go
+++ b/internal/peer/allowance/limiter_test.go
@@ -237,3 +237,20 @@
 		t.Error("unknown workspace: got no error")
 	}
 }
+
+// Guards against instances that, some seconds after all of them were killed,
+// admit the full burst of an allowance once in each failure domain.
+func TestAllowanceHoldsAfterKillOfAll(t *testing.T) {
+	const limitRate = 327_000
+	for seed := range uint64(20) {
+		s := newSimulation(t, limitRate)
+		r := rand.New(rand.NewPCG(seed, 1))
+		s.run(joinPeriod+time.Second+time.Duration(seed)*100*time.Millisecond, 5*limitRate, 17_000, r)
+		s.start()
+		s.run(12*time.Second, 5*limitRate, 17_000, r)
+		bound := (limitRate*window.Seconds()+limitRate)*(1+tolerance) + slack
+		if got := s.maxAdmitted(); got > bound {
+			t.Errorf("seed %d: %.0f units admitted in %v, want at most %.0f", seed, got, window, bound)
+		}
+	}
+}
--- a/internal/peer/allowance/refresh.go
+++ b/internal/peer/allowance/refresh.go
@@ -61,7 +61,11 @@
 		// as the owner.
 		s := l.state(w, now)
 		delete(s.counted, oldest)
-		s.setLimits(w, &fleet, l.config.Slack, now.Sub(l.start) < joinPeriod, now)
+		if s.isJoining && !l.isJoining(now) {
+			s.isJoining = false
+			s.capBursts(now)
+		}
+		s.setLimits(w, &fleet, l.config.Slack, now)
 	}
 }
 
@@ -93,7 +97,7 @@
 			if !ok || !known || count.Answered <= s.counted[epoch] {
 				continue
 			}
-			if now.Sub(l.start) >= joinPeriod {
+			if !l.isJoining(now) {
 				s.all.Charge(float64(count.Answered-s.counted[epoch]), maxDebtSeconds*w.Allowance.Rate, now)
 			}
 			s.counted[epoch] = count.Answered
