Let instances of large failure domains exchange through two hubs

Cause: every instance exchanged heartbeats and counters with all others of its failure domain and with two of each other one, relayed the whole list of members to all of them, and passed every crash record on to all of them at once. Members that the list in the store describes are not relayed. An instance that stops announces it. Urgent rounds skip peers that have everything, and their period grows with the links.

--- a/cmd/wasabiworks/forward.go
+++ b/cmd/wasabiworks/forward.go
@@ -71,7 +71,7 @@
 		window = 0
 	}
 	return gateway.New(gateway.Config{
-		ID: c.Instance, FailureDomain: c.FailureDomain,
+		ID: c.Instance, FailureDomain: c.FailureDomain, Capacity: int64(1000 * c.Cores),
 		Clients: listeners[0], Ready: listeners[1], Peer: listeners[2], Operations: listeners[3],
 		Store: platform.NewStore(c.Store), Cloud: platform.NewCloud(c.Cloud, c.Instance), Format: platform.Format(),
 		UsageWindow: window, Scale: c.HasDuty("autoscale"), AllowanceSlack: c.AllowanceSlack,
--- a/internal/bench/scaling/packages.go
+++ b/internal/bench/scaling/packages.go
@@ -102,7 +102,7 @@
 }
 
 func newMembership(n int) *membership.Table {
-	t := membership.NewTable(membership.Member{ID: "entry-self", Incarnation: 1, FailureDomain: domainName(0)})
+	t := membership.NewTable(membership.Config{Self: membership.Member{ID: "entry-self", Incarnation: 1, FailureDomain: domainName(0)}})
 	var ms []membership.Member
 	for i := range n {
 		ms = append(ms, membership.Member{
--- /dev/null
+++ b/internal/decide/membership/hubs.go
@@ -0,0 +1,64 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// minHubDomain is the number of members of a failure domain up to which all of
+// them are hubs: exchanges between all of them then cost little.
+const minHubDomain = 8
+
+// watchKey is the key whose owners in a failure domain hold the store's watch.
+var watchKey = xxhash.Sum64String("watch")
+
+// hubsOf returns the hubs among the live members of a failure domain, in order of
+// preference: those with the most processor time, and among these the owners of
+// watchKey.
+func (t *Table) hubsOf(ids []string) []string {
+	if t.hubs == 0 || len(ids) <= minHubDomain {
+		return slices.Clone(ids)
+	}
+	return t.byPreference(ids)[:min(t.hubs, len(ids))]
+}
+
+// byPreference returns ids in the order in which they are preferred as hubs.
+// Leaving members come last.
+func (t *Table) byPreference(ids []string) []string {
+	type candidate struct {
+		id       string
+		leaving  bool
+		capacity int64
+		score    uint64
+	}
+	cs := make([]candidate, 0, len(ids))
+	for _, id := range ids {
+		r := t.rows[id]
+		cs = append(cs, candidate{id, r.Leaving || r.listedLeaving, r.Capacity, score(watchKey, id)})
+	}
+	slices.SortFunc(cs, func(a, b candidate) int {
+		if a.leaving != b.leaving {
+			if a.leaving {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	sorted := make([]string, len(cs))
+	for i, c := range cs {
+		sorted[i] = c.id
+	}
+	return sorted
+}
+
+// WatchCandidates returns the live members of a failure domain, the one that should
+// hold the store's watch first.
+func (t *Table) WatchCandidates(domain string, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byPreference(t.live(domain, now))
+}
--- a/internal/decide/membership/member.go
+++ b/internal/decide/membership/member.go
@@ -17,8 +17,14 @@
 	// Leaving is true once the instance is shutting down. It never becomes
 	// false again within an incarnation.
 	Leaving bool
+	// Capacity is the processor time that the instance may use, in thousandths of
+	// a core, or 0 if it is unknown.
+	Capacity int64
 	// Beat counts the heartbeats of this incarnation.
 	Beat uint64
+	// Suspected reports whether a member that should have heard from this one has
+	// received nothing since the heartbeat Beat.
+	Suspected bool
 	// SuspectAt is the time from which the member is a suspect unless it is
 	// heard from before.
 	SuspectAt time.Time
@@ -41,6 +47,14 @@
 		joined = b
 	}
 	joined.Beat = max(a.Beat, b.Beat)
+	switch {
+	case a.Beat > b.Beat:
+		joined.Suspected = a.Suspected
+	case a.Beat < b.Beat:
+		joined.Suspected = b.Suspected
+	default:
+		joined.Suspected = a.Suspected || b.Suspected
+	}
 	joined.Leaving = a.Leaving || b.Leaving
 	joined.SuspectAt = later(a.SuspectAt, b.SuspectAt)
 	joined.ForgetAt = later(a.ForgetAt, b.ForgetAt)
@@ -55,6 +69,7 @@
 		cmp.Compare(a.FailureDomain, b.FailureDomain),
 		cmp.Compare(a.PeerAddress, b.PeerAddress),
 		cmp.Compare(a.OperationsAddress, b.OperationsAddress),
+		cmp.Compare(a.Capacity, b.Capacity),
 	)
 }
 
--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -26,6 +26,7 @@
 		PeerAddress:   rapid.SampledFrom([]string{"", "127.0.0.1:1", "127.0.0.1:2"}).Draw(t, "address"),
 		Leaving:       rapid.Bool().Draw(t, "leaving"),
 		Beat:          rapid.Uint64Range(0, 3).Draw(t, "beat"),
+		Suspected:     rapid.Bool().Draw(t, "suspected"),
 		SuspectAt:     time.Unix(seconds.Draw(t, "suspect"), 0),
 		ForgetAt:      time.Unix(seconds.Draw(t, "forget"), 0),
 	}
@@ -63,7 +64,7 @@
 			ms = append(ms, m)
 		}
 		self := Member{ID: "self", Incarnation: 1, FailureDomain: "domain-a"}
-		one, other := NewTable(self), NewTable(self)
+		one, other := NewTable(Config{Self: self}), NewTable(Config{Self: self})
 		one.Merge(ms, epoch)
 		for _, m := range rapid.Permutation(ms).Draw(t, "order") {
 			other.Merge([]Member{m, m}, epoch)
@@ -83,7 +84,7 @@
 			ms = append(ms, Member{ID: fmt.Sprintf("e%d-%d", d, n), Incarnation: 1, FailureDomain: fmt.Sprint("d", d), PeerAddress: "127.0.0.1:1"})
 		}
 	}
-	t := NewTable(ms[0])
+	t := NewTable(Config{Self: ms[0]})
 	t.MergeInstanceList(ms, epoch)
 	return t, ms
 }
@@ -224,7 +225,7 @@
 		{51, 1530 * time.Millisecond},
 		{400, 3 * time.Second},
 	} {
-		table := NewTable(Member{ID: "self", Incarnation: 1, FailureDomain: "a"})
+		table := NewTable(Config{Self: Member{ID: "self", Incarnation: 1, FailureDomain: "a"}})
 		for i := 1; i < tt.members; i++ {
 			table.Heard(Member{ID: fmt.Sprint("m", i), Incarnation: 1, FailureDomain: "a"}, now)
 			table.Heard(Member{ID: fmt.Sprint("r", i), Incarnation: 1, FailureDomain: "b"}, now)
--- a/internal/decide/membership/table.go
+++ b/internal/decide/membership/table.go
@@ -5,8 +5,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -28,6 +26,9 @@
 	// failure domain; it knows the rest from the instance list and from changes
 	// that peers relay.
 	RemoteSuspectAfter = 30 * time.Second
+	// refutedFactor multiplies the time until a member is suspected again after
+	// another member refuted the suspicion.
+	refutedFactor = 2
 	// ForgetAfter is how long a silent member stays in the table and is probed.
 	ForgetAfter = time.Hour
 	// PeersPerRemoteDomain is the number of members of each other failure domain
@@ -42,36 +43,58 @@
 	maxMembers = 4096
 )
 
+// Config configures a Table.
+type Config struct {
+	// Self is the instance that uses the table.
+	Self Member
+	// Hubs is the number of members of a large failure domain with which the
+	// others exchange, or 0 if all members of a failure domain exchange with each
+	// other. With hubs, the instance list must hold the members' incarnations.
+	Hubs int
+}
+
 // Table holds the members that an instance knows, including itself. The methods
 // are safe for concurrent use.
 type Table struct {
 	self Member
+	hubs int
 
 	mu            sync.Mutex
 	version       uint64
 	rows          map[string]*row
 	localCount    int             // number of rows of the own failure domain
 	listedDomains map[string]bool // failure domains in the last instance list
-	heardUntil    map[string]time.Time
+	// heardUntil is the time, by failure domain, until which the domain counts as
+	// heard from, and relayedUntil the same according to the hubs.
+	heardUntil, relayedUntil map[string]time.Time
+	isHub                    bool // as of the last call of ExchangePeers
 }
 
 type row struct {
 	Member
 	changed       uint64 // table version of the last change
 	listedLeaving bool
-	avoidUntil    time.Time // the member is treated as a suspect until then; set after a failed exchange
+	// listedIncarnation is the highest incarnation in the instance lists so far.
+	listedIncarnation int64
+	// linked is set while the instance exchanges with the member, and suspects it
+	// if it is silent. Suspicions of other members come from the hubs.
+	linked     bool
+	avoidUntil time.Time // the member is treated as a suspect until then; set after a failed exchange
 }
 
-// NewTable returns a table that contains only self, the instance itself.
-func NewTable(self Member) *Table {
+// NewTable returns a table that contains only the instance itself.
+func NewTable(c Config) *Table {
 	t := &Table{
-		self:          self,
+		self:          c.Self,
+		hubs:          c.Hubs,
 		rows:          make(map[string]*row),
 		listedDomains: make(map[string]bool),
 		heardUntil:    make(map[string]time.Time),
+		relayedUntil:  make(map[string]time.Time),
+		isHub:         true,
 	}
 	t.version = 1
-	t.rows[self.ID] = &row{Member: self, changed: 1}
+	t.rows[c.Self.ID] = &row{Member: c.Self, changed: 1}
 	t.localCount = 1
 	return t
 }
@@ -104,7 +127,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed = t.merge(m, now)
+	changed = t.merge(m, 0, now)
 	if r, ok := t.rows[m.ID]; ok && r.Incarnation == m.Incarnation {
 		r.SuspectAt = later(r.SuspectAt, now.Add(t.suspectTimeout(r.FailureDomain)))
 		r.avoidUntil = time.Time{}
@@ -133,13 +156,20 @@
 		if m.ID == "" || m.ID == t.self.ID {
 			continue
 		}
-		changed = t.merge(m, now) || changed
+		r, known := t.rows[m.ID]
+		suspected := t.hubs > 0 && known && r.Suspected && !now.Before(r.SuspectAt)
+		changed = t.merge(m, 0, now) || changed
+		if suspected && !r.Suspected {
+			// Another member has heard from this one later, so that possibly only the
+			// way to it is broken.
+			r.SuspectAt = later(r.SuspectAt, now.Add(refutedFactor*t.suspectTimeout(r.FailureDomain)))
+		}
 	}
 	return changed
 }
 
 // MergeInstanceList merges the instance list and reports whether the table changed. The list
-// may be outdated, so it neither removes a member nor changes a known incarnation.
+// may be outdated, so it neither removes a member nor lowers a known incarnation.
 // A member marked as leaving stays so until a later list no longer marks it.
 func (t *Table) MergeInstanceList(ms []Member, now time.Time) (changed bool) {
 	t.mu.Lock()
@@ -153,9 +183,12 @@
 		if m.ID == "" || m.ID == t.self.ID {
 			continue
 		}
-		leaving := m.Leaving
-		m.Incarnation, m.Leaving, m.Beat = 0, false, 0
-		changed = t.merge(m, now) || changed
+		leaving, listed := m.Leaving, m.Incarnation
+		if t.hubs == 0 {
+			m.Incarnation = 0
+		}
+		m.Leaving, m.Beat, m.Suspected = false, 0, false
+		changed = t.merge(m, listed, now) || changed
 		r, ok := t.rows[m.ID]
 		if !ok {
 			continue
@@ -170,7 +203,8 @@
 }
 
 // merge joins m into the table and reports whether m should be relayed to peers.
-func (t *Table) merge(m Member, now time.Time) bool {
+// listed is the incarnation if m comes from the instance list, and 0 otherwise.
+func (t *Table) merge(m Member, listed int64, now time.Time) bool {
 	m.SuspectAt, m.ForgetAt = time.Time{}, time.Time{}
 	r, known := t.rows[m.ID]
 	if !known {
@@ -179,14 +213,14 @@
 		}
 		m.SuspectAt = now.Add(t.suspectTimeout(m.FailureDomain))
 		m.ForgetAt = now.Add(ForgetAfter)
-		r = &row{Member: m}
+		r = &row{Member: m, listedIncarnation: listed}
 		t.rows[m.ID] = r
 		if m.FailureDomain == t.self.FailureDomain {
 			t.localCount++
 		}
-		t.markChanged(r)
-		return true
+		return t.relays(r, m.Suspected)
 	}
+	r.listedIncarnation = max(r.listedIncarnation, listed)
 	have := r.Member
 	joined := Join(have, m)
 	if joined.Incarnation > have.Incarnation || joined.Beat > have.Beat {
@@ -197,7 +231,19 @@
 		r.avoidUntil = time.Time{}
 	}
 	r.Member = joined
-	if joined.Incarnation == have.Incarnation && joined.Leaving == have.Leaving && compareDescriptions(joined, have) == 0 {
+	// A suspicion that a later heartbeat refutes is answered with that heartbeat.
+	refuted := m.Suspected && !joined.Suspected && m.Incarnation == joined.Incarnation
+	suspicionChanged := joined.Suspected != have.Suspected || refuted
+	if !suspicionChanged && joined.Incarnation == have.Incarnation && joined.Leaving == have.Leaving && compareDescriptions(joined, have) == 0 {
+		return false
+	}
+	return t.relays(r, suspicionChanged)
+}
+
+// relays marks r as changed, so that it is relayed to peers, and reports whether
+// it did: with hubs, the peers know from the instance list what the list says.
+func (t *Table) relays(r *row, suspicionChanged bool) bool {
+	if t.hubs > 0 && r.Incarnation == r.listedIncarnation && !r.Leaving && !suspicionChanged {
 		return false
 	}
 	t.markChanged(r)
@@ -238,6 +284,9 @@
 func (t *Table) Since(version uint64, limit int) (ms []Member, next uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if version == t.version {
+		return nil, version
+	}
 	var rs []*row
 	for _, r := range t.rows {
 		if r.changed > version && r.ID != t.self.ID && r.Incarnation != 0 {
@@ -301,7 +350,13 @@
 }
 
 func (t *Table) isSuspect(r *row, now time.Time) bool {
-	return r.ID != t.self.ID && (!now.Before(r.SuspectAt) || now.Before(r.avoidUntil))
+	switch {
+	case r.ID == t.self.ID:
+		return false
+	case now.Before(r.avoidUntil) || r.Suspected:
+		return true
+	}
+	return (t.hubs == 0 || r.linked) && !now.Before(r.SuspectAt)
 }
 
 // WatchHolder returns the ID of the member of the instance's own failure domain that
@@ -312,7 +367,7 @@
 
 // WatchHolder returns which of ids, the live members of a failure domain, holds the
 // store's watch, or "" if ids is empty.
-func WatchHolder(ids []string) string { return Owner(xxhash.Sum64String("watch"), ids) }
+func WatchHolder(ids []string) string { return Owner(watchKey, ids) }
 
 // Expire drops the suspects whose ForgetAt has passed and returns their IDs.
 func (t *Table) Expire(now time.Time) (forgotten []string) {
@@ -330,16 +385,55 @@
 	return forgotten
 }
 
-// HeardDomains returns the other failure domains from which the instance has heard
-// within domainHeardTimeout.
+// HeardDomains returns the other failure domains from which the instance, or a hub
+// of its own failure domain, has heard within domainHeardTimeout.
 func (t *Table) HeardDomains(now time.Time) map[string]bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	heard := make(map[string]bool, len(t.heardUntil))
-	for domain, until := range t.heardUntil {
-		if now.Before(until) {
+	for domain := range t.heardUntil {
+		if t.isHeard(domain, now) {
+			heard[domain] = true
+		}
+	}
+	for domain := range t.relayedUntil {
+		if t.isHeard(domain, now) {
 			heard[domain] = true
 		}
 	}
 	return heard
 }
+
+func (t *Table) isHeard(domain string, now time.Time) bool {
+	return now.Before(t.heardUntil[domain]) || now.Before(t.relayedUntil[domain])
+}
+
+// HeardFor returns, for each other failure domain from which the instance itself
+// has heard, for how much longer it counts as heard from. It returns nil if no
+// member relies on it.
+func (t *Table) HeardFor(now time.Time) map[string]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.hubs == 0 || !t.isHub {
+		return nil
+	}
+	heard := make(map[string]time.Duration, len(t.heardUntil))
+	for domain, until := range t.heardUntil {
+		if rest := until.Sub(now); rest > 0 && domain != t.self.FailureDomain {
+			heard[domain] = rest
+		}
+	}
+	return heard
+}
+
+// MergeHeard merges what HeardFor returned at a member of the same failure domain.
+func (t *Table) MergeHeard(heard map[string]time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for domain, rest := range heard {
+		if _, ok := t.relayedUntil[domain]; !ok && len(t.relayedUntil) >= maxMembers {
+			return
+		}
+		t.relayedUntil[domain] = later(t.relayedUntil[domain], now.Add(min(rest, domainHeardTimeout)))
+	}
+}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -71,6 +71,9 @@
 	// defaultUsageWindow is the length of a usage window if usage is counted but
 	// not reported.
 	defaultUsageWindow = 5 * time.Second
+	// hubsPerDomain is the number of instances of a large failure domain with which
+	// the others exchange. The second one stands in while the first is silent.
+	hubsPerDomain = 2
 	// dutyKey is the store key that names the holder of the duty.
 	dutyKey = "wasabiworks/duty"
 	// usagePrefix is the prefix of the store keys at which the sums of usage windows
@@ -97,7 +100,10 @@
 
 // Config configures an Instance. Run closes the listeners.
 type Config struct {
-	ID, FailureDomain                string
+	ID, FailureDomain string
+	// Capacity is the processor time that the instance may use, in thousandths of
+	// a core, or 0 if it is unknown. Instances with more of it do the fleet's work.
+	Capacity                         int64
 	Clients, Ready, Peer, Operations net.Listener
 	Store                            store.Store
 	Cloud                            Cloud
@@ -209,10 +215,10 @@
 	c := &f.config
 	incarnation := time.Now().UnixNano()
 	f.node = fmt.Sprintf("%s/%d", c.ID, incarnation)
-	f.members = membership.NewTable(membership.Member{
+	f.members = membership.NewTable(membership.Config{Hubs: hubsPerDomain, Self: membership.Member{
 		ID: c.ID, Incarnation: incarnation, FailureDomain: c.FailureDomain, PeerAddress: c.Peer.Addr().String(),
-		OperationsAddress: c.Operations.Addr().String(),
-	})
+		OperationsAddress: c.Operations.Addr().String(), Capacity: c.Capacity,
+	}})
 	if f.allowances, err = f.newAllowances(); err != nil {
 		return err
 	}
@@ -232,7 +238,7 @@
 		Live: func() []string { return f.members.Live("", time.Now()) }, Registered: f.registeredIDs, Log: c.Log,
 	})
 	f.counters.SetDomain(c.FailureDomain)
-	counters := exchange.Evidence{Table: &f.counters, Domain: c.FailureDomain, Self: c.ID}
+	counters := exchange.Evidence{Table: &f.counters, Domain: c.FailureDomain, Self: c.ID, Hub: f.members.IsHub}
 	f.exchange, err = exchange.New(exchange.Config{
 		Members:    f.members,
 		Sources:    []exchange.Source{counters, f.crashes},
@@ -332,6 +338,7 @@
 func (f *Instance) drain(clients *http.Server) error {
 	deadline := time.Now().Add(f.config.DrainTimeout)
 	f.draining.Store(true)
+	f.exchange.Leave()
 	f.config.Log.Info("planned shutdown started", zap.Time("deadline", deadline))
 	time.Sleep(min(balancerDelay, f.config.DrainTimeout/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/internal/entry/gateway/members.go
+++ b/internal/entry/gateway/members.go
@@ -37,6 +37,8 @@
 	PeerAddress   string `json:"peer-address"`
 	// OperationsAddress is the address at which operators read metrics.
 	OperationsAddress string `json:"operations-address,omitempty"`
+	// Capacity is in thousandths of a core.
+	Capacity int64 `json:"capacity,omitempty"`
 }
 
 // Registered returns the instances that have entries in s.
@@ -59,6 +61,7 @@
 func (r registration) member() membership.Member {
 	return membership.Member{
 		ID: r.ID, Incarnation: r.Incarnation, FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress, OperationsAddress: r.OperationsAddress,
+		Capacity: r.Capacity,
 	}
 }
 
@@ -94,7 +97,7 @@
 // registerWithLease writes the instance's entry under a new lease.
 func (f *Instance) registerWithLease(ctx context.Context) (lease int64, err error) {
 	self := f.members.Self()
-	value, err := json.Marshal(registration{self.ID, self.Incarnation, self.FailureDomain, self.PeerAddress, self.OperationsAddress})
+	value, err := json.Marshal(registration{self.ID, self.Incarnation, self.FailureDomain, self.PeerAddress, self.OperationsAddress, self.Capacity})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 	"wasabiworks.example/wasabiworks/internal/platform/follow"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
@@ -26,12 +25,12 @@
 // other instances agree on the next watcher instead of each calling the store.
 func (f *Instance) relay(ctx context.Context, after int64, wait time.Duration) (r follow.RelayReply, err error) {
 	now := f.now()
-	live := f.members.Live(f.config.FailureDomain, time.Now())
-	live = slices.DeleteFunc(live, func(id string) bool { return now.Before(f.relayAvoidUntil[id]) })
-	watcher := membership.WatchHolder(live)
-	if watcher == "" || watcher == f.config.ID || f.draining.Load() {
+	candidates := f.members.WatchCandidates(f.config.FailureDomain, time.Now())
+	candidates = slices.DeleteFunc(candidates, func(id string) bool { return now.Before(f.relayAvoidUntil[id]) })
+	if len(candidates) == 0 || candidates[0] == f.config.ID || f.draining.Load() {
 		return follow.RelayReply{}, follow.ErrNoRelay
 	}
+	watcher := candidates[0]
 	defer func() {
 		if err != nil {
 			f.relayAvoidUntil[watcher] = now.Add(relayAvoidTime)
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -113,10 +113,10 @@
 	}
 	c.Log = c.Log.With(zap.String("instance", c.ID), zap.String("failure-domain", c.FailureDomain))
 	i := &Instance{config: c, now: time.Now, registry: prometheus.NewRegistry(), poison: new(poison.Set)}
-	i.members = membership.NewTable(membership.Member{
+	i.members = membership.NewTable(membership.Config{Self: membership.Member{
 		ID: c.ID, Incarnation: i.now().UnixNano(), FailureDomain: c.FailureDomain,
 		PeerAddress: c.Peer.Addr().String(), OperationsAddress: c.Operations.Addr().String(),
-	})
+	}})
 	kvStore := kv.New(c.Store)
 	table := new(evidence.Table)
 	table.SetDomain(c.FailureDomain)
--- a/internal/peer/allowance/limiter.go
+++ b/internal/peer/allowance/limiter.go
@@ -265,7 +265,7 @@
 // equal share.
 func (s *workspaceState) setLimits(w *routes.Workspace, f *Fleet, slack float64, now time.Time) {
 	n := float64(max(1, f.Instances))
-	fraction := float64(len(f.Local)) / n
+	fraction := float64(max(1, len(f.Local))) / n
 	if f.Unreachable == 0 && !s.isJoining {
 		fraction *= ownerShareFactor
 	}
--- a/internal/peer/exchange/digest.go
+++ b/internal/peer/exchange/digest.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
@@ -16,6 +18,9 @@
 	maxDigestBytes = 512 << 10
 	// maxDigestMembers limits the members in one digest, about 20 KB.
 	maxDigestMembers = 256
+	// maxHeardMillis limits the times in Digest.HeardMillis, so that converting
+	// one does not overflow.
+	maxHeardMillis = 60_000
 )
 
 // Source contributes changes to digests.
@@ -72,6 +77,14 @@
 	if n.config.Watching != nil {
 		d.Watching = n.config.Watching()
 	}
+	if to.FailureDomain == n.self.FailureDomain {
+		for domain, rest := range n.config.Members.HeardFor(n.config.Now()) {
+			if d.HeardMillis == nil {
+				d.HeardMillis = make(map[string]int64)
+			}
+			d.HeardMillis[domain] = rest.Milliseconds()
+		}
+	}
 	versions := make([]uint64, len(n.sources))
 	for i, s := range n.sources {
 		if i < len(p.delivered) {
@@ -79,7 +92,12 @@
 		}
 		contribution := new(peerpb.Digest)
 		next := s.Digest(to, versions[i], contribution)
-		if proto.Size(d)+proto.Size(contribution) > maxDigestBytes {
+		size := proto.Size(contribution)
+		if size == 0 {
+			versions[i] = next
+			continue
+		}
+		if proto.Size(d)+size > maxDigestBytes {
 			// The version stays unchanged, so the next exchange tries again.
 			n.metrics.oversize.Inc()
 			continue
@@ -91,7 +109,8 @@
 }
 
 // merge passes a peer's digest to the sinks and starts an urgent exchange with
-// all links if the digest held an urgent change.
+// all links if the digest held an urgent change that others receive through this
+// instance.
 func (n *Node) merge(from membership.Member, d *peerpb.Digest) {
 	now := n.config.Now()
 	urgent := n.config.Members.Heard(from, now)
@@ -109,7 +128,14 @@
 	if n.config.OnDigest != nil {
 		n.config.OnDigest(from, d.CatalogueRevision, d.Watching)
 	}
-	if urgent {
+	if from.FailureDomain == n.self.FailureDomain && len(d.HeardMillis) > 0 {
+		heard := make(map[string]time.Duration, len(d.HeardMillis))
+		for domain, millis := range d.HeardMillis {
+			heard[domain] = time.Duration(min(millis, maxHeardMillis)) * time.Millisecond
+		}
+		n.config.Members.MergeHeard(heard, now)
+	}
+	if urgent && n.config.Members.IsHub() {
 		n.Notify()
 	}
 }
@@ -123,6 +149,8 @@
 		Leaving:           m.Leaving,
 		Beat:              m.Beat,
 		OperationsAddress: m.OperationsAddress,
+		Capacity:          m.Capacity,
+		Suspected:         m.Suspected,
 	}
 }
 
@@ -135,5 +163,7 @@
 		Leaving:           m.GetLeaving(),
 		Beat:              m.GetBeat(),
 		OperationsAddress: m.GetOperationsAddress(),
+		Capacity:          m.GetCapacity(),
+		Suspected:         m.GetSuspected(),
 	}
 }
--- a/internal/peer/exchange/fuzz_test.go
+++ b/internal/peer/exchange/fuzz_test.go
@@ -33,7 +33,7 @@
 			return
 		}
 		members, counted := len(d.Members), len(d.Counters)
-		table := membership.NewTable(membership.Member{ID: "self", Incarnation: 5, FailureDomain: "d"})
+		table := membership.NewTable(membership.Config{Self: membership.Member{ID: "self", Incarnation: 5, FailureDomain: "d"}})
 		vetoes := NewSet(SetConfig[string, *peerpb.Veto]{
 			Key: (*peerpb.Veto).GetMove, Extract: (*peerpb.Digest).GetVetoes, Limit: 2, Urgent: true,
 			Add: func(d *peerpb.Digest, v *peerpb.Veto) { d.Vetoes = append(d.Vetoes, v) },
--- a/internal/peer/exchange/node.go
+++ b/internal/peer/exchange/node.go
@@ -42,9 +42,12 @@
 	passiveDelay = 500 * time.Millisecond
 	// tickPeriod is the resolution of the schedule.
 	tickPeriod = 100 * time.Millisecond
-	// minUrgentPeriod is the minimum time between two urgent rounds. Many crashes
-	// in a short time then share rounds instead of causing one each.
-	minUrgentPeriod = 50 * time.Millisecond
+	// minUrgentPeriod is the minimum time between two urgent rounds, to which each
+	// link adds urgentPeriodPerLink. Many crashes in a short time then share rounds
+	// instead of causing one each, and an instance makes at most 250 urgent
+	// exchanges a second, however many links it has.
+	minUrgentPeriod     = 50 * time.Millisecond
+	urgentPeriodPerLink = 4 * time.Millisecond
 	// exchangeTimeout limits an exchange. It is shorter than the shortest exchange
 	// period, membership.HeartbeatPeriod, so that calls to an unresponsive member
 	// do not accumulate.
@@ -181,7 +184,7 @@
 			urgentPending = true
 		}
 		now := n.config.Now()
-		urgent := urgentPending && now.Sub(lastUrgent) >= minUrgentPeriod
+		urgent := urgentPending && now.Sub(lastUrgent) >= max(minUrgentPeriod, urgentPeriodPerLink*time.Duration(len(n.links)))
 		if urgent {
 			urgentPending, lastUrgent = false, now
 		}
@@ -233,21 +236,21 @@
 	if !urgent && !p.due(now, n.period(m)+extraDelay) {
 		return
 	}
-	if !p.beginCall(now, urgent) {
+	if !p.beginCall(urgent) {
 		return
 	}
 	n.wg.Go(func() {
-		for callAgain := true; callAgain && ctx.Err() == nil; {
+		for callAgain := true; callAgain && ctx.Err() == nil; urgent = true {
 			select {
 			case n.exchangeSlots <- struct{}{}:
 			case <-ctx.Done():
 				p.endCall()
 				return
 			}
-			n.exchange(ctx, id, p)
+			n.exchange(ctx, id, p, urgent)
 			<-n.exchangeSlots
 			if callAgain = p.endCall(); callAgain {
-				callAgain = p.beginCall(n.config.Now(), false)
+				callAgain = p.beginCall(false)
 			}
 		}
 	})
@@ -269,21 +272,27 @@
 	return period
 }
 
-// exchange performs one exchange with a member.
-func (n *Node) exchange(ctx context.Context, id string, p *peer) {
+// exchange performs one exchange with a member, unless it is urgent and the member
+// has everything already.
+func (n *Node) exchange(ctx context.Context, id string, p *peer, urgent bool) {
 	m, ok := n.config.Members.Member(id)
 	if !ok {
 		return
 	}
+	p.mu.Lock()
+	d, versions := n.buildDigest(m, p)
+	if urgent && !p.hasNews(d) {
+		p.mu.Unlock()
+		return
+	}
+	p.lastExchange = n.config.Now()
+	knownIncarnation := p.incarnation
+	p.mu.Unlock()
 	c, err := n.connect(p, m.PeerAddress)
 	if err != nil {
 		n.config.Members.Missed(id, n.config.Now())
 		return
 	}
-	p.mu.Lock()
-	d, versions := n.buildDigest(m, p)
-	knownIncarnation := p.incarnation
-	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply, err := invoke[*peerpb.Digest](ctx, c.exchange, d)
@@ -291,7 +300,7 @@
 		n.config.Members.Missed(id, n.config.Now())
 		return
 	}
-	p.recordReply(knownIncarnation, versions, reply)
+	p.recordReply(knownIncarnation, versions, reply, stateOf(d))
 	n.merge(memberFromWire(reply.Sender), reply)
 }
 
--- a/internal/peer/exchange/node_test.go
+++ b/internal/peer/exchange/node_test.go
@@ -32,6 +32,7 @@
 	journal *journal.Journal
 	config  *propagation.Propagator[string]
 	ticks   chan time.Time
+	hubs    int
 	stop    func()
 }
 
@@ -58,7 +59,7 @@
 		self:  membership.Member{ID: id, Incarnation: incarnation, FailureDomain: domain, PeerAddress: l.Addr().String()},
 		ticks: make(chan time.Time),
 	}
-	i.members = membership.NewTable(i.self)
+	i.members = membership.NewTable(membership.Config{Self: i.self, Hubs: i.hubs})
 	i.vetoes = exchange.NewSet(exchange.SetConfig[string, *peerpb.Veto]{
 		Key:     func(v *peerpb.Veto) string { return v.Move },
 		Add:     func(d *peerpb.Digest, v *peerpb.Veto) { d.Vetoes = append(d.Vetoes, v) },
--- a/internal/peer/exchange/peer.go
+++ b/internal/peer/exchange/peer.go
@@ -28,12 +28,32 @@
 	replySequence   uint64
 	// receivedSequence is the sequence of the last reply received from the member.
 	receivedSequence uint64
+	// sent is the state of this instance in the last digest that the member
+	// replied to.
+	sent senderState
 
 	lastExchange time.Time // start of the last exchange, in either direction
 	calling      bool      // a call is in progress
 	callAgain    bool      // another call must follow the one in progress
 }
 
+// senderState is what a digest tells of its sender besides the sources' changes.
+type senderState struct {
+	revision          int64
+	watching, leaving bool
+}
+
+func stateOf(d *peerpb.Digest) senderState {
+	return senderState{d.GetCatalogueRevision(), d.GetWatching(), d.GetSender().GetLeaving()}
+}
+
+// hasNews reports whether a digest for the member holds anything that the member
+// does not have. The caller holds p.mu.
+func (p *peer) hasNews(d *peerpb.Digest) bool {
+	return stateOf(d) != p.sent ||
+		len(d.Members)+len(d.Counters)+len(d.Vetoes)+len(d.Crashes)+len(d.Leaving)+len(d.Loads)+len(d.Demands) > 0
+}
+
 // resetIfRestarted resets the versions if the member has a new incarnation,
 // which has lost everything that was sent to the previous one.
 func (p *peer) resetIfRestarted(incarnation int64) {
@@ -41,7 +61,7 @@
 		return
 	}
 	p.incarnation = incarnation
-	p.delivered, p.repliedVersions, p.replySequence, p.receivedSequence = nil, nil, 0, 0
+	p.delivered, p.repliedVersions, p.replySequence, p.receivedSequence, p.sent = nil, nil, 0, 0, senderState{}
 }
 
 // confirm raises the delivered versions to vs.
@@ -54,11 +74,11 @@
 	}
 }
 
-// recordReply records the reply to a digest that brings the member to versions
-// and was built when the member's incarnation was knownIncarnation (0 if
-// unknown). If another incarnation replied, the digest lacked the changes
+// recordReply records the reply to a digest that brings the member to versions and
+// told it sent, and that was built when the member's incarnation was
+// knownIncarnation (0 if unknown). If another incarnation replied, the digest lacked the changes
 // delivered earlier, and everything is sent again.
-func (p *peer) recordReply(knownIncarnation int64, versions []uint64, reply *peerpb.Digest) {
+func (p *peer) recordReply(knownIncarnation int64, versions []uint64, reply *peerpb.Digest, sent senderState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	incarnation := reply.Sender.GetIncarnation()
@@ -68,20 +88,20 @@
 	p.resetIfRestarted(incarnation)
 	if knownIncarnation == 0 || knownIncarnation == incarnation {
 		p.confirm(versions)
-		p.receivedSequence = reply.Sequence
+		p.receivedSequence, p.sent = reply.Sequence, sent
 	}
 }
 
 // beginCall claims the right to call the member. If a call is in progress and
 // urgent is true, another call will follow it.
-func (p *peer) beginCall(now time.Time, urgent bool) bool {
+func (p *peer) beginCall(urgent bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.calling {
 		p.callAgain = p.callAgain || urgent
 		return false
 	}
-	p.calling, p.callAgain, p.lastExchange = true, false, now
+	p.calling, p.callAgain = true, false
 	return true
 }
 
