Let one instance watch the store for the whole fleet

Change: the instance that the others of a failure domain follow itself follows one instance of the fleet, chosen by processor time and hash, and replaced by the next one when it fails. An instance whose own calls fail says so to those that ask it, and follows another one for 5 s before it tries again.

--- a/internal/decide/membership/hubs.go
+++ b/internal/decide/membership/hubs.go
@@ -55,10 +55,31 @@
 	return sorted
 }
 
-// WatchCandidates returns the live members of a failure domain, the one that should
-// hold the store's watch first.
-func (t *Table) WatchCandidates(domain string, now time.Time) []string {
+// Upstream returns the member from which the instance should get the changes of the
+// store, or "" if it should watch the store itself. The members of a failure domain
+// follow one of them, and these follow one for the whole fleet, so that the calls
+// to the store do not grow with the fleet. Members for which avoid is true are not
+// chosen; if it is true for the instance itself, it follows another one.
+func (t *Table) Upstream(now time.Time, avoid func(id string) bool) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.byPreference(t.live(domain, now))
+	byDomain := make(map[string][]string)
+	for _, id := range t.live("", now) {
+		if !avoid(id) {
+			domain := t.rows[id].FailureDomain
+			byDomain[domain] = append(byDomain[domain], id)
+		}
+	}
+	own := t.byPreference(byDomain[t.self.FailureDomain])
+	if len(own) > 0 && own[0] != t.self.ID {
+		return own[0]
+	}
+	var firsts []string
+	for _, ids := range byDomain {
+		firsts = append(firsts, t.byPreference(ids)[0])
+	}
+	if firsts = t.byPreference(firsts); len(firsts) == 0 || firsts[0] == t.self.ID {
+		return ""
+	}
+	return firsts[0]
 }
--- a/internal/decide/membership/hubs_test.go
+++ b/internal/decide/membership/hubs_test.go
@@ -205,3 +205,35 @@
 		}
 	}
 }
+
+// Guards against calls to the store that grow with the fleet, and against members
+// that follow each other in a circle or disagree on the watcher, also while the
+// members that should watch are avoided.
+func TestUpstreamLeadsToOneWatcher(t *testing.T) {
+	s := newStar(6, 50, func(n int) int64 { return int64(n % 7) })
+	s.run(3 * time.Second)
+	avoided := make(map[string]bool)
+	for round := range 5 {
+		watchers := make(map[string]bool)
+		for _, m := range s.ms {
+			id, steps := m.ID, 0
+			for ; steps <= len(s.ms); steps++ {
+				next := s.tables[id].Upstream(s.now, func(id string) bool { return avoided[id] })
+				if next == "" {
+					break
+				}
+				id = next
+			}
+			if limit := 2; steps > limit && !avoided[m.ID] || steps > limit+1 {
+				t.Fatalf("round %d, %s: %d steps to a watcher, want at most %d", round, m.ID, steps, limit)
+			}
+			watchers[id] = true
+		}
+		if len(watchers) != 1 {
+			t.Errorf("round %d: got watchers %v, want one", round, watchers)
+		}
+		for id := range watchers {
+			avoided[id] = true
+		}
+	}
+}
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
@@ -16,23 +15,32 @@
 
 var errRelayGap = errors.New("peer is missing changes or cannot reach the store")
 
-// relayAvoidTime is how long a peer is not asked again after it failed to relay
-// the store.
-const relayAvoidTime = 5 * time.Second
+// relayAvoidTime is how long a peer is not asked again after it failed to relay the
+// store, and relayGapAvoidTime the same for one that replied but cannot reach the
+// store itself.
+const (
+	relayAvoidTime    = 5 * time.Second
+	relayGapAvoidTime = time.Second
+)
 
-// relay gets store changes from the peer that watches the store on behalf of this
-// failure domain. A peer that fails is skipped for relayAvoidTime, so that the
-// other instances agree on the next watcher instead of each calling the store.
+// relay gets store changes from the peer that this instance follows. A peer that
+// fails is skipped for a while, so that the other instances agree on the next
+// watcher instead of each calling the store. An instance whose own calls to the
+// store fail does not watch it for the others but follows one of them.
 func (f *Instance) relay(ctx context.Context, after int64, wait time.Duration) (r follow.RelayReply, err error) {
 	now := f.now()
-	candidates := f.members.WatchCandidates(f.config.FailureDomain, time.Now())
-	candidates = slices.DeleteFunc(candidates, func(id string) bool { return now.Before(f.relayAvoidUntil[id]) })
-	if len(candidates) == 0 || candidates[0] == f.config.ID || f.draining.Load() {
+	failing := f.follower.Failing() && now.Sub(f.follower.LastFailure()) < relayAvoidTime
+	watcher := f.members.Upstream(time.Now(), func(id string) bool {
+		return now.Before(f.relayAvoidUntil[id]) || failing && id == f.config.ID
+	})
+	if watcher == "" {
 		return follow.RelayReply{}, follow.ErrNoRelay
 	}
-	watcher := candidates[0]
 	defer func() {
-		if err != nil {
+		switch {
+		case errors.Is(err, errRelayGap):
+			f.relayAvoidUntil[watcher] = now.Add(relayGapAvoidTime)
+		case err != nil:
 			f.relayAvoidUntil[watcher] = now.Add(relayAvoidTime)
 		}
 	}()
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -90,7 +90,9 @@
 	config      Config
 	confirmed   atomic.Int64
 	lastFailure atomic.Int64
-	changes     changeLog
+	// failing is set while the last call to the store failed.
+	failing atomic.Bool
+	changes changeLog
 	// directUntil is the time until which the store is called directly. Only Run
 	// uses it.
 	directUntil time.Time
@@ -112,6 +114,10 @@
 // failed or its history was found compacted, or the zero time.
 func (f *Follower) LastFailure() time.Time { return loadTime(&f.lastFailure) }
 
+// Failing reports whether the last call to the store failed. The copy may be up to
+// date all the same, through peers.
+func (f *Follower) Failing() bool { return f.failing.Load() }
+
 func loadTime(v *atomic.Int64) time.Time {
 	n := v.Load()
 	if n == 0 {
@@ -138,6 +144,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		f.failing.Store(err != nil)
 		if err != nil {
 			f.lastFailure.Store(now.UnixNano())
 			if failures == 0 {
@@ -244,13 +251,14 @@
 
 // Serve returns the changes after a revision for a peer. If there are none, it
 // waits up to maxWait for the next confirmation of the copy, which also brings new
-// changes. The result ok is false if changes are missing from the log, or if the
-// copy has not been confirmed since the failure whose time LastFailure returns.
+// changes. The result ok is false if changes are missing from the log, if the copy
+// has not been confirmed since the failure whose time LastFailure returns, or if
+// Failing is true: the instance then follows a peer, which may be the caller.
 func (f *Follower) Serve(ctx context.Context, after int64, maxWait time.Duration) (r RelayReply, ok bool) {
 	start := f.config.Now()
 	items, next, ok := f.changes.waitAfter(ctx, after, maxWait)
 	now := f.config.Now()
-	if !ok || f.Confirmed().IsZero() || f.LastFailure().After(f.Confirmed()) {
+	if !ok || f.Failing() || f.Confirmed().IsZero() || f.LastFailure().After(f.Confirmed()) {
 		return RelayReply{}, false
 	}
 	return RelayReply{Items: items, Next: next, Age: now.Sub(f.Confirmed()), Waited: now.Sub(start)}, true
