Acquire the duty in turn, and renew the instances' entries every 6 s

Each entry was renewed every 2.5 s although stopped instances are found by the exchanges. Change: the instance that watches the store tries first, then the hubs, then the others, 1.2 s apart; entries have a lease of 20 s, renewed every 6 s. Test: TestRanksAcquireInTurn.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -228,7 +229,7 @@
 		window = defaultUsageWindow
 	}
 	f.mover = newMover(f)
-	f.duty = duty.New(duty.Config{Store: c.Store, Key: dutyKey, Instance: c.ID, Now: f.now, Log: c.Log})
+	f.duty = duty.New(duty.Config{Store: c.Store, Key: dutyKey, Instance: c.ID, Rank: f.dutyRank, Now: f.now, Log: c.Log})
 	f.usage = usage.New(usage.Config{
 		Instance: c.ID, Node: f.node, Window: window, Duty: f.duty, Store: c.Store, Prefix: usagePrefix,
 		Report: c.Cloud.ReportUsage,
@@ -257,6 +258,22 @@
 	return forward.View{Table: f.table.Load(), Confirmed: confirmed, Fresh: f.now().Sub(confirmed) < f.config.RevokeWithin-revocationMargin}
 }
 
+// dutyRank returns 0 for the instance that watches the store for the fleet, 1 for
+// other instances that relay for their failure domain, and 2 for the rest and
+// while the other instances are not known yet.
+func (f *Instance) dutyRank() int {
+	registered := f.registeredSnapshot.Load()
+	switch {
+	case registered == nil || !slices.ContainsFunc(*registered, func(m membership.Member) bool { return m.ID == f.config.ID }):
+		return 2
+	case f.members.Upstream(time.Now(), func(string) bool { return false }) == "":
+		return 0
+	case f.members.IsHub():
+		return 1
+	}
+	return 2
+}
+
 // Run serves until ctx ends, then performs a planned shutdown. It returns early
 // if a listener fails.
 func (f *Instance) Run(ctx context.Context) error {
--- a/internal/entry/gateway/members.go
+++ b/internal/entry/gateway/members.go
@@ -19,10 +19,13 @@
 const (
 	// instancesPrefix is the prefix of the store keys of the instances' entries.
 	instancesPrefix = "wasabiworks/instances/"
-	// registrationTTL is the time to live of an instance's entry, and renewPeriod
-	// the time between two renewals.
-	registrationTTL = 8 * time.Second
-	renewPeriod     = 2500 * time.Millisecond
+	// registrationTTL is the time to live of an instance's entry, renewPeriod the
+	// time between two renewals, and renewRetryPeriod the time until the next one
+	// after a failure. Stopped instances are found by the exchanges, within
+	// seconds; the entries only say which instances there are.
+	registrationTTL  = 20 * time.Second
+	renewPeriod      = 6 * time.Second
+	renewRetryPeriod = 2 * time.Second
 	// countHold is the longest time for which instances are still counted after
 	// their entries were removed. If leases lapse while the store is unavailable,
 	// all entries are removed at once although the instances are running.
@@ -80,7 +83,7 @@
 		pause := renewPeriod
 		if err != nil {
 			f.config.Log.Debug("registering instance or renewing its lease failed", zap.Error(err))
-			pause = time.Second
+			pause = renewRetryPeriod
 		}
 		wait.For(ctx, pause)
 	}
--- a/internal/peer/duty/holder.go
+++ b/internal/peer/duty/holder.go
@@ -28,18 +28,24 @@
 	// the removal of the key was not seen. The watch normally reports the removal,
 	// and every instance polls, so the period is long to limit calls to the store.
 	pollPeriod = time.Minute
-	// acquireJitter is the time over which instances spread their attempts to
-	// replace a holder.
+	// acquireJitter is the time over which instances of the same rank spread their
+	// attempts to replace a holder, and rankDelay how much later those of the next
+	// rank begin. By then the others have learned of a new holder.
 	acquireJitter = 400 * time.Millisecond
+	rankDelay     = 1200 * time.Millisecond
 )
 
-// Config configures a Holder. All fields are required.
+// Config configures a Holder. All fields but Rank are required.
 type Config struct {
 	Store store.Store
 	// Key is the store key of the duty.
 	Key string
 	// Instance is the ID of this process; a restarted process has a different one.
 	Instance string
+	// Rank returns how many groups of instances are to acquire the duty before this
+	// one. It keeps a large fleet from trying all at once: each attempt takes two
+	// writes to the store. Nil means 0.
+	Rank func() int
 	// Now reads the boot clock, which continues while the machine is suspended.
 	Now func() time.Time
 	Log *zap.Logger
@@ -126,8 +132,7 @@
 			continue
 		}
 		if current, _ := h.Current(); current == "" {
-			h.wait(ctx, rand.N(acquireJitter), nil)
-			if current, _ = h.Current(); ctx.Err() == nil && current == "" {
+			if h.waitForTurn(ctx) {
 				h.acquire(ctx)
 			}
 			if h.holdsDuty() {
@@ -140,6 +145,29 @@
 	}
 }
 
+// waitForTurn waits until this instance is to acquire the duty, and reports whether
+// nobody else has acquired it until then. The rank may change meanwhile, for example
+// when a starting instance learns of the others.
+func (h *Holder) waitForTurn(ctx context.Context) bool {
+	const checkPeriod = 100 * time.Millisecond
+	start, jitter := h.config.Now(), rand.N(acquireJitter)
+	for ctx.Err() == nil {
+		delay := jitter
+		if h.config.Rank != nil {
+			delay += time.Duration(h.config.Rank()) * rankDelay
+		}
+		rest := delay - h.config.Now().Sub(start)
+		if rest <= 0 {
+			return true
+		}
+		h.wait(ctx, min(rest, checkPeriod), nil)
+		if current, _ := h.Current(); current != "" {
+			return false
+		}
+	}
+	return false
+}
+
 // wait waits for d and reports whether d passed before wake or the end of ctx.
 func (h *Holder) wait(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	t := time.NewTimer(d)
--- a/internal/peer/duty/holder_test.go
+++ b/internal/peer/duty/holder_test.go
@@ -80,3 +80,77 @@
 		})
 	}
 }
+
+// vacantStore counts attempts to acquire a duty that is free until the first one.
+type vacantStore struct {
+	store.Store
+	attempts atomic.Int64
+	learn    func()
+}
+
+func (s *vacantStore) GrantLease(context.Context, time.Duration) (int64, time.Duration, error) {
+	s.attempts.Add(1)
+	return s.attempts.Load(), leaseTTL, nil
+}
+
+func (s *vacantStore) Commit(context.Context, store.Commit) (int64, error) {
+	if s.attempts.Load() > 1 {
+		return 0, store.ErrConflict
+	}
+	time.AfterFunc(rankDelay/2, s.learn)
+	return 7, nil
+}
+func (s *vacantStore) EndLease(context.Context, int64) error   { return nil }
+func (s *vacantStore) RenewLease(context.Context, int64) error { return nil }
+
+// Guards against a large fleet whose instances all write to the store when the duty
+// is free, and against a duty that nobody takes because its first choice has failed.
+func TestRanksAcquireInTurn(t *testing.T) {
+	for _, failedRanks := range []int{0, 1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &vacantStore{}
+			ctx, stop := context.WithCancel(t.Context())
+			var holders []*Holder
+			for i := range 300 {
+				start := time.Now()
+				rank := func() int {
+					switch {
+					case time.Since(start) < rankDelay/3: // the others are not known yet
+						return 2
+					case i < 3:
+						return min(i, 1)
+					}
+					return 2
+				}
+				if i < 3 && min(i, 1) < failedRanks {
+					continue
+				}
+				h := New(Config{Store: s, Key: "duty", Instance: "a", Rank: rank, Now: time.Now, Log: zap.NewNop()})
+				holders = append(holders, h)
+				go h.Run(ctx)
+			}
+			s.learn = func() {
+				for _, h := range holders {
+					h.Learn("holder 1", 7)
+				}
+			}
+			time.Sleep(4 * rankDelay)
+			held := 0
+			for _, h := range holders {
+				if _, ok := h.Fence(); ok {
+					held++
+				}
+			}
+			// Within the last rank, instances that were drawn the same delay meet.
+			limit := int64(2)
+			if failedRanks == 2 {
+				limit = 300
+			}
+			if n := s.attempts.Load(); held != 1 || n > limit {
+				t.Errorf("%d ranks failed: %d holders after %d attempts, want one after at most %d", failedRanks, held, n, limit)
+			}
+			stop()
+			synctest.Wait()
+		})
+	}
+}
