Bound responses without end, and do not cut long ones

A response to HEAD said Content-Length 0. At most 16 responses of that size are buffered at once. HEAD keeps the server's Content-Length.

--- a/cmd/wasabiworks/forward.go
+++ b/cmd/wasabiworks/forward.go
@@ -76,7 +76,7 @@
 		Store: platform.NewStore(c.Store), Cloud: platform.NewCloud(c.Cloud, c.Instance), Format: platform.Format(),
 		UsageWindow: window, Scale: c.HasDuty("autoscale"), AllowanceSlack: c.AllowanceSlack,
 		Retry:        gateway.RetryLimit{Ratio: c.RetryRatio, Slack: c.RetrySlack, Window: c.RetryWindow},
-		RevokeWithin: c.RevokeWithin, DrainTimeout: c.DrainNotice, Log: log, Registry: registry,
+		RevokeWithin: c.RevokeWithin, DrainTimeout: c.DrainNotice, MaxResponseBytes: c.MaxResponseBytes, Log: log, Registry: registry,
 	})
 }
 
--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -43,7 +44,13 @@
 		}
 		return e.relay(a, r, uncachedTokens)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxResponse))
+	body, err := e.readResponse(r)
+	if errors.Is(err, errResponseTooLong) {
+		// Bytes that are no response may come without end.
+		a.err = err
+		a.cancel()
+		return e.recordInvalid(a)
+	}
 	if err != nil {
 		a.err = err
 		return e.handleTransportError(a, false)
@@ -77,13 +84,47 @@
 	return outcomeInvalid
 }
 
+// readResponse reads the body of a response that is not a stream.
+func (e *exchange) readResponse(r *http.Response) (body []byte, err error) {
+	limit := e.config.MaxResponseBytes
+	if r.ContentLength > limit && e.r.Method != http.MethodHead {
+		return nil, errResponseTooLong
+	}
+	body = make([]byte, 0, min(maxInitialBuffer, max(minInitialBuffer, r.ContentLength+1)))
+	for {
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		e.bufferedBytes += n
+		fits := e.buffered.take(n)
+		switch {
+		case int64(len(body)) > limit || !fits:
+			return body, errResponseTooLong
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return body, err
+		}
+	}
+}
+
 // deliver writes a server's complete response to the client.
 func (e *exchange) deliver(res *bufferedResponse) {
 	e.reason, e.status = Served, res.status
 	header := e.w.Header()
 	copyEndToEnd(header, res.header)
 	suppressDefaultHeaders(header, res.header)
-	header.Set("Content-Length", strconv.Itoa(len(res.body)))
+	switch {
+	case e.r.Method == http.MethodHead:
+		// The length is that of the body that a GET request would get.
+		if length, ok := res.header["Content-Length"]; ok {
+			header["Content-Length"] = length
+		}
+	case res.status != http.StatusNoContent && res.status != http.StatusNotModified:
+		header.Set("Content-Length", strconv.Itoa(len(res.body)))
+	}
 	e.firstByte = e.config.Now()
 	e.w.WriteHeader(res.status)
 	if _, err := e.w.Write(res.body); err != nil && e.r.Context().Err() != nil {
--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -123,6 +123,9 @@
 	Random     func() uint64
 	Registerer prometheus.Registerer
 	Log        *zap.Logger
+	// MaxResponseBytes is the maximum size of a response that is not a stream; the
+	// default is 4 MiB. All of it is buffered before the client gets any of it.
+	MaxResponseBytes int64
 	// Draining reports whether client connections are closed after the response.
 	Draining func() bool
 }
@@ -130,9 +133,8 @@
 // defaultMaxBody bounds a request body, in bytes, if the table has no limit.
 const defaultMaxBody = 4 << 20
 
-// maxResponse bounds a response that is buffered before it is passed on, in
-// bytes.
-const maxResponse = 16 << 20
+// defaultMaxResponse is the default of Config.MaxResponseBytes.
+const defaultMaxResponse = 4 << 20
 
 // fingerprint identifies a request by its content, so that it is recognized if
 // the client sends it again with another request ID.
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -20,8 +20,9 @@
 
 // Handler forwards requests. It is safe for concurrent use.
 type Handler struct {
-	config  Config
-	metrics *metrics
+	config   Config
+	metrics  *metrics
+	buffered byteBudget
 	// routineLogLimit limits the log lines for requests that were served or that
 	// the client abandoned, and failureLogLimit those for other requests.
 	routineLogLimit, failureLogLimit limit.Allowance
@@ -44,7 +45,10 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &Handler{config: c, metrics: m}
+	if c.MaxResponseBytes == 0 {
+		c.MaxResponseBytes = defaultMaxResponse
+	}
+	h := &Handler{config: c, metrics: m, buffered: byteBudget{limit: maxBufferedResponses * c.MaxResponseBytes}}
 	h.routineLogLimit.Set(routineLinesPerSecond, routineLinesPerSecond, c.Now())
 	h.failureLogLimit.Set(failureLinesPerSecond, failureLinesPerSecond, c.Now())
 	return h, nil
@@ -95,6 +99,7 @@
 	stream         streamProgress
 	usageCounted   bool              // the request was counted in the workspace's usage
 	failedResponse *bufferedResponse // the last server error of an attempt
+	bufferedBytes  int               // taken from Handler.buffered
 }
 
 // accept reads and checks the request, picks its service and takes its units from
@@ -283,6 +288,7 @@
 // finish records the end of the request in the metrics, in the log and with
 // Config.OnRequestEnd. It panics with http.ErrAbortHandler if a stream is incomplete.
 func (e *exchange) finish() {
+	e.buffered.release(e.bufferedBytes)
 	now := e.config.Now()
 	kind := "none"
 	if e.route != nil {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -122,6 +122,9 @@
 	// AllowanceSlack is how much a workspace may use beyond its allowance, over all
 	// instances, in units.
 	AllowanceSlack float64
+	// MaxResponseBytes is the maximum size of a server's response that is not a
+	// stream; 0 selects a default.
+	MaxResponseBytes int64
 	// DrainTimeout bounds the time that a planned shutdown gives to requests in
 	// progress.
 	DrainTimeout time.Duration
@@ -204,7 +207,7 @@
 		Budget: &retryBudgets{config: retry.SharedConfig{
 			Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instanceCount, Now: f.now,
 		}},
-		OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
+		MaxResponseBytes: c.MaxResponseBytes, OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
 	})
 	return f, err
 }
--- a/internal/operator/settings/forward.go
+++ b/internal/operator/settings/forward.go
@@ -26,6 +26,7 @@
 	RetryWindow       time.Duration `long:"retry-window" env:"WASABIWORKS_RETRY_WINDOW" value-name:"DURATION" default:"10s" description:"window of the retry slack, 1s to 10m"`
 	AllowanceSlack    float64       `long:"allowance-slack" env:"WASABIWORKS_ALLOWANCE_SLACK" value-name:"UNITS" default:"0" description:"what a workspace may use beyond its allowance, over all instances"`
 	DrainNotice       time.Duration `long:"drain-notice" env:"WASABIWORKS_DRAIN_NOTICE" value-name:"DURATION" default:"25s" description:"time that requests in progress have to complete in a planned shutdown, 1s to 10m"`
+	MaxResponseBytes  int64         `long:"max-response-bytes" env:"WASABIWORKS_MAX_RESPONSE_BYTES" value-name:"BYTES" default:"4194304" description:"maximum size of a backend server's response that is not a stream, 65536 to 1073741824; up to 16 of this size are buffered at once"`
 	Cores             float64       `long:"cores" env:"WASABIWORKS_CORES" value-name:"CORES" default:"0" description:"processor time that the instance may use, in cores, up to 1024; instances with more of it do the fleet's work; 0 is unknown"`
 	LogLevel          string        `long:"log-level" env:"WASABIWORKS_LOG_LEVEL" value-name:"LEVEL" default:"info" description:"lowest level that is logged: debug, info, warn or error"`
 }
@@ -37,6 +38,12 @@
 // maxSlack bounds the retry slack and the allowance slack.
 const maxSlack = 1e12
 
+// minMaxResponse and maxMaxResponse bound MaxResponseBytes.
+const (
+	minMaxResponse = 64 << 10
+	maxMaxResponse = 1 << 30
+)
+
 // maxCores bounds Cores.
 const maxCores = 1024
 
@@ -72,6 +79,9 @@
 	if !(s.AllowanceSlack >= 0 && s.AllowanceSlack <= maxSlack) {
 		c.add("allowance-slack", fmt.Sprintf("%v is out of range", s.AllowanceSlack), fmt.Sprintf("0 to %v", maxSlack))
 	}
+	if s.MaxResponseBytes < minMaxResponse || s.MaxResponseBytes > maxMaxResponse {
+		c.add("max-response-bytes", fmt.Sprintf("%d is out of range", s.MaxResponseBytes), fmt.Sprintf("%d to %d", minMaxResponse, maxMaxResponse))
+	}
 	if !(s.Cores >= 0 && s.Cores <= maxCores) {
 		c.add("cores", fmt.Sprintf("%v is out of range", s.Cores), fmt.Sprintf("0 to %v", maxCores))
 	}
