Keep fewer ordinary servers where the load needs few

Change: one for each 4 of the need, one a domain at most, in the cheapest domains; reclaimable servers count towards the bounds of a domain. Test: four cases of a small need; the case without any need now keeps 1 ordinary and 3 reclaimable servers instead of 4 ordinary ones.

--- a/internal/decide/capacity/capacity.go
+++ b/internal/decide/capacity/capacity.go
@@ -91,10 +91,10 @@
 	// maxPriceFraction is the highest ReclaimablePrice at which reclaimable
 	// servers are worth ordering.
 	maxPriceFraction = 0.5
-	// minOrdinary is the number of ordinary servers in each domain that
-	// reclaimable servers never replace, so that a partitioned domain can serve
-	// even if its reclaimable servers are taken away.
-	minOrdinary = 1
+	// needPerOrdinary is the need for each ordinary server that reclaimable servers
+	// never replace, up to one in each domain. Ordinary servers carry the load for
+	// the seconds until others start if all reclaimable servers are taken away.
+	needPerOrdinary = 4.0
 )
 
 // Plan returns the orders for a service, one per domain. Only the reclaimable
@@ -109,7 +109,7 @@
 		return nil
 	}
 	reclaimable := s.ReclaimablePrice > 0 && s.ReclaimablePrice <= maxPriceFraction
-	total := max(n*minOrdinary, int(math.Ceil(s.Need))-s.remainingReclaimable())
+	total := max(1, min(n, int(math.Ceil(s.Need/needPerOrdinary))), int(math.Ceil(s.Need))-s.remainingReclaimable())
 	byPrice := make([]int, n)
 	for i := range byPrice {
 		byPrice[i] = i
@@ -123,6 +123,8 @@
 		}
 		orders[i] = Order{Domain: s.Domains[i].Name, Ordinary: s.clamp(ordinary)}
 		if reclaimable {
+			// The reclaimable servers count towards Min.
+			orders[i].Ordinary = min(ordinary, max(s.Max, s.Min))
 			combined := s.clamp(orders[i].Ordinary + int(math.Ceil(reclaimableFactor*s.Need/float64(n))))
 			orders[i].Reclaimable = combined - orders[i].Ordinary
 		}
