Start from a listing that may be old, and ask peers with a gap again

Peers that reply at once with a gap are asked again after one call. Tests: TestStaleListingDoesNotConfirmCopy, TestRelayIsTriedAgainAfterGap.

--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -13,8 +13,6 @@
 // maxRelayWait bounds how long a peer's watch may wait for a change.
 const maxRelayWait = 2 * time.Second
 
-var errRelayGap = errors.New("peer is missing changes or cannot reach the store")
-
 // relayAvoidTime is how long a peer is not asked again after it failed to relay the
 // store, and relayGapAvoidTime the same for one that replied but cannot reach the
 // store itself.
@@ -38,7 +36,7 @@
 	}
 	defer func() {
 		switch {
-		case errors.Is(err, errRelayGap):
+		case errors.Is(err, follow.ErrRelayGap):
 			f.relayAvoidUntil[watcher] = now.Add(relayGapAvoidTime)
 		case err != nil:
 			f.relayAvoidUntil[watcher] = now.Add(relayAvoidTime)
@@ -49,7 +47,7 @@
 		return follow.RelayReply{}, err
 	}
 	if reply.GetGap() {
-		return follow.RelayReply{}, errRelayGap
+		return follow.RelayReply{}, follow.ErrRelayGap
 	}
 	r = follow.RelayReply{Next: reply.GetRevision(), Age: time.Duration(reply.GetAge()) * time.Millisecond, Waited: time.Duration(reply.GetWaited()) * time.Millisecond}
 	for _, i := range reply.GetItems() {
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -36,7 +36,7 @@
 	// The second peer is called with no wait and must reply at once.
 	maxRelayAttempts = 2
 	// relayCooldown is how long the store is called directly after all relay
-	// attempts have failed.
+	// attempts have failed, unless the peers replied at once.
 	relayCooldown = 3 * time.Second
 )
 
@@ -60,6 +60,10 @@
 	Age, Waited time.Duration
 }
 
+// ErrRelayGap means that a peer replied, but has not all changes after the requested
+// revision or cannot reach the store itself.
+var ErrRelayGap = errors.New("peer is missing changes or cannot reach the store")
+
 // ErrNoRelay means that there is no peer to read the store through; the caller must
 // call the store directly.
 var ErrNoRelay = errors.New("no peer to read the store through")
@@ -128,7 +132,7 @@
 
 // Run keeps the copy up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	var from int64
+	from := f.listStale(ctx)
 	failures := 0 // consecutive
 	for ctx.Err() == nil {
 		sent := f.config.Now()
@@ -170,6 +174,20 @@
 	}
 }
 
+// listStale applies a listing that may be some seconds old and returns the revision
+// to continue from, or 0 if the listing failed. The first changes after it confirm
+// the copy. A large fleet that starts at once then costs the store little.
+func (f *Follower) listStale(ctx context.Context) (next int64) {
+	items, next, err := f.config.Store.ListStale(ctx, f.config.Prefix)
+	if err != nil {
+		f.config.Log.Info("first listing of the store failed", zap.Error(err))
+		return 0
+	}
+	f.config.Apply(Change{Items: items, Complete: true, Revision: next})
+	f.changes.reset(next)
+	return next
+}
+
 // updateFromStore makes one call to the store and applies the result. It lists all
 // items if from is 0 and watches for changes after from otherwise. It returns the
 // revision to continue from, 0 to list again, and the number of items received.
@@ -183,7 +201,7 @@
 		f.changes.reset(next)
 		return next, len(items), nil
 	}
-	items, next, err := f.config.Store.Watch(ctx, f.config.Prefix, from, f.config.Wait)
+	items, next, err := f.config.Store.Watch(ctx, f.config.Prefix, from, f.firstWait(f.config.Wait))
 	if errors.Is(err, store.ErrCompacted) {
 		f.config.Log.Info("watched revision was compacted by the store; follower lists all keys again", zap.Int64("revision", from))
 		f.lastFailure.Store(f.config.Now().UnixNano())
@@ -205,9 +223,10 @@
 	if f.config.Relay == nil || from == 0 || sent.Before(f.directUntil) {
 		return 0, 0, false
 	}
-	maxWait := relayWait
+	maxWait, silent := f.firstWait(relayWait), false
 	for range maxRelayAttempts {
 		r, err := f.callPeer(ctx, from, maxWait)
+		silent = silent || !errors.Is(err, ErrRelayGap)
 		if err == nil {
 			return f.applyRelayed(r, from, sent), len(r.Items), true
 		}
@@ -217,10 +236,21 @@
 		f.config.Log.Info("follower's call to a relay peer failed", zap.Error(err), zap.Int64("revision", from))
 		sent, maxWait = f.config.Now(), 0
 	}
-	f.directUntil = f.config.Now().Add(relayCooldown)
+	if silent {
+		f.directUntil = f.config.Now().Add(relayCooldown)
+	}
 	return 0, 0, false
 }
 
+// firstWait returns how long a call may wait for changes: not at all before the copy
+// is confirmed for the first time, and wait otherwise.
+func (f *Follower) firstWait(wait time.Duration) time.Duration {
+	if f.Confirmed().IsZero() {
+		return 0
+	}
+	return wait
+}
+
 // callPeer makes one call to a peer and rejects a copy that is too old.
 func (f *Follower) callPeer(ctx context.Context, from int64, maxWait time.Duration) (RelayReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxWait+relayMargin)
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -99,6 +100,11 @@
 	return nil, 0, store.ErrUnavailable
 }
 
+func (s *unavailableStore) ListStale(context.Context, string) ([]store.Item, int64, error) {
+	s.calls++
+	return nil, 0, store.ErrUnavailable
+}
+
 func (s *unavailableStore) List(context.Context, string) ([]store.Item, int64, error) {
 	s.calls++
 	return nil, 0, store.ErrUnavailable
@@ -132,6 +138,67 @@
 	}
 }
 
+// Guards against instances that call the store for seconds although the peers
+// reply, only not yet with all changes, as when all of them have just started.
+func TestRelayIsTriedAgainAfterGap(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	calls := 0
+	f := New(Config{Now: c.read, Apply: func(Change) {}, Relay: func(context.Context, int64, time.Duration) (RelayReply, error) {
+		if calls++; calls <= maxRelayAttempts {
+			return RelayReply{}, ErrRelayGap
+		}
+		return RelayReply{Next: 5}, nil
+	}})
+	if _, _, ok := f.updateFromPeer(t.Context(), 5, c.read()); ok {
+		t.Error("a gap counts as a reply")
+	}
+	if _, _, ok := f.updateFromPeer(t.Context(), 5, c.read()); !ok {
+		t.Errorf("peers were not called again; %d calls", calls)
+	}
+}
+
+// staleStore returns a listing that is some seconds old and one change after it.
+type staleStore struct {
+	store.Store
+	waits []time.Duration // of the watches
+}
+
+func (s *staleStore) ListStale(context.Context, string) ([]store.Item, int64, error) {
+	return []store.Item{{Key: "a", Revision: 3}}, 5, nil
+}
+
+func (s *staleStore) Watch(ctx context.Context, _ string, after int64, maxWait time.Duration) ([]store.Item, int64, error) {
+	if s.waits = append(s.waits, maxWait); len(s.waits) > 1 {
+		<-ctx.Done()
+		return nil, 0, store.ErrUnavailable
+	}
+	return []store.Item{{Key: "a", Revision: after + 1}}, after + 1, nil
+}
+
+// Guards against a listing that may be some seconds old and yet confirms the copy,
+// and against a start that waits for the next change.
+func TestStaleListingDoesNotConfirmCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &staleStore{}
+		var applied []int64
+		var confirmed []bool
+		var f *Follower
+		f = New(Config{Store: s, Now: time.Now, Wait: time.Second, Apply: func(c Change) {
+			applied = append(applied, c.Items[0].Revision)
+			confirmed = append(confirmed, !f.Confirmed().IsZero())
+		}})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f.Run(ctx)
+		if !slices.Equal(applied, []int64{3, 6}) || confirmed[1] || f.Confirmed().IsZero() {
+			t.Errorf("applied revisions %v, confirmed before the second %v, want 3 and 6, and a confirmation by the second", applied, confirmed[1])
+		}
+		if !slices.Equal(s.waits, []time.Duration{0, time.Second}) {
+			t.Errorf("watches waited for %v, want 0 and then a second", s.waits)
+		}
+	})
+}
+
 // Guards against instances that keep calling a store which rejects their calls.
 // Rejected calls add to the store's call rate and are charged as well.
 func TestRejectedCallsBackOff(t *testing.T) {
--- a/internal/platform/store/measured.go
+++ b/internal/platform/store/measured.go
@@ -60,6 +60,12 @@
 	return m.store.List(ctx, prefix)
 }
 
+// ListStale implements Store.
+func (m *measuredStore) ListStale(ctx context.Context, prefix string) (items []Item, next int64, err error) {
+	defer func(start time.Time) { m.observe("list-stale", start, err) }(time.Now())
+	return m.store.ListStale(ctx, prefix)
+}
+
 // Watch implements Store.
 func (m *measuredStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (items []Item, next int64, err error) {
 	defer func(start time.Time) { m.observe("watch", start, err) }(time.Now())
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -61,6 +61,9 @@
 	Get(ctx context.Context, key string) (Item, error)
 	// List returns the items below a prefix and the revision to watch from.
 	List(ctx context.Context, prefix string) ([]Item, int64, error)
+	// ListStale is like List, but the items and the revision may be some seconds
+	// old. It is cheaper than List.
+	ListStale(ctx context.Context, prefix string) ([]Item, int64, error)
 	// Watch returns the changes below a prefix after a revision as soon as there
 	// are any, or none after wait, and the revision to continue from. It returns
 	// ErrCompacted if the history after the revision is no longer available.
