Repeat orders of servers only until the cloud has accepted them

Change: an accepted order is repeated once a minute; one that was never accepted after 2, 4 and then 8 s.

--- a/internal/entry/gateway/scale.go
+++ b/internal/entry/gateway/scale.go
@@ -19,11 +19,14 @@
 const (
 	// scalePeriod is the time between two computations of the orders.
 	scalePeriod = 500 * time.Millisecond
-	// repeatDelay is the time after which an unchanged order is sent again if the
-	// last call succeeded, and retryDelay is the time after which it is sent again
-	// if the call failed.
-	repeatDelay = 20 * time.Second
-	retryDelay  = 2 * time.Second
+	// repeatDelay is the time after which an order that the cloud has accepted is
+	// sent again. The cloud keeps to it meanwhile: when servers that were taken away
+	// are to be had again, it starts others without a call.
+	repeatDelay = time.Minute
+	// minRetryDelay is the time after which an order is sent again if the call
+	// failed and the cloud never accepted it; it doubles up to maxRetryDelay.
+	minRetryDelay = 2 * time.Second
+	maxRetryDelay = 8 * time.Second
 	// planPrefix is the prefix of the store keys that hold the planned numbers of
 	// servers.
 	planPrefix = "wasabiworks/plan/"
@@ -46,6 +49,26 @@
 type sentOrder struct {
 	desired  int
 	nextSend time.Time // on the boot clock; an unchanged order is not sent before
+	accepted bool      // the cloud has accepted this number
+	failures int       // calls that failed since the number changed
+}
+
+// next returns the order after a call for desired at now that returned err.
+func (o sentOrder) next(desired int, now time.Time, err error) sentOrder {
+	if desired != o.desired {
+		o = sentOrder{desired: desired}
+	}
+	if err == nil {
+		o.accepted = true
+	} else {
+		o.failures++
+	}
+	delay := repeatDelay
+	if !o.accepted {
+		delay = min(maxRetryDelay, minRetryDelay<<min(o.failures-1, 10))
+	}
+	o.nextSend = now.Add(delay)
+	return o
 }
 
 // scaler orders servers while this instance holds the duty. Its state is reset
@@ -205,11 +228,7 @@
 		return
 	}
 	err := s.instance.config.Cloud.SetCapacity(ctx, fence, k.service, k.domain, desired, k.reclaimable)
-	delay := repeatDelay
-	if err != nil {
-		delay = retryDelay
-	}
-	s.lastOrders[k] = sentOrder{desired, now.Add(delay)}
+	s.lastOrders[k] = last.next(desired, now, err)
 	if errors.Is(err, context.Canceled) || ok && last.desired == desired && err == nil {
 		return
 	}
