Count the shared retry budget exactly, and round small parts at random

Cause: each instance could send at least one retry at once and one more in each window, so that a large fleet exceeded a small budget (300 retries for a budget of 258 with 100 instances in the test of the fleet's budget). Change: an instance counts what its requests earned and its retries in tenths of a window; parts of a retry are rounded by a draw that lasts four windows; twice the deviation of the rounding is kept free of the slack.

--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -1,78 +1,124 @@
 package retry
 
 import (
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
-const (
-	// usableFraction is the fraction of the fleet's budget that instances use.
-	// The rest covers instances that restart with a new budget and clocks that
-	// differ.
-	usableFraction = 0.8
-	// initialFraction is the fraction of its capacity with which an instance
-	// starts. An instance that was killed may have spent any part of its budget
-	// before it restarts.
-	initialFraction = 0.5
-)
+// usableFraction is the fraction of the fleet's budget that instances use. The rest
+// covers instances that restart with a new budget and clocks that differ.
+const usableFraction = 0.75
 
 // SharedConfig describes the budget of all instances together for one service:
-// in any window, Ratio retries for each request and Slack more. With more than
-// Slack/2 instances they may exceed it, because each may send one retry at once
-// and one more per window.
+// in any window, Ratio retries for each request and Slack more.
 type SharedConfig struct {
 	Ratio, Slack float64
 	Window       time.Duration
 	// Instances returns the number of instances that share the budget.
 	Instances func() int
 	Now       func() time.Time
+	// Random returns a number in [0, 1); the default is a random one.
+	Random func() float64
 }
 
-// SharedBudget is one instance's part of the fleet's budget, kept as a token bucket:
-// each of its own requests adds tokens, and the instance gets an equal share of
-// the slack: half as capacity that it can spend in a burst, half refilled over
-// the window. The methods are safe for concurrent use.
+const (
+	// parts is the number of parts of a window in which requests and retries are
+	// counted.
+	parts = 10
+	// drawWindows is the number of windows after which the rounding is drawn again.
+	// In any window, a quarter of the instances then have two draws.
+	drawWindows = 4
+	// minSlackFraction is the fraction of the slack that instances use at least.
+	minSlackFraction = 0.25
+)
+
+// SharedBudget is one instance's part of the fleet's budget. In a window the
+// instance may send Ratio retries for each of its own requests, and an equal share
+// of the slack. Parts of a retry are rounded at random, so that many instances with
+// less than one retry each use their parts together, and hardly more. The methods
+// are safe for concurrent use.
 type SharedBudget struct {
 	config SharedConfig
 
 	mu       sync.Mutex
-	tokens   float64
-	refilled time.Time
+	partEnd  time.Time // end of the current part
+	earned   [parts]float64
+	spent    [parts + 1]float64 // one part more, so that it covers a whole window
+	drawEnd  time.Time          // when rounding is drawn again
+	rounding float64            // in [0, 1)
 }
 
-// NewSharedBudget returns a budget that holds initialFraction of its capacity.
+// NewSharedBudget returns a budget that has recorded no request.
 func NewSharedBudget(c SharedConfig) *SharedBudget {
-	s := &SharedBudget{config: c, refilled: c.Now()}
-	s.tokens = initialFraction * s.capacity()
-	return s
-}
-
-// capacity returns the highest number of retries that can accumulate. It is at
-// least 1, because an instance with less could never retry; for a large number
-// of instances this is more than their share of the slack.
-func (s *SharedBudget) capacity() float64 {
-	return max(1, usableFraction*s.config.Slack/2/float64(max(1, s.config.Instances())))
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
+	now := c.Now()
+	return &SharedBudget{
+		config: c, partEnd: now.Add(c.Window / parts), rounding: c.Random(),
+		// Instances that start together draw at different times.
+		drawEnd: now.Add(time.Duration(c.Random() * float64(drawWindows*c.Window))),
+	}
 }
 
 // Deposit records a request.
 func (s *SharedBudget) Deposit() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tokens = min(s.capacity(), s.tokens+usableFraction*s.config.Ratio)
+	s.advance()
+	s.earned[0] += usableFraction * s.config.Ratio
 }
 
 // Withdraw takes one retry from the budget and reports whether there was one.
 func (s *SharedBudget) Withdraw() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, capacity := s.config.Now(), s.capacity()
-	if elapsed := now.Sub(s.refilled); elapsed > 0 {
-		s.tokens = min(capacity, s.tokens+capacity*elapsed.Seconds()/s.config.Window.Seconds())
-		s.refilled = now
-	}
-	if s.tokens < 1 {
+	s.advance()
+	if sum(s.spent[:])+s.rounding >= sum(s.earned[:])+s.slackShare() {
 		return false
 	}
-	s.tokens--
+	s.spent[0]++
 	return true
 }
+
+// slackShare returns this instance's part of the slack. Rounding deviates by about
+// half the square root of the number of instances from the sum of their parts, and
+// twice that is kept free.
+func (s *SharedBudget) slackShare() float64 {
+	n := float64(max(1, s.config.Instances()))
+	return max(usableFraction*s.config.Slack-math.Sqrt(n), minSlackFraction*s.config.Slack) / n
+}
+
+// advance begins new parts, and draws the rounding again, if the current ones have
+// ended.
+func (s *SharedBudget) advance() {
+	now := s.config.Now()
+	part := s.config.Window / parts
+	if late := now.Sub(s.partEnd); late >= 0 {
+		ended := int(late/part) + 1
+		s.partEnd = s.partEnd.Add(time.Duration(ended) * part)
+		shift(s.earned[:], ended)
+		shift(s.spent[:], ended)
+	}
+	if late := now.Sub(s.drawEnd); late >= 0 {
+		period := drawWindows * s.config.Window
+		s.drawEnd = s.drawEnd.Add(period * (late/period + 1))
+		s.rounding = s.config.Random()
+	}
+}
+
+// shift moves the counts of parts back by n and empties the first n.
+func shift(counts []float64, n int) {
+	n = min(n, len(counts))
+	copy(counts[n:], counts[:len(counts)-n])
+	clear(counts[:n])
+}
+
+func sum(counts []float64) (total float64) {
+	for _, c := range counts {
+		total += c
+	}
+	return total
+}
