--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -272,9 +272,8 @@
 // complete, and against an idempotent request that is not retried then.
 func TestTooLongResponseIsNotCut(t *testing.T) {
 	long := serveRaw(t, func(c *rawConn) {
-		for id := c.readRequest(); id != ""; id = c.readRequest() {
+		if id := c.readRequest(); id != "" {
 			c.send(head(id, "text/plain") + "\r\n" + strings.Repeat("x", 2000))
-			return
 		}
 	})
 	f := newForwarder(t, 1000, 2*time.Second, long)
@@ -318,14 +317,15 @@
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
 			s := serveRaw(t, func(c *rawConn) {
-				for id := c.readRequest(); id != ""; id = c.readRequest() {
-					c.send(head(id, "text/event-stream") + "\r\n")
-					for n := 1; n <= 8; n++ {
-						time.Sleep(150 * time.Millisecond) // more than the route's EventGap
-						c.send(fmt.Sprintf("id: %d\ndata: a\n\n", n))
-					}
+				id := c.readRequest()
+				if id == "" {
 					return
 				}
+				c.send(head(id, "text/event-stream") + "\r\n")
+				for n := 1; n <= 8; n++ {
+					time.Sleep(150 * time.Millisecond) // more than the route's EventGap
+					c.send(fmt.Sprintf("id: %d\ndata: a\n\n", n))
+				}
 			})
 			f := newForwarder(t, 1000, 8*time.Second, s)
 			if r := call(t, f, http.MethodPost, path, "r1"); !r.complete || strings.Count(r.body, "data: a\n\n") != 8 {
