--- a/internal/entry/instance/drain.go
+++ b/internal/entry/instance/drain.go
@@ -84,7 +84,16 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("no instance accepted stream %s: %w", h.StreamID, err)
+	return handoverError(h.StreamID, err)
+}
+
+// handoverError returns the error for a stream that no instance accepted. err is the
+// first error of the calls, or nil if all instances replied or there are none.
+func handoverError(stream string, err error) error {
+	if err == nil {
+		return fmt.Errorf("no instance accepted stream %s", stream)
+	}
+	return fmt.Errorf("no instance accepted stream %s: %w", stream, err)
 }
 
 // serveHandover answers a handover request from an instance that is shutting
--- a/internal/operator/requestlog/requestlog.go
+++ b/internal/operator/requestlog/requestlog.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -16,8 +17,7 @@
 	// relatedWindow is the time before and after a request's log line within
 	// which log lines of the same instance without a request ID count as related.
 	relatedWindow = 10 * time.Second
-	// maxLineBytes is the maximum length of a log line. Read returns an error for
-	// a longer line.
+	// maxLineBytes is the maximum length of a log line. Read skips longer lines.
 	maxLineBytes = 1 << 20
 )
 
@@ -37,7 +37,8 @@
 // Read returns the log events of a request and the related events of its
 // instance, one per line and ordered by time. Times are relative to the first line
 // of the request in logs. Each line of logs may have any text before its JSON. Read
-// returns an error if no line belongs to the request or a line exceeds 1 MiB.
+// returns an error if no line belongs to the request. Lines that exceed 1 MiB are
+// skipped: the instances write none.
 func Read(logs io.Reader, request string) (string, error) {
 	lines, err := parse(logs)
 	if err != nil {
@@ -115,15 +116,21 @@
 
 // parse returns the log lines that contain a JSON object with a message.
 func parse(logs io.Reader) (lines []line, err error) {
-	in := bufio.NewScanner(logs)
-	in.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
-	for in.Scan() {
-		jsonStart := bytes.IndexByte(in.Bytes(), '{')
+	in := bufio.NewReaderSize(logs, 64<<10)
+	for {
+		text, err := readLine(in)
+		if errors.Is(err, io.EOF) && len(text) == 0 {
+			return lines, nil
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return nil, fmt.Errorf("read logs: %w", err)
+		}
+		jsonStart := bytes.IndexByte(text, '{')
 		if jsonStart < 0 {
 			continue
 		}
 		var l line
-		data := in.Bytes()[jsonStart:]
+		data := text[jsonStart:]
 		if json.Unmarshal(data, &l) != nil || l.Message == "" {
 			continue // not a log line of an instance
 		}
@@ -134,8 +141,25 @@
 		}
 		lines = append(lines, l)
 	}
-	if err := in.Err(); err != nil {
-		return nil, fmt.Errorf("read logs: %w", err)
+}
+
+// readLine returns the next line, or one without text if it exceeds maxLineBytes.
+// The error is io.EOF at the end of the logs, also with the last line.
+func readLine(in *bufio.Reader) (text []byte, err error) {
+	long := false
+	for {
+		part, err := in.ReadSlice('\n')
+		if long = long || len(text)+len(part) > maxLineBytes; !long {
+			text = append(text, part...)
+		}
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case long && err == nil:
+			return []byte{'\n'}, nil
+		case long:
+			return nil, err
+		}
+		return text, err
 	}
-	return lines, nil
 }
--- a/internal/operator/requestlog/requestlog_test.go
+++ b/internal/operator/requestlog/requestlog_test.go
@@ -37,3 +37,19 @@
 		t.Error("Read with an unknown request: got no error")
 	}
 }
+
+// Guards against logs that cannot be read at all because of one very long line, as
+// another program may write it.
+func TestReadSkipsLongLines(t *testing.T) {
+	own := `{"ts":1,"msg":"request ended","instance":"a","request":"r1"}`
+	for _, logs := range []string{
+		strings.Repeat("x", 3<<20) + "\n" + own + "\n",
+		own + "\n" + strings.Repeat("x", 3<<20),
+		own,
+	} {
+		out, err := Read(strings.NewReader(logs), "r1")
+		if err != nil || !strings.Contains(out, "request ended") {
+			t.Errorf("logs of %d bytes: got %q and error %v, want the request's line", len(logs), out, err)
+		}
+	}
+}
--- a/internal/peer/usage/counter.go
+++ b/internal/peer/usage/counter.go
@@ -92,18 +92,19 @@
 }
 
 // adopt keeps the counts of an instance that is stopping, to be sent on to the
-// duty's holder. Counts beyond maxAdopted are dropped without an error.
-func (c *counter) adopt(r *peerpb.UsageRequest) {
+// duty's holder, and reports whether it did: at most maxAdopted are kept.
+func (c *counter) adopt(r *peerpb.UsageRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r.GetNode() == c.node || c.adopted >= maxAdopted {
-		return
+		return false
 	}
 	c.ownCounts(r.GetWindow()) // creates the window if needed
 	if _, ok := c.windows[r.GetWindow()][r.GetNode()]; !ok {
 		c.adopted++
 	}
 	c.windows[r.GetWindow()][r.GetNode()] = &windowCounts{requests: r.GetCounts(), loads: r.GetLoads()}
+	return true
 }
 
 // unsent returns the counts, adopted ones included, that were not sent to holder
--- a/internal/peer/usage/reporter.go
+++ b/internal/peer/usage/reporter.go
@@ -109,8 +109,7 @@
 	holder, fence := r.config.Duty.Current()
 	reply := &peerpb.UsageReply{Held: r.collector.receive(counts, time.Now()), Holder: holder, Fence: fence}
 	if !reply.Held && counts.GetAdopt() && r.collector.valid(counts, time.Now()) {
-		r.counter.adopt(counts)
-		reply.Adopted = true
+		reply.Adopted = r.counter.adopt(counts)
 	}
 	return reply, nil
 }
--- a/internal/peer/usage/usage_test.go
+++ b/internal/peer/usage/usage_test.go
@@ -224,3 +224,30 @@
 		t.Error("counts of a and b: got incomplete, want complete")
 	}
 }
+
+// Guards against an instance that stops and drops its counts because a peer says
+// that it has adopted them although it has not.
+func TestFullPeerDoesNotAdopt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b")
+		defer func() {
+			f.stop("b", "a")
+			f.stop("a", "")
+		}()
+		b := f.reporters["b"]
+		current := b.counter.windowAt(time.Now())
+		adopted := 0
+		for n := range maxAdopted + 10 {
+			reply, err := b.Serve(t.Context(), &peerpb.UsageRequest{Node: fmt.Sprint("gone/", n), Window: current, Adopt: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if reply.GetAdopted() {
+				adopted++
+			}
+		}
+		if adopted != maxAdopted {
+			t.Errorf("%d counts reported as adopted, want %d", adopted, maxAdopted)
+		}
+	})
+}
