--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -133,17 +133,24 @@
 // Run keeps the copy up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	from := f.listStale(ctx)
-	failures := 0 // consecutive
+	failures := 0     // consecutive
+	watching := false // the last successful call was one to the store
 	for ctx.Err() == nil {
 		sent := f.config.Now()
 		if next, count, ok := f.updateFromPeer(ctx, from, sent); ok {
-			from = next
+			from, watching = next, false
 			if count > 0 {
 				wait.For(ctx, batchDelay)
 			}
 			continue
 		}
-		next, count, err := f.updateFromStore(ctx, from)
+		// The first call confirms the copy at once: others may already rely on this
+		// instance, and their copies are as old as this one.
+		maxWait := time.Duration(0)
+		if watching {
+			maxWait = f.config.Wait
+		}
+		next, count, err := f.updateFromStore(ctx, from, maxWait)
 		now := f.config.Now()
 		if ctx.Err() != nil {
 			return
@@ -167,7 +174,7 @@
 			f.confirmed.Store(sent.UnixNano())
 			f.changes.notifyConfirmed()
 		}
-		from = next
+		from, watching = next, true
 		if count > 0 || now.Sub(sent) < batchDelay {
 			wait.For(ctx, batchDelay)
 		}
@@ -189,9 +196,10 @@
 }
 
 // updateFromStore makes one call to the store and applies the result. It lists all
-// items if from is 0 and watches for changes after from otherwise. It returns the
-// revision to continue from, 0 to list again, and the number of items received.
-func (f *Follower) updateFromStore(ctx context.Context, from int64) (next int64, count int, err error) {
+// items if from is 0 and otherwise watches for changes after from, for at most
+// maxWait. It returns the revision to continue from, 0 to list again, and the number
+// of items received.
+func (f *Follower) updateFromStore(ctx context.Context, from int64, maxWait time.Duration) (next int64, count int, err error) {
 	if from == 0 {
 		items, next, err := f.config.Store.List(ctx, f.config.Prefix)
 		if err != nil {
@@ -201,7 +209,7 @@
 		f.changes.reset(next)
 		return next, len(items), nil
 	}
-	items, next, err := f.config.Store.Watch(ctx, f.config.Prefix, from, f.firstWait(f.config.Wait))
+	items, next, err := f.config.Store.Watch(ctx, f.config.Prefix, from, maxWait)
 	if errors.Is(err, store.ErrCompacted) {
 		f.config.Log.Info("watched revision was compacted by the store; follower lists all keys again", zap.Int64("revision", from))
 		f.lastFailure.Store(f.config.Now().UnixNano())
@@ -228,7 +236,10 @@
 		// at once.
 		return 0, 0, false
 	}
-	maxWait, silent := f.firstWait(relayWait), false
+	maxWait, silent := relayWait, false
+	if f.Confirmed().IsZero() {
+		maxWait = 0
+	}
 	for range maxRelayAttempts {
 		r, err := f.callPeer(ctx, from, maxWait)
 		silent = silent || !errors.Is(err, ErrRelayGap)
@@ -247,15 +258,6 @@
 	return 0, 0, false
 }
 
-// firstWait returns how long a call may wait for changes: not at all before the copy
-// is confirmed for the first time, and wait otherwise.
-func (f *Follower) firstWait(wait time.Duration) time.Duration {
-	if f.Confirmed().IsZero() {
-		return 0
-	}
-	return wait
-}
-
 // callPeer makes one call to a peer and rejects a copy that is too old.
 func (f *Follower) callPeer(ctx context.Context, from int64, maxWait time.Duration) (RelayReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxWait+relayMargin)
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/platform/store"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 // clock is a boot clock that tests advance by hand.
@@ -230,3 +231,45 @@
 		}
 	})
 }
+
+// countingStore confirms the copy after the time that each watch may wait.
+type countingStore struct {
+	store.Store
+	waits []time.Duration
+}
+
+func (s *countingStore) ListStale(context.Context, string) ([]store.Item, int64, error) {
+	return nil, 5, nil
+}
+
+func (s *countingStore) Watch(ctx context.Context, _ string, after int64, maxWait time.Duration) ([]store.Item, int64, error) {
+	s.waits = append(s.waits, maxWait)
+	wait.For(ctx, maxWait)
+	return nil, after, ctx.Err()
+}
+
+// Guards against copies that get too old at all peers when another instance begins
+// to watch the store for them, because its first watch waits for a change.
+func TestNewWatcherConfirmsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &countingStore{}
+		start := time.Now()
+		const takeover = 10 * time.Second
+		f := New(Config{Store: s, Now: time.Now, Wait: time.Second, Apply: func(Change) {}, Relay: func(_ context.Context, after int64, maxWait time.Duration) (RelayReply, error) {
+			if time.Since(start) >= takeover {
+				return RelayReply{}, ErrNoRelay
+			}
+			time.Sleep(maxWait)
+			return RelayReply{Next: after, Waited: maxWait, Age: time.Second}, nil
+		}})
+		ctx, cancel := context.WithTimeout(t.Context(), takeover+relayWait+100*time.Millisecond)
+		defer cancel()
+		f.Run(ctx)
+		if age := time.Since(f.Confirmed()); age > 700*time.Millisecond {
+			t.Errorf("after the takeover the copy is %v old, want it confirmed at once", age)
+		}
+		if want := []time.Duration{0, 0}; len(s.waits) < 2 || !slices.Equal(s.waits[:2], want) {
+			t.Errorf("first watches waited %v, want %v at the start and at the takeover", s.waits, want)
+		}
+	})
+}
