Take older copies of the store from peers, and stay with peers whose copy is old

Change: the limit follows from the time for which keys are trusted, 3.2 s of 4.3 s; a peer with an old copy counts as one with a gap and is asked again. Test: TestRelayIsTriedAgainAfterGap, the case of an old copy, fails before.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -55,6 +55,10 @@
 	// second during which a watch of a degraded store may miss changes although it
 	// succeeds.
 	revocationMargin = 700 * time.Millisecond
+	// relayAgeFraction is how old a copy of the store may be that an instance takes
+	// from a peer, as a fraction of the time for which API keys are trusted. The rest
+	// is enough to ask another peer and then the store.
+	relayAgeFraction = 0.75
 	// balancerDelay is how long the load balancer may still send connections to an
 	// instance that reports that it is not ready: two probes, one a second.
 	balancerDelay = 2500 * time.Millisecond
@@ -194,7 +198,7 @@
 		config: c, now: boottime.Now, registry: c.Registry, pool: pool.New(),
 		relayAvoidUntil: make(map[string]time.Time), serverRevisions: make(map[string]int64), registered: make(map[string]membership.Member),
 	}
-	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay, Now: f.now, Log: c.Log})
+	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay, MaxRelayAge: maxRelayAge(c.RevokeWithin), Now: f.now, Log: c.Log})
 	if err := f.initCluster(); err != nil {
 		return nil, err
 	}
@@ -254,6 +258,12 @@
 	return err
 }
 
+// maxRelayAge returns how old a copy of the store may be that an instance takes from
+// a peer.
+func maxRelayAge(revokeWithin time.Duration) time.Duration {
+	return time.Duration(relayAgeFraction * float64(revokeWithin-revocationMargin))
+}
+
 // view returns the current table, and whether it was confirmed recently enough
 // to trust its API keys.
 func (f *Instance) view() forward.View {
