Exchange counters between failure domains every half second where they are few

Change: the period is 0.5 s with up to 10 links to other failure domains, and grows with their number to 2 s, which serve keeps. Test: TestRemotePeriodGrowsWithFailureDomains.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -79,6 +79,10 @@
 	// hubsPerDomain is the number of instances of a large failure domain with which
 	// the others exchange. The second one stands in while the first is silent.
 	hubsPerDomain = 2
+	// remotePeriod is the time between two exchanges with an instance of another
+	// failure domain in a fleet of few failure domains. Until then the failure
+	// domains do not know what the others have admitted of an allowance.
+	remotePeriod = 500 * time.Millisecond
 	// dutyKey is the store key that names the holder of the duty.
 	dutyKey = "wasabiworks/duty"
 	// usagePrefix is the prefix of the store keys at which the sums of usage windows
@@ -248,7 +252,7 @@
 	f.counters.SetDomain(c.FailureDomain)
 	counters := exchange.Evidence{Table: &f.counters, Domain: c.FailureDomain, Self: c.ID, Hub: f.members.IsHub}
 	f.exchange, err = exchange.New(exchange.Config{
-		Members:    f.members,
+		Members: f.members, MinRemotePeriod: remotePeriod,
 		Sources:    []exchange.Source{counters, f.crashes},
 		Sinks:      []exchange.Sink{counters, f.crashes},
 		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.serveWatch, Spend: f.serveSpend},
--- a/internal/peer/exchange/node.go
+++ b/internal/peer/exchange/node.go
@@ -29,9 +29,12 @@
 )
 
 const (
-	// remotePeriod is the time between two exchanges with a member of another
-	// failure domain; membership defines the period within a failure domain.
-	remotePeriod = 2 * time.Second
+	// maxRemotePeriod is the longest time between two exchanges with a member of
+	// another failure domain, and remotePeriodPerLink the time that each link to
+	// another failure domain adds above Config.MinRemotePeriod; membership defines
+	// the period within a failure domain.
+	maxRemotePeriod     = 2 * time.Second
+	remotePeriodPerLink = 50 * time.Millisecond
 	// probeDelay is added to the exchange period of a suspected member.
 	probeDelay = time.Second
 	// linksRefreshPeriod is how long the computed links are reused. In a large
@@ -77,6 +80,10 @@
 	// catalogue revision and whether the sender holds the watch. It must not
 	// block and may be nil.
 	OnDigest func(from membership.Member, revision int64, watching bool)
+	// MinRemotePeriod is the time between two exchanges with a member of another
+	// failure domain while there are few links to other failure domains; default
+	// 2 s.
+	MinRemotePeriod time.Duration
 	// TLS authenticates the connections to peers in both directions; if it is
 	// nil, they are neither authenticated nor encrypted.
 	TLS *tls.Config
@@ -102,6 +109,7 @@
 	// Only Run uses them.
 	links, probes    []string
 	nextLinksRefresh time.Time
+	remotePeriod     time.Duration
 
 	mu     sync.Mutex
 	closed bool
@@ -117,6 +125,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.MinRemotePeriod == 0 {
+		c.MinRemotePeriod = maxRemotePeriod
+	}
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
@@ -210,6 +221,7 @@
 	if !now.Before(n.nextLinksRefresh) {
 		n.links, n.probes = n.config.Members.ExchangePeers(now), n.config.Members.Probes(now, round)
 		n.nextLinksRefresh = now.Add(linksRefreshPeriod)
+		n.remotePeriod = n.remotePeriodFor(n.links)
 		for _, id := range n.config.Members.Expire(now) {
 			n.removePeer(id)
 		}
@@ -256,10 +268,23 @@
 	})
 }
 
+// remotePeriodFor returns the time between two exchanges with a member of another
+// failure domain. It grows with their number, so that a fleet of many small failure
+// domains does not make each instance exchange all the time.
+func (n *Node) remotePeriodFor(links []string) time.Duration {
+	remote := 0
+	for _, id := range links {
+		if m, ok := n.config.Members.Member(id); ok && m.FailureDomain != n.self.FailureDomain {
+			remote++
+		}
+	}
+	return min(maxRemotePeriod, max(n.config.MinRemotePeriod, time.Duration(remote)*remotePeriodPerLink))
+}
+
 // period returns the time since the last exchange with m after which this side
 // starts another.
 func (n *Node) period(m membership.Member) time.Duration {
-	period := remotePeriod
+	period := n.remotePeriod
 	if m.FailureDomain == n.self.FailureDomain {
 		period = n.config.Members.HeartbeatPeriod()
 	}
