Order servers again while some are missing, and expect two domains to lose theirs

With orders repeated at once, domains lost their reclaimable servers one after the other faster than ordinary ones started, because only one domain's loss was expected. Change: an order is repeated 6 s after it was accepted, and 2, 4 and then 8 s after it was refused, while fewer servers run than were ordered, and once a minute otherwise; its log line has the number that runs. Reclaimable servers of all but the two domains with the most of them count towards the need.

--- a/internal/decide/capacity/capacity.go
+++ b/internal/decide/capacity/capacity.go
@@ -91,6 +91,9 @@
 	// maxPriceFraction is the highest ReclaimablePrice at which reclaimable
 	// servers are worth ordering.
 	maxPriceFraction = 0.5
+	// lostDomains is the number of domains that may lose their reclaimable servers
+	// before ordinary servers that are ordered then have started.
+	lostDomains = 2
 	// needPerOrdinary is the need for each ordinary server that reclaimable servers
 	// never replace, up to one in each domain. Ordinary servers carry the load for
 	// the seconds until others start if all reclaimable servers are taken away.
@@ -98,9 +101,9 @@
 )
 
 // Plan returns the orders for a service, one per domain. Only the reclaimable
-// servers that remain if the domain with the most of them loses all count towards
-// the need, because a domain can lose them at short notice and at a time when no
-// replacements are available in the others. Ordinary servers cover the rest of the
+// servers that remain if the lostDomains domains with the most of them lose all count
+// towards the need, because a domain can lose them at short notice and at a time when
+// no replacements are available in the others. Ordinary servers cover the rest of the
 // need. They are spread evenly, with the remainder of the division in the cheapest
 // domains.
 func Plan(s Service) []Order {
@@ -133,14 +136,18 @@
 }
 
 // remainingReclaimable returns the number of reclaimable servers that remain if
-// the domain with the most of them loses all.
+// the lostDomains domains with the most of them lose all.
 func (s Service) remainingReclaimable() int {
-	sum, largest := 0, 0
+	var counts []int
 	for _, d := range s.Domains {
-		sum += d.Reclaimable
-		largest = max(largest, d.Reclaimable)
+		counts = append(counts, d.Reclaimable)
 	}
-	return sum - largest
+	slices.Sort(counts)
+	remaining := 0
+	for _, n := range counts[:max(0, len(counts)-lostDomains)] {
+		remaining += n
+	}
+	return remaining
 }
 
 // clamp limits a number of servers in a domain to Min and Max. If Max is below
--- a/internal/decide/capacity/capacity_test.go
+++ b/internal/decide/capacity/capacity_test.go
@@ -15,7 +15,7 @@
 
 // Guards against orders outside the bounds, a remainder in expensive domains, and
 // load that no server covers. Reclaimable servers that have not started yet, that
-// were taken away, or that one domain may lose at any moment must not count
+// were taken away, or that two domains may lose at any moment must not count
 // towards the need.
 func TestPlanCoversNeedWithinBounds(t *testing.T) {
 	priced := func(price float64) Service {
@@ -30,10 +30,10 @@
 		remainderIn           string // domain with the most ordinary servers; "" if there is no remainder
 	}{
 		{"no reclaimable servers yet", newService(13), 13, 27, "b"},
-		{"too few reclaimable servers", newService(13, 2, 2, 2, 2), 7, 33, ""},
-		{"enough remain after one domain's loss", newService(13, 5, 5, 5, 5), 4, 36, ""},
+		{"too few reclaimable servers", newService(13, 2, 2, 2, 2), 9, 31, "b"},
+		{"enough remain after two domains' loss", newService(13, 5, 5, 5, 5), 4, 36, ""},
 		{"all reclaimable servers in one domain", newService(13, 20), 13, 27, "b"},
-		{"two domains lost their reclaimable servers", newService(13, 5, 5, 0, 0), 8, 32, ""},
+		{"two domains lost their reclaimable servers", newService(13, 5, 5, 0, 0), 13, 27, "b"},
 		{"no need", newService(0), 1, 3, "b"},
 		{"small need, enough reclaimable servers", newService(5.4, 5, 5, 5, 5), 2, 20, ""},
 		{"small need, one domain lost its reclaimable servers", newService(5.4, 5, 5, 0, 5), 2, 20, ""},
--- a/internal/entry/gateway/scale.go
+++ b/internal/entry/gateway/scale.go
@@ -19,12 +19,14 @@
 const (
 	// scalePeriod is the time between two computations of the orders.
 	scalePeriod = 500 * time.Millisecond
-	// repeatDelay is the time after which an order that the cloud has accepted is
-	// sent again. The cloud keeps to it meanwhile: when servers that were taken away
-	// are to be had again, it starts others without a call.
+	// repeatDelay is the time after which an order is sent again in any case, and
+	// refillDelay that after which it is sent again because fewer servers run than
+	// were ordered. The cloud does not replace servers that were taken away, and
+	// ordered ones take some seconds to start.
 	repeatDelay = time.Minute
+	refillDelay = 6 * time.Second
 	// minRetryDelay is the time after which an order is sent again if the call
-	// failed and the cloud never accepted it; it doubles up to maxRetryDelay.
+	// failed; it doubles up to maxRetryDelay.
 	minRetryDelay = 2 * time.Second
 	maxRetryDelay = 8 * time.Second
 	// planPrefix is the prefix of the store keys that hold the planned numbers of
@@ -48,27 +50,29 @@
 // whether or not the call succeeded.
 type sentOrder struct {
 	desired  int
-	nextSend time.Time // on the boot clock; an unchanged order is not sent before
-	accepted bool      // the cloud has accepted this number
-	failures int       // calls that failed since the number changed
+	failures int // consecutive failed calls
+	// retryAt is the time from which the order is sent again while fewer servers run
+	// than were ordered, and repeatAt that from which it is sent again anyway, on the
+	// boot clock.
+	retryAt, repeatAt time.Time
 }
 
-// next returns the order after a call for desired at now that returned err.
+// due reports whether to send an order for desired servers while some are running.
+func (o sentOrder) due(desired, running int, now time.Time) bool {
+	return desired != o.desired || !now.Before(o.repeatAt) || running < desired && !now.Before(o.retryAt)
+}
+
+// next returns the order after a call for desired servers at now that returned err.
 func (o sentOrder) next(desired int, now time.Time, err error) sentOrder {
-	if desired != o.desired {
-		o = sentOrder{desired: desired}
-	}
 	if err == nil {
-		o.accepted = true
-	} else {
-		o.failures++
+		return sentOrder{desired: desired, retryAt: now.Add(refillDelay), repeatAt: now.Add(repeatDelay)}
 	}
-	delay := repeatDelay
-	if !o.accepted {
-		delay = min(maxRetryDelay, minRetryDelay<<min(o.failures-1, 10))
+	failures := o.failures + 1
+	if desired != o.desired {
+		failures = 1
 	}
-	o.nextSend = now.Add(delay)
-	return o
+	retryAt := now.Add(min(maxRetryDelay, minRetryDelay<<min(failures-1, 10)))
+	return sentOrder{desired: desired, failures: failures, retryAt: retryAt, repeatAt: now.Add(repeatDelay)}
 }
 
 // scaler orders servers while this instance holds the duty. Its state is reset
@@ -129,26 +133,26 @@
 	c := capacity.Service{
 		Min: service.Scaling.Min, Max: service.Scaling.Max, ReclaimablePrice: service.Scaling.ReclaimablePrice, Need: s.needed(service.Name, planned),
 	}
-	usable := s.usableReclaimable(service.Name)
+	usable := s.usable(service.Name)
 	for domain, price := range service.Scaling.Prices {
-		c.Domains = append(c.Domains, capacity.Domain{Name: domain, Price: price, Reclaimable: usable[domain]})
+		c.Domains = append(c.Domains, capacity.Domain{Name: domain, Price: price, Reclaimable: usable[orderKey{service.Name, domain, true}]})
 	}
 	slices.SortFunc(c.Domains, func(a, b capacity.Domain) int { return strings.Compare(a.Name, b.Name) })
 	for _, o := range capacity.Plan(c) {
+		reclaimable, ordinary := orderKey{service.Name, o.Domain, true}, orderKey{service.Name, o.Domain, false}
 		if o.Reclaimable > 0 {
-			s.order(ctx, orderKey{service.Name, o.Domain, true}, o.Reclaimable)
+			s.order(ctx, reclaimable, o.Reclaimable, usable[reclaimable])
 		}
-		s.order(ctx, orderKey{service.Name, o.Domain, false}, o.Ordinary)
+		s.order(ctx, ordinary, o.Ordinary, usable[ordinary])
 	}
 }
 
-// usableReclaimable returns the number of a service's reclaimable servers that
-// take requests, by failure domain.
-func (s *scaler) usableReclaimable(service string) map[string]int {
-	n := make(map[string]int)
+// usable returns the number of a service's servers that take requests, by group.
+func (s *scaler) usable(service string) map[orderKey]int {
+	n := make(map[orderKey]int)
 	for _, w := range s.instance.pool.Service(service) {
-		if w.Reclaimable && w.Usable() {
-			n[w.FailureDomain]++
+		if w.Usable() {
+			n[orderKey{service, w.FailureDomain, w.Reclaimable}]++
 		}
 	}
 	return n
@@ -216,11 +220,12 @@
 	f.plannedServers.Store(strings.TrimPrefix(item.Key, planPrefix), n)
 }
 
-// order sends an order if it differs from the last one or is due again.
-func (s *scaler) order(ctx context.Context, k orderKey, desired int) {
+// order sends an order if it differs from the last one or is due again. running is
+// the number of servers of the group that take requests.
+func (s *scaler) order(ctx context.Context, k orderKey, desired, running int) {
 	now := s.instance.now()
 	last, ok := s.lastOrders[k]
-	if ok && last.desired == desired && now.Before(last.nextSend) {
+	if ok && !last.due(desired, running, now) {
 		return
 	}
 	fence, held := s.instance.duty.Fence()
@@ -229,9 +234,9 @@
 	}
 	err := s.instance.config.Cloud.SetCapacity(ctx, fence, k.service, k.domain, desired, k.reclaimable)
 	s.lastOrders[k] = last.next(desired, now, err)
-	if errors.Is(err, context.Canceled) || ok && last.desired == desired && err == nil {
+	if errors.Is(err, context.Canceled) {
 		return
 	}
 	s.instance.config.Log.Info("server order attempted", zap.String("service", k.service), zap.String("domain", k.domain), zap.Bool("reclaimable", k.reclaimable),
-		zap.Int("desired", desired), zap.Int64("fence", fence), zap.Error(err))
+		zap.Int("desired", desired), zap.Int("running", running), zap.Int64("fence", fence), zap.Error(err))
 }
--- a/internal/entry/gateway/scale_test.go
+++ b/internal/entry/gateway/scale_test.go
@@ -6,32 +6,42 @@
 	"time"
 )
 
-// Guards against an order that is repeated although the cloud keeps to it, against
-// one that was never accepted and is given up, and against calls every other second
-// while no server is to be had.
-func TestOrdersAreRepeatedOnlyUntilAccepted(t *testing.T) {
+// Guards against servers that were taken away and are not ordered again for long,
+// against orders that are repeated although all servers run, and against calls every
+// other second while no server is to be had.
+func TestOrdersAreRepeatedWhileServersAreMissing(t *testing.T) {
 	refused := errors.New("no server is available")
 	now := time.Unix(1000, 0)
 	tests := []struct {
 		name    string
 		desired int
 		err     error
-		want    time.Duration // until the order is sent again
+		// missing and running are the times until the order is sent again while
+		// servers are missing, and while all of them run.
+		missing, running time.Duration
 	}{
-		{"refused", 4, refused, minRetryDelay},
-		{"refused again", 4, refused, 2 * minRetryDelay},
-		{"refused a third time", 4, refused, 4 * minRetryDelay},
-		{"refused a fourth time", 4, refused, maxRetryDelay},
-		{"accepted", 4, nil, repeatDelay},
-		{"repetition refused", 4, refused, repeatDelay},
-		{"another number refused", 5, refused, minRetryDelay},
-		{"another number accepted", 5, nil, repeatDelay},
+		{"refused", 4, refused, minRetryDelay, repeatDelay},
+		{"refused again", 4, refused, 2 * minRetryDelay, repeatDelay},
+		{"refused a third time", 4, refused, 4 * minRetryDelay, repeatDelay},
+		{"refused a fourth time", 4, refused, maxRetryDelay, repeatDelay},
+		{"accepted", 4, nil, refillDelay, repeatDelay},
+		{"refused after servers were taken away", 4, refused, minRetryDelay, repeatDelay},
+		{"another number refused", 5, refused, minRetryDelay, repeatDelay},
+		{"another number accepted", 5, nil, refillDelay, repeatDelay},
 	}
 	o := sentOrder{}
 	for _, tt := range tests {
 		o = o.next(tt.desired, now, tt.err)
-		if got := o.nextSend.Sub(now); got != tt.want || o.desired != tt.desired {
-			t.Errorf("%s: sent again after %v for %d servers, want %v for %d", tt.name, got, o.desired, tt.want, tt.desired)
+		for _, c := range []struct {
+			running int
+			want    time.Duration
+		}{{tt.desired - 1, tt.missing}, {tt.desired, tt.running}} {
+			if o.due(tt.desired, c.running, now.Add(c.want-1)) || !o.due(tt.desired, c.running, now.Add(c.want)) {
+				t.Errorf("%s, %d of %d run: want the order sent again after %v", tt.name, c.running, tt.desired, c.want)
+			}
+		}
+		if !o.due(tt.desired+1, tt.desired, now) {
+			t.Errorf("%s: another number is not sent at once", tt.name)
 		}
 	}
 }
