Publish the servers of a batch of changes once

Cause: the pool published a new view, all servers copied and sorted, for each registration, so that a listing took the square of the number of servers. Change: the changes that one reply of the store holds are published together.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -16,7 +16,10 @@
 	// or shortly after a store outage to the time of its removal. A new
 	// registration cancels the removal.
 	removeAt map[string]time.Time
-	view     atomic.Pointer[map[string][]*Worker]
+	// batching is set while Batch runs, and changed if the view must be published
+	// at its end.
+	batching, changed bool
+	view              atomic.Pointer[map[string][]*Worker]
 }
 
 // New returns an empty pool.
@@ -33,6 +36,22 @@
 // Services returns all servers by service. The caller must not modify the result.
 func (p *Pool) Services() map[string][]*Worker { return *p.view.Load() }
 
+// Batch calls change, and publishes its changes to readers once, at the end. A view
+// takes time in proportion to the number of servers, so that publishing each of many
+// changes would take the square of it.
+func (p *Pool) Batch(change func()) {
+	p.mu.Lock()
+	p.batching = true
+	p.mu.Unlock()
+	change()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.batching = false
+	if p.changed {
+		p.publish()
+	}
+}
+
 // Len returns the number of servers.
 func (p *Pool) Len() int {
 	p.mu.Lock()
@@ -119,6 +138,9 @@
 }
 
 func (p *Pool) publish() {
+	if p.changed = p.batching; p.changed {
+		return
+	}
 	view := make(map[string][]*Worker)
 	for _, w := range p.workers {
 		view[w.Service] = append(view[w.Service], w)
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -121,3 +122,49 @@
 	w.Succeeded(now)
 	check("succeeded after failures", false)
 }
+
+// Guards against readers that see none or only a part of a batch after its end, or
+// changes outside of a batch late.
+func TestBatchIsPublishedOnce(t *testing.T) {
+	p := New()
+	before := p.view.Load()
+	p.Batch(func() {
+		for n := range 10 {
+			p.Put(Registration{ID: fmt.Sprint(n), Service: "s"}, epoch)
+		}
+		p.Remove("3", time.Time{})
+		if p.view.Load() != before {
+			t.Error("a view was published within the batch")
+		}
+	})
+	if got := len(p.Service("s")); got != 9 {
+		t.Errorf("after the batch: got %d servers, want 9", got)
+	}
+	p.Put(Registration{ID: "later", Service: "s"}, epoch)
+	if got := len(p.Service("s")); got != 10 {
+		t.Errorf("after another server: got %d servers, want 10", got)
+	}
+	unchanged := p.view.Load()
+	p.Batch(func() {})
+	if p.view.Load() != unchanged {
+		t.Error("a batch without changes published a view")
+	}
+}
+
+// BenchmarkRegister registers servers as the first listing of the store does; the
+// time for a server must not grow with their number.
+func BenchmarkRegister(b *testing.B) {
+	for _, servers := range []int{100, 300, 1000, 3000} {
+		b.Run(fmt.Sprint("servers=", servers), func(b *testing.B) {
+			for b.Loop() {
+				p := New()
+				p.Batch(func() {
+					for n := range servers {
+						p.Put(Registration{ID: fmt.Sprint(n), Service: "s"}, epoch)
+					}
+				})
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*servers), "ns/server")
+		})
+	}
+}
--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -12,6 +12,10 @@
 
 // apply applies a change of the store. Only the follower's goroutine calls it.
 func (f *Instance) apply(c follow.Change) {
+	f.pool.Batch(func() { f.applyItems(c) })
+}
+
+func (f *Instance) applyItems(c follow.Change) {
 	listedServers := make(map[string]bool)
 	instancesChanged, dutyHeld := c.Complete, false
 	if c.Complete {
