--- a/internal/decide/evidence/evidence_test.go
+++ b/internal/decide/evidence/evidence_test.go
@@ -68,49 +68,81 @@
 	})
 }
 
+// checkTotals adds to the counters of random nodes and lets random nodes exchange,
+// and checks that no total ever exceeds the truth and that all reach it after all
+// nodes have exchanged with all. domains are the failure domains of the nodes.
+func checkTotals(t *rapid.T, nodes, domains []string, maxSteps int, exchange func(tables []Table, from, to int)) {
+	tables := make([]Table, len(nodes))
+	for i := range tables {
+		tables[i].SetDomain(domains[i])
+	}
+	k := Key{Move: "m", Version: "v1"}
+	total, last := uint64(0), len(nodes)-1
+	for range rapid.IntRange(1, maxSteps).Draw(t, "steps") {
+		from, to := rapid.IntRange(0, last).Draw(t, "from"), rapid.IntRange(0, last).Draw(t, "to")
+		if from == to {
+			tables[from].Add(nodes[from], k, Count{Answered: 1})
+			total++
+		} else {
+			exchange(tables, from, to)
+		}
+		if got := tables[to].Totals("m")[k].Answered; got > total {
+			t.Fatalf("total at %s is %d, want at most %d", nodes[to], got, total)
+		}
+	}
+	for range 3 {
+		for from := range nodes {
+			for to := range nodes {
+				if from != to {
+					exchange(tables, from, to)
+				}
+			}
+		}
+	}
+	for i := range tables {
+		if got := tables[i].Totals("m")[k].Answered; got != total {
+			t.Fatalf("total at %s after all exchanges is %d, want %d", nodes[i], got, total)
+		}
+	}
+}
+
 // Guards against sums over a failure domain that exceed the true total, lose
 // counts or count a node twice, under exchanges in any order.
 func TestDomainSumsMatchTotal(t *testing.T) {
+	domains := []string{"brno", "brno", "zlin", "zlin"}
 	rapid.Check(t, func(t *rapid.T) {
-		nodes := []string{"a/1", "b/1", "c/1", "d/1"}
-		domains := []string{"brno", "brno", "zlin", "zlin"}
-		tables := make([]Table, len(nodes))
-		for i := range tables {
-			tables[i].SetDomain(domains[i])
-		}
-		k := Key{Move: "m", Version: "v1"}
-		total := uint64(0)
-		exchange := func(from, to int) {
+		checkTotals(t, []string{"a/1", "b/1", "c/1", "d/1"}, domains, 40, func(tables []Table, from, to int) {
 			rs, _ := tables[from].Since(0, 0, nil)
 			if domains[from] != domains[to] {
 				rs, _ = tables[from].SinceDomain(0, 0)
 			}
 			tables[to].Merge(rs)
-		}
-		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			from, to := rapid.IntRange(0, 3).Draw(t, "from"), rapid.IntRange(0, 3).Draw(t, "to")
-			if from == to {
-				tables[from].Add(nodes[from], k, Count{Answered: 1})
-				total++
-			} else {
-				exchange(from, to)
-			}
-			if got := tables[to].Totals("m")[k].Answered; got > total {
-				t.Fatalf("total at %s is %d, want at most %d", nodes[to], got, total)
-			}
-		}
-		for range 3 {
-			for from := range nodes {
-				for to := range nodes {
-					exchange(from, to)
+		})
+	})
+}
+
+// Guards against instances that exchange through hubs and count a node twice,
+// exceed the true total or never reach it, under exchanges in any order.
+func TestTotalsThroughHubs(t *testing.T) {
+	// Each failure domain has a hub, the first node, and two others.
+	nodes := []string{"a/1", "b/1", "c/1", "d/1", "e/1", "f/1"}
+	domains := []string{"brno", "brno", "brno", "zlin", "zlin", "zlin"}
+	isHub := func(i int) bool { return i%3 == 0 }
+	rapid.Check(t, func(t *rapid.T) {
+		checkTotals(t, nodes, domains, 60, func(tables []Table, from, to int) {
+			switch {
+			case domains[from] != domains[to] && isHub(from) && isHub(to):
+				rs, _ := tables[from].SinceDomain(0, 0)
+				tables[to].Merge(rs)
+			case domains[from] == domains[to] && (isHub(from) || isHub(to)):
+				rs, _ := tables[from].Since(0, 0, func(node string) bool { return node == nodes[from] })
+				if isHub(from) {
+					totals, _ := tables[from].SinceTotal(0, 0)
+					rs = append(rs, totals...)
 				}
+				tables[to].Merge(rs)
 			}
-		}
-		for i := range tables {
-			if got := tables[i].Totals("m")[k].Answered; got != total {
-				t.Fatalf("total at %s after all exchanges is %d, want %d", nodes[i], got, total)
-			}
-		}
+		})
 	})
 }
 
@@ -158,61 +190,6 @@
 	}
 }
 
-// Guards against instances that exchange through hubs and count a node twice,
-// exceed the true total or never reach it, under exchanges in any order.
-func TestTotalsThroughHubs(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		// Each failure domain has a hub, the first node, and two others.
-		nodes := []string{"a/1", "b/1", "c/1", "d/1", "e/1", "f/1"}
-		domain := func(i int) int { return i / 3 }
-		isHub := func(i int) bool { return i%3 == 0 }
-		tables := make([]Table, len(nodes))
-		for i := range tables {
-			tables[i].SetDomain(fmt.Sprint(domain(i)))
-		}
-		k := Key{Move: "m", Version: "v1"}
-		total := uint64(0)
-		exchange := func(from, to int) {
-			switch {
-			case domain(from) != domain(to) && isHub(from) && isHub(to):
-				rs, _ := tables[from].SinceDomain(0, 0)
-				tables[to].Merge(rs)
-			case domain(from) == domain(to) && (isHub(from) || isHub(to)):
-				rs, _ := tables[from].Since(0, 0, func(node string) bool { return node == nodes[from] })
-				if isHub(from) {
-					totals, _ := tables[from].SinceTotal(0, 0)
-					rs = append(rs, totals...)
-				}
-				tables[to].Merge(rs)
-			}
-		}
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			from, to := rapid.IntRange(0, 5).Draw(t, "from"), rapid.IntRange(0, 5).Draw(t, "to")
-			if from == to {
-				tables[from].Add(nodes[from], k, Count{Answered: 1})
-				total++
-			} else {
-				exchange(from, to)
-			}
-			if got := tables[to].Totals("m")[k].Answered; got > total {
-				t.Fatalf("total at %s is %d, want at most %d", nodes[to], got, total)
-			}
-		}
-		for range 3 {
-			for from := range nodes {
-				for to := range nodes {
-					exchange(from, to)
-				}
-			}
-		}
-		for i := range tables {
-			if got := tables[i].Totals("m")[k].Answered; got != total {
-				t.Fatalf("total at %s after all exchanges is %d, want %d", nodes[i], got, total)
-			}
-		}
-	})
-}
-
 // Guards against memory that grows without bound with the number of ended moves,
 // with client-chosen routes or with records from peers.
 func TestTableSizeIsBounded(t *testing.T) {
