--- a/internal/peer/exchange/digest.go
+++ b/internal/peer/exchange/digest.go
@@ -131,7 +131,7 @@
 	if from.FailureDomain == n.self.FailureDomain && len(d.HeardMillis) > 0 {
 		heard := make(map[string]time.Duration, len(d.HeardMillis))
 		for domain, millis := range d.HeardMillis {
-			heard[domain] = time.Duration(min(millis, maxHeardMillis)) * time.Millisecond
+			heard[domain] = time.Duration(min(max(0, millis), maxHeardMillis)) * time.Millisecond
 		}
 		n.config.Members.MergeHeard(heard, now)
 	}
