Notice a silent store within the time in which changes must be in effect

The store stopped replying to the instance that watches for the fleet at 2.5 s; it noticed after 1.7 s, the others, which wait for its confirmation, 0.3 to 0.8 s later: a change of 2.6 s was applied at 4.63 to 4.65 s. The older copies that are accepted since had removed the way out that was there before. Change: a watch waits 0.5 s and times out 0.45 s later, copies of up to 1.7 s are accepted, and a failed call wakes the peers that wait.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -45,20 +45,21 @@
 	idleTimeout = time.Minute
 	// maxHeaderBytes bounds the headers of a request in bytes.
 	maxHeaderBytes = 64 << 10
-	// watchWait is how long a watch of the store waits for a change. Two waits are
-	// shorter than the time for which API keys are trusted without a confirmation
-	// by the store.
-	watchWait = time.Second
+	// watchWait is how long a watch of the store waits for a change. If the store no
+	// longer replies to the instance that watches for the others, they learn of it
+	// within this time, the store's timeout and maxRelayAge, so that another one has
+	// the changes well before they must be in effect.
+	watchWait = 500 * time.Millisecond
+	// maxRelayAge is how old a copy of the store may be that an instance takes from a
+	// peer. A copy is confirmed as of the beginning of a watch, so that it is up to
+	// two waits old although all is well.
+	maxRelayAge = 2*watchWait + 700*time.Millisecond
 	// revocationMargin is how much earlier than Config.RevokeWithin API keys are
 	// rejected if the store does not confirm them. It covers the time that a
 	// request takes from the check of its key to the server, and the fraction of a
 	// second during which a watch of a degraded store may miss changes although it
 	// succeeds.
 	revocationMargin = 700 * time.Millisecond
-	// relayAgeFraction is how old a copy of the store may be that an instance takes
-	// from a peer, as a fraction of the time for which API keys are trusted. The rest
-	// is enough to ask another peer and then the store.
-	relayAgeFraction = 0.75
 	// balancerDelay is how long the load balancer may still send connections to an
 	// instance that reports that it is not ready: two probes, one a second.
 	balancerDelay = 2500 * time.Millisecond
@@ -202,7 +203,7 @@
 		config: c, now: boottime.Now, registry: c.Registry, pool: pool.New(),
 		relayAvoidUntil: make(map[string]time.Time), serverRevisions: make(map[string]int64), registered: make(map[string]membership.Member),
 	}
-	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay, MaxRelayAge: maxRelayAge(c.RevokeWithin), Now: f.now, Log: c.Log})
+	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay, MaxRelayAge: maxRelayAge, Now: f.now, Log: c.Log})
 	if err := f.initCluster(); err != nil {
 		return nil, err
 	}
@@ -262,12 +263,6 @@
 	return err
 }
 
-// maxRelayAge returns how old a copy of the store may be that an instance takes from
-// a peer.
-func maxRelayAge(revokeWithin time.Duration) time.Duration {
-	return time.Duration(relayAgeFraction * float64(revokeWithin-revocationMargin))
-}
-
 // view returns the current table, and whether it was confirmed recently enough
 // to trust its API keys.
 func (f *Instance) view() forward.View {
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -164,6 +164,7 @@
 		f.failing.Store(err != nil)
 		if err != nil {
 			f.lastFailure.Store(now.UnixNano())
+			f.changes.wakeWaiting() // the peers must look for another instance
 			if failures == 0 {
 				f.config.Log.Warn("follower's call to the store failed", zap.Error(err), zap.Int64("revision", from), zap.Duration("confirmed-before", now.Sub(f.Confirmed())))
 			}
@@ -178,7 +179,7 @@
 		}
 		if next != 0 {
 			f.confirmed.Store(sent.UnixNano())
-			f.changes.notifyConfirmed()
+			f.changes.wakeWaiting()
 		}
 		from, watching = next, true
 		if count > 0 || now.Sub(sent) < batchDelay {
@@ -288,7 +289,7 @@
 	if asOf := sent.Add(r.Waited - r.Age).UnixNano(); asOf > f.confirmed.Load() {
 		f.confirmed.Store(asOf)
 	}
-	f.changes.notifyConfirmed()
+	f.changes.wakeWaiting()
 	return max(from, r.Next)
 }
 
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -286,3 +286,46 @@
 		}
 	})
 }
+
+// Guards against peers that wait for a confirmation although the instance that they
+// follow has lost the store.
+func TestWaitingPeersLearnOfFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &failingStore{}
+		f := New(Config{Store: s, Now: time.Now, Wait: time.Second, Apply: func(Change) {}})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(100 * time.Millisecond) // the copy is confirmed
+		start := time.Now()
+		if _, ok := f.Serve(ctx, 5, 5*time.Second); ok {
+			t.Error("an instance that has lost the store serves its copy")
+		}
+		if took := time.Since(start); took > batchDelay+failAfter {
+			t.Errorf("the peer waited %v, want at most %v", took, batchDelay+failAfter)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// failAfter is how long each watch of a failingStore takes after the first.
+const failAfter = 800 * time.Millisecond
+
+// failingStore confirms the copy once and then does not reply.
+type failingStore struct {
+	store.Store
+	calls int
+}
+
+func (s *failingStore) ListStale(context.Context, string) ([]store.Item, int64, error) {
+	return nil, 5, nil
+}
+
+func (s *failingStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration) ([]store.Item, int64, error) {
+	if s.calls++; s.calls == 1 {
+		return nil, after, nil
+	}
+	wait.For(ctx, failAfter)
+	return nil, 0, store.ErrUnavailable
+}
--- a/internal/platform/follow/log.go
+++ b/internal/platform/follow/log.go
@@ -22,12 +22,12 @@
 // changeLog holds the latest changes of the store for peers. With the zero value,
 // waitAfter reports ok as false until reset is called.
 type changeLog struct {
-	mu               sync.Mutex
-	items            []store.Item
-	bytes            int
-	base             int64 // all changes after this revision are in items
-	next             int64
-	nextConfirmation chan struct{}
+	mu    sync.Mutex
+	items []store.Item
+	bytes int
+	base  int64 // all changes after this revision are in items
+	next  int64
+	wake  chan struct{}
 }
 
 // reset drops all changes; the log then starts after the revision next.
@@ -58,21 +58,22 @@
 	}
 }
 
-// notifyConfirmed wakes all callers of waitAfter after a confirmation of the copy.
-func (l *changeLog) notifyConfirmed() {
+// wakeWaiting wakes all callers of waitAfter, after a confirmation of the copy or a
+// failed call to the store.
+func (l *changeLog) wakeWaiting() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.nextConfirmation != nil {
-		close(l.nextConfirmation)
-		l.nextConfirmation = nil
+	if l.wake != nil {
+		close(l.wake)
+		l.wake = nil
 	}
 }
 
 // waitAfter returns the changes after a revision. If there are none, it waits up to
-// maxWait for the next confirmation of the copy. The result ok is false if the log
+// maxWait for the next call of wakeWaiting. The result ok is false if the log
 // does not reach back to the revision.
 func (l *changeLog) waitAfter(ctx context.Context, after int64, maxWait time.Duration) (items []store.Item, next int64, ok bool) {
-	items, next, nextConfirmation, ok := l.changesAfter(after)
+	items, next, wake, ok := l.changesAfter(after)
 	if !ok || len(items) > 0 {
 		return items, next, ok
 	}
@@ -81,22 +82,22 @@
 	select {
 	case <-ctx.Done():
 	case <-t.C:
-	case <-nextConfirmation:
+	case <-wake:
 	}
 	items, next, _, ok = l.changesAfter(after)
 	return items, next, ok
 }
 
 // changesAfter returns the changes after a revision, the revision to continue from,
-// and a channel that is closed at the next confirmation of the copy.
-func (l *changeLog) changesAfter(after int64) (items []store.Item, next int64, nextConfirmation <-chan struct{}, ok bool) {
+// and a channel that is closed by the next call of wakeWaiting.
+func (l *changeLog) changesAfter(after int64) (items []store.Item, next int64, wake <-chan struct{}, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.nextConfirmation == nil {
-		l.nextConfirmation = make(chan struct{})
+	if l.wake == nil {
+		l.wake = make(chan struct{})
 	}
 	if after < l.base || l.base == 0 {
-		return nil, 0, l.nextConfirmation, false
+		return nil, 0, l.wake, false
 	}
 	size := 0
 	for _, item := range l.items {
@@ -104,9 +105,9 @@
 			continue
 		}
 		if size += len(item.Value); size > maxReplyBytes && len(items) > 0 {
-			return items, items[len(items)-1].Revision, l.nextConfirmation, true
+			return items, items[len(items)-1].Revision, l.wake, true
 		}
 		items = append(items, item)
 	}
-	return items, max(after, l.next), l.nextConfirmation, true
+	return items, max(after, l.next), l.wake, true
 }
