Use a third of the retry slack in an instance's first window

Cause: since retries are counted exactly, a fleet that was killed after it had used its slack could use all of it again in the same window. Change: in its first window an instance uses a third of its share. Test: TestRestartedFleetStaysWithinBudget fails before (85, 84, 71 and 65 retries for a slack of 58 with 1, 9, 40 and 295 instances).

--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -32,6 +32,10 @@
 	drawWindows = 4
 	// minSlackFraction is the fraction of the slack that instances use at least.
 	minSlackFraction = 0.25
+	// initialFraction is the fraction of its share of the slack that an instance uses
+	// in its first window. All instances may have been killed at once after they
+	// used theirs.
+	initialFraction = 1.0 / 3
 )
 
 // SharedBudget is one instance's part of the fleet's budget. In a window the
@@ -46,6 +50,7 @@
 	partEnd  time.Time // end of the current part
 	earned   [parts]float64
 	spent    [parts + 1]float64 // one part more, so that it covers a whole window
+	firstEnd time.Time          // end of the first window
 	drawEnd  time.Time          // when rounding is drawn again
 	rounding float64            // in [0, 1)
 }
@@ -57,7 +62,7 @@
 	}
 	now := c.Now()
 	return &SharedBudget{
-		config: c, partEnd: now.Add(c.Window / parts), rounding: c.Random(),
+		config: c, partEnd: now.Add(c.Window / parts), firstEnd: now.Add(c.Window), rounding: c.Random(),
 		// Instances that start together draw at different times.
 		drawEnd: now.Add(time.Duration(c.Random() * float64(drawWindows*c.Window))),
 	}
@@ -88,7 +93,11 @@
 // twice that is kept free.
 func (s *SharedBudget) slackShare() float64 {
 	n := float64(max(1, s.config.Instances()))
-	return max(usableFraction*s.config.Slack-math.Sqrt(n), minSlackFraction*s.config.Slack) / n
+	share := max(usableFraction*s.config.Slack-math.Sqrt(n), minSlackFraction*s.config.Slack) / n
+	if s.config.Now().Before(s.firstEnd) {
+		share *= initialFraction
+	}
+	return share
 }
 
 // advance begins new parts, and draws the rounding again, if the current ones have
--- a/internal/decide/retry/shared_test.go
+++ b/internal/decide/retry/shared_test.go
@@ -88,3 +88,35 @@
 		}
 	}
 }
+
+// Guards against a fleet that is killed after it used its budget and then uses it
+// again in the same window.
+func TestRestartedFleetStaysWithinBudget(t *testing.T) {
+	for _, n := range []int{1, 9, 40, 295} {
+		random := rand.New(rand.NewPCG(3, uint64(n)))
+		now := time.Unix(1000, 0)
+		c := SharedConfig{Ratio: 0.2, Slack: 58, Window: 10 * time.Second, Instances: func() int { return n }, Now: func() time.Time { return now }, Random: random.Float64}
+		retries := 0
+		withdrawAll := func(budgets []*SharedBudget) {
+			for _, b := range budgets {
+				for b.Withdraw() {
+					retries++
+				}
+			}
+		}
+		newBudgets := func() (budgets []*SharedBudget) {
+			for range n {
+				budgets = append(budgets, NewSharedBudget(c))
+			}
+			return budgets
+		}
+		budgets := newBudgets()
+		now = now.Add(time.Minute)
+		withdrawAll(budgets)
+		now = now.Add(time.Second)
+		withdrawAll(newBudgets())
+		if retries > int(c.Slack) {
+			t.Errorf("%d instances: %d retries without a request around a kill of all, want at most %.0f", n, retries, c.Slack)
+		}
+	}
+}
