--- a/internal/decide/membership/hubs.go
+++ b/internal/decide/membership/hubs.go
@@ -25,29 +25,38 @@
 	return t.byPreference(ids)[:min(t.hubs, len(ids))]
 }
 
-// byPreference returns ids in the order in which they are preferred as hubs.
-// Leaving members come last.
-func (t *Table) byPreference(ids []string) []string {
-	type candidate struct {
-		id       string
-		leaving  bool
-		capacity int64
-		score    uint64
-	}
+// candidate is a member that may be a hub or hold the store's watch.
+type candidate struct {
+	id       string
+	leaving  bool
+	capacity int64
+	score    uint64
+}
+
+func (t *Table) candidates(ids []string) []candidate {
 	cs := make([]candidate, 0, len(ids))
 	for _, id := range ids {
 		r := t.rows[id]
 		cs = append(cs, candidate{id, r.Leaving || r.listedLeaving, r.Capacity, score(watchKey, id)})
 	}
-	slices.SortFunc(cs, func(a, b candidate) int {
-		if a.leaving != b.leaving {
-			if a.leaving {
-				return 1
-			}
-			return -1
+	return cs
+}
+
+// compareCandidates orders candidates by preference. Leaving members come last.
+func compareCandidates(a, b candidate) int {
+	if a.leaving != b.leaving {
+		if a.leaving {
+			return 1
 		}
-		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
-	})
+		return -1
+	}
+	return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+}
+
+// byPreference returns ids in the order in which they are preferred as hubs.
+func (t *Table) byPreference(ids []string) []string {
+	cs := t.candidates(ids)
+	slices.SortFunc(cs, compareCandidates)
 	sorted := make([]string, len(cs))
 	for i, c := range cs {
 		sorted[i] = c.id
@@ -55,6 +64,14 @@
 	return sorted
 }
 
+// preferred returns the first of byPreference(ids), or "" if ids is empty.
+func (t *Table) preferred(ids []string) string {
+	if len(ids) == 0 {
+		return ""
+	}
+	return slices.MinFunc(t.candidates(ids), compareCandidates).id
+}
+
 // Upstream returns the member from which the instance should get the changes of the
 // store, or "" if it should watch the store itself. The members of a failure domain
 // follow one of them, and these follow one for the whole fleet, so that the calls
@@ -70,16 +87,15 @@
 			byDomain[domain] = append(byDomain[domain], id)
 		}
 	}
-	own := t.byPreference(byDomain[t.self.FailureDomain])
-	if len(own) > 0 && own[0] != t.self.ID {
-		return own[0]
+	if first := t.preferred(byDomain[t.self.FailureDomain]); first != "" && first != t.self.ID {
+		return first
 	}
 	var firsts []string
 	for _, ids := range byDomain {
-		firsts = append(firsts, t.byPreference(ids)[0])
+		firsts = append(firsts, t.preferred(ids))
 	}
-	if firsts = t.byPreference(firsts); len(firsts) == 0 || firsts[0] == t.self.ID {
-		return ""
+	if first := t.preferred(firsts); first != t.self.ID {
+		return first
 	}
-	return firsts[0]
+	return ""
 }
--- a/internal/decide/membership/table.go
+++ b/internal/decide/membership/table.go
@@ -391,14 +391,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	heard := make(map[string]bool, len(t.heardUntil))
-	for domain := range t.heardUntil {
-		if t.isHeard(domain, now) {
-			heard[domain] = true
-		}
-	}
-	for domain := range t.relayedUntil {
-		if t.isHeard(domain, now) {
-			heard[domain] = true
+	for _, domains := range []map[string]time.Time{t.heardUntil, t.relayedUntil} {
+		for domain, until := range domains {
+			if now.Before(until) {
+				heard[domain] = true
+			}
 		}
 	}
 	return heard
