Keep streams at a silent server until another one may take over

Callers saw streams that ended midway without an error of their server, and idempotent calls that failed with 502 while their server was working.

Cause: an instance canceled an attempt when its server had sent nothing for twice the event gap (0.8 s on the users' sites; twice the objective for idempotent calls) and only then asked whether the request may be sent elsewhere. With the retry budget used up, the route or key removed by a newer configuration, or no other usable server, the client's connection was closed, although the server was sound and would have continued.

Change: a failover checks the current route, key, poison records, the choice of a server that is not silent itself, and withdraws the retry, before it ends the attempt; until then the attempt goes on. A stream that was ended this way is not given up while its client waits. A stream may be silent for 1.5 s, since sound servers pause for about a second. A retry stays with the service that was chosen if the newer route still includes it.

--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -96,6 +96,8 @@
 	firstByte      time.Time // when the first byte of a server's response was written to the client
 	attempts       []attempt
 	streamStarted  bool // the response headers of a stream were sent
+	retryReserved  bool // the next attempt was withdrawn from the retry budget
+	failedOver     bool // an attempt at a silent server was ended for another server
 	stream         streamProgress
 	usageCounted   bool              // the request was counted in the workspace's usage
 	failedResponse *bufferedResponse // the last server error of an attempt
@@ -174,24 +176,36 @@
 // returns the reason to reject the request, or an empty Reason if it may be sent.
 func (e *exchange) revalidate() Reason {
 	v := e.config.View()
+	r, reason := e.permission(v)
+	if reason != "" {
+		return reason
+	}
 	if v.Table != e.view.Table {
-		r, ok := e.matchRoute(v.Table)
-		if !ok {
-			return NoRoute
-		}
 		e.view, e.route = v, r
-		e.pickService()
+		if !r.Includes(e.service) {
+			e.pickService()
+		}
+	}
+	return ""
+}
+
+// permission returns the request's route in v, and the reason to reject the
+// request, or an empty Reason if v allows sending it.
+func (e *exchange) permission(v View) (*routes.Route, Reason) {
+	r, ok := e.matchRoute(v.Table)
+	if !ok {
+		return nil, NoRoute
 	}
 	if e.workspace == "" {
-		return ""
+		return r, ""
 	}
 	if !v.Fresh {
-		return StaleConfiguration
+		return r, StaleConfiguration
 	}
 	if w, ok := v.Table.WorkspaceByKey(e.r.Header.Get(e.config.Headers.Key)); !ok || w.Name != e.workspace {
-		return UnknownKey
+		return r, UnknownKey
 	}
-	return ""
+	return r, ""
 }
 
 func (e *exchange) readBody() Reason {
@@ -323,7 +337,7 @@
 
 type metrics struct {
 	requests, attempts  *prometheus.CounterVec
-	omitted             *prometheus.CounterVec
+	omitted, silences   *prometheus.CounterVec
 	firstByte, duration *prometheus.HistogramVec
 }
 
@@ -334,12 +348,13 @@
 		attempts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_sends_total", Help: "Requests sent to backend servers by outcome."}, []string{"outcome"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "forward_first_byte_seconds", Help: "Time to the first byte of a server's answer.", Buckets: buckets}, []string{"kind"}),
 		duration:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "forward_duration_seconds", Help: "Time to the end of a request.", Buckets: buckets}, []string{"kind"}),
+		silences:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_silences_total", Help: "Checks of attempts at silent servers, and those that were ended for another server."}, []string{"outcome"}),
 		omitted:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_log_lines_omitted_total", Help: "Lines for requests left out beyond the budget of lines."}, []string{"kind"}),
 	}
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.attempts, m.omitted, m.firstByte, m.duration} {
+	for _, c := range []prometheus.Collector{m.requests, m.attempts, m.omitted, m.silences, m.firstByte, m.duration} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -117,6 +117,12 @@
 // newForwarder runs an instance's handler in front of servers, with a route of each
 // kind below a path of its name. maxResponse is in bytes.
 func newForwarder(t *testing.T, maxResponse int64, timeout time.Duration, servers ...*rawServer) *httptest.Server {
+	t.Helper()
+	return newForwarderWith(t, func(*Config) {}, maxResponse, timeout, servers...)
+}
+
+// newForwarderWith is like newForwarder, with a configuration that change adapts.
+func newForwarderWith(t *testing.T, change func(*Config), maxResponse int64, timeout time.Duration, servers ...*rawServer) *httptest.Server {
 	t.Helper()
 	route := func(name string, kind routes.Kind, resumable bool) routes.Route {
 		return routes.Route{
@@ -131,12 +137,14 @@
 	for i, s := range servers {
 		workers.Put(pool.Registration{ID: "server-" + strconv.Itoa(i), Service: "service", Address: s.address, Slots: 8}, time.Now())
 	}
-	h, err := New(Config{
+	c := Config{
 		Headers: Headers{Request: "Request-Id", Remaining: "Remaining", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect-Server", NotRun: "Not-Run", ServerSeal: "Seal", Tokens: "Tokens", Prefix: "Prefix", FetchFrom: "Fetch-From"},
 		View:    func() View { return View{Table: table, Confirmed: time.Now(), Fresh: true} }, Pool: workers,
 		Allowances: permissive{}, Budget: permissive{}, Usage: permissive{}, Poison: permissive{}, Versions: permissive{},
 		MaxResponseBytes: maxResponse, Now: time.Now, Random: func() uint64 { return 1 }, Registerer: prometheus.NewRegistry(), Draining: func() bool { return false },
-	})
+	}
+	change(&c)
+	h, err := New(c)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 // outcome is the result of one attempt.
@@ -70,11 +71,11 @@
 		case outcomeUnreachable:
 			connectFailures++
 			lastReason = ServersUnreachable
-			retry = connectFailures < maxUnreachable && ctx.Err() == nil
+			retry = (connectFailures < maxUnreachable || e.mustContinue()) && ctx.Err() == nil
 		case outcomeNotRun:
 			rejections++
 			lastReason = ServersFull
-			retry = rejections < maxRejections && ctx.Err() == nil && e.config.Budget.Withdraw(e.service)
+			retry = (rejections < maxRejections || e.mustContinue()) && ctx.Err() == nil && e.withdrawRetry(ctx)
 		default:
 			runs++
 			lastReason = ResponseLost
@@ -95,7 +96,7 @@
 // server may have run the request.
 func (e *exchange) mayRetry(ctx context.Context, runs int) bool {
 	return e.route.Repeatable() && runs < e.route.Attempts && ctx.Err() == nil &&
-		e.config.Poison.Allowed(e.fingerprint) && e.config.Budget.Withdraw(e.service)
+		e.config.Poison.Allowed(e.fingerprint) && e.withdrawRetry(ctx)
 }
 
 // giveUp ends a request without a further attempt. runs is the number of attempts
@@ -126,17 +127,11 @@
 // for a usable server.
 func (e *exchange) waitForServer(ctx context.Context) bool {
 	maxWait := min(time.Duration(serverWaitFraction*float64(e.route.Objective)), e.deadline.Sub(e.start))
-	if e.config.Now().Sub(e.start) > maxWait {
+	if e.config.Now().Sub(e.start) > maxWait && !e.mustContinue() {
 		return false
 	}
-	t := time.NewTimer(serverPollInterval)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	wait.For(ctx, serverPollInterval)
+	return ctx.Err() == nil
 }
 
 // tried reports whether there was an attempt at server s before.
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -29,6 +29,7 @@
 	err             error
 	promptProcessed bool
 	cancel          context.CancelFunc
+	failover        *failover // nil if no other server may take over
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
@@ -74,15 +75,16 @@
 			server.PromptRead(uncachedTokens)
 		}
 		server.End()
+		e.endFailover(a)
 		a.took, a.outcome = e.config.Now().Sub(now), result
 		e.recordVersionResult(a)
 		e.metrics.attempts.WithLabelValues(result.String()).Inc()
 	}()
 	var sent tcp.SendTrace
 	request := e.newBackendRequest(sent.Context(ctx), t, now)
-	stop := e.startSlowAttemptTimer(cancel)
+	e.startSlowAttemptFailover(a)
 	response, err := server.Transport.RoundTrip(request)
-	stop()
+	a.failover.stop()
 	if err != nil {
 		a.err = err
 		return e.handleTransportError(a, sent.NothingSent())
@@ -121,20 +123,16 @@
 	return request.WithContext(ctx)
 }
 
-// slowAttemptFactor is the multiple of the route's objective after which an
-// attempt at an idempotent request is canceled if no response headers have
-// arrived, so that another server can be tried.
+// slowAttemptFactor is the multiple of the route's objective for which an
+// idempotent request waits for response headers before another server takes over.
 const slowAttemptFactor = 2
 
-// startSlowAttemptTimer starts a timer that cancels an attempt at an idempotent
-// request after slowAttemptFactor times the route's objective, if another attempt
-// is allowed. stop stops the timer.
-func (e *exchange) startSlowAttemptTimer(cancel context.CancelFunc) (stop func()) {
-	if e.route.Kind != routes.Idempotent || len(e.attempts) >= e.route.Attempts || e.route.Objective <= 0 {
-		return func() {}
+// startSlowAttemptFailover starts the failover of an attempt at an idempotent
+// request, if another attempt is allowed.
+func (e *exchange) startSlowAttemptFailover(a *attempt) {
+	if e.route.Kind == routes.Idempotent && len(e.attempts) < e.route.Attempts && e.route.Objective > 0 {
+		a.failover = startFailover(slowAttemptFactor*e.route.Objective, e.reserveRetry, a.cancel)
 	}
-	t := time.AfterFunc(slowAttemptFactor*e.route.Objective, cancel)
-	return func() { t.Stop() }
 }
 
 // handleTransportError returns the outcome of an attempt without a complete
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -17,6 +17,9 @@
 	// time between two events that is on time, after which a resumable stream is moved
 	// to another server if its server sends nothing.
 	resumeSilenceFactor = 2
+	// minResumeSilence is the least such time. Sound servers may be silent for about
+	// a second, and moving a stream makes its prompt be read again.
+	minResumeSilence = 1500 * time.Millisecond
 	// firstEventFactor is the multiple of the route's objective that the server of
 	// a resumable stream has for the first event, if that is longer than
 	// resumeSilenceFactor times EventGap.
@@ -36,8 +39,9 @@
 // stream after the last event.
 func (e *exchange) relay(a *attempt, r *http.Response, uncachedTokens int64) outcome {
 	reader := bufio.NewReaderSize(r.Body, 4<<10)
-	timer := e.watchdog(a)
-	defer timer.Stop()
+	if e.route.Resumable && e.route.EventGap > 0 && len(e.attempts) < e.route.Attempts {
+		a.failover = startFailover(e.maxSilence(), e.reserveRetry, a.cancel)
+	}
 	for {
 		event, err := readEvent(reader)
 		now := e.config.Now()
@@ -50,7 +54,7 @@
 				a.server.Prompts.Add(e.prompt.Parts, now)
 				e.countUsage()
 			}
-			timer.Reset(e.maxSilence())
+			a.failover.extend(e.maxSilence())
 			if result, ok := e.forwardEvent(a, r, event, now); !ok {
 				return result
 			}
@@ -64,22 +68,16 @@
 	}
 }
 
-// maxSilence returns how long the server of a stream may send nothing. It is an
-// hour, practically unlimited, if no other server may resume the stream.
+// maxSilence returns how long the server of a resumable stream may send nothing
+// before another one takes over.
 func (e *exchange) maxSilence() time.Duration {
-	if !e.route.Resumable || e.route.EventGap <= 0 || len(e.attempts) >= e.route.Attempts {
-		return time.Hour
-	}
+	silence := max(resumeSilenceFactor*e.route.EventGap, minResumeSilence)
 	if !e.streamStarted {
-		return max(resumeSilenceFactor*e.route.EventGap, firstEventFactor*e.route.Objective)
+		silence = max(silence, firstEventFactor*e.route.Objective)
 	}
-	return resumeSilenceFactor * e.route.EventGap
+	return silence
 }
 
-// watchdog returns a timer that cancels the attempt when the server has
-// sent nothing for maxSilence; relay resets it at each event.
-func (e *exchange) watchdog(a *attempt) *time.Timer { return time.AfterFunc(e.maxSilence(), a.cancel) }
-
 // forwardEvent writes one event to the client, unless an earlier server of a
 // resumed stream already sent it. It returns false if the stream cannot continue;
 // the outcome is meaningful only then.
--- a/internal/operator/routes/table.go
+++ b/internal/operator/routes/table.go
@@ -101,3 +101,8 @@
 	}
 	return ""
 }
+
+// Includes reports whether requests on the route may go to service.
+func (r *Route) Includes(service string) bool {
+	return slices.ContainsFunc(r.Split, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
