Answer 502 to a status that a handler cannot send

Callers saw their connection closed without a response: a server in trouble sent a status line with status 000 or 099, net/http accepts it from a server, and WriteHeader panics on it. 101 was passed on with its body left out.

Change: a status outside 200 to 599 is an invalid response like one without the server's mark, so that the request ends with 502, or is sent again if it may be.

On the code before, TestInvalidStatusIsAnswered failed: no response (panic: invalid WriteHeader code 99), and 101 and 999 passed on.

--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -17,11 +17,23 @@
 	body   []byte
 }
 
+// minStatus and maxStatus bound the status of a final response. net/http panics if
+// a handler sends one below 100, and does not send a body with 101.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
 // handleResponse processes the response to an attempt once its headers have
 // arrived, and returns the outcome of the attempt.
 func (e *exchange) handleResponse(a *attempt, r *http.Response, uncachedTokens int64) outcome {
 	names := &e.config.Headers
 	now := e.config.Now()
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+		a.err = errInvalidStatus
+		a.cancel()
+		return e.recordInvalid(a)
+	}
 	if r.Header.Get(names.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest {
 		if r.StatusCode == http.StatusMisdirectedRequest {
 			a.server.Failed(now)
