Close the connection rather than answer an unread request with an empty 200

Callers whose request body broke off, or had an invalid chunk, got 200 with an empty body that no server had written: the handler returned without a response, and net/http completes such a request as a success.

Change: an invalid encoding is answered 400 (malformed-body), and a request that ends without a response closes its connection.

On the code before, TestUnreadableBodyIsNotAnswered200 got status 200, and TestCutBodyIsNotAnswered200 got HTTP/1.1 200 OK with Content-Length 0.

--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -219,13 +219,16 @@
 	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, maxBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil:
+		e.body = body
+		return ""
 	case errors.As(err, &tooLarge):
 		return BodyTooLarge
-	case err != nil:
+	case e.r.Context().Err() != nil || errors.Is(err, io.ErrUnexpectedEOF):
 		return ClientLeft
+	default:
+		return MalformedBody
 	}
-	e.body = body
-	return ""
 }
 
 // computeDeadline returns the time by which the client must have a response.
@@ -300,7 +303,8 @@
 }
 
 // finish records the end of the request in the metrics, in the log and with
-// Config.OnRequestEnd. It panics with http.ErrAbortHandler if a stream is incomplete.
+// Config.OnRequestEnd. It panics with http.ErrAbortHandler if a stream is incomplete
+// or nothing was written, since net/http would then send an empty success.
 func (e *exchange) finish() {
 	e.buffered.release(e.bufferedBytes)
 	now := e.config.Now()
@@ -315,9 +319,9 @@
 	e.metrics.duration.WithLabelValues(kind).Observe(now.Sub(e.start).Seconds())
 	e.log(now)
 	e.reportResult()
-	if e.streamStarted && e.reason != Served {
+	if e.streamStarted && e.reason != Served || e.status == 0 {
 		// Close the connection without the end of the body, so that the client
-		// detects that the stream is incomplete.
+		// detects that the response is incomplete.
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -27,6 +27,8 @@
 	UnknownKey Reason = "unknown-key"
 	// BodyTooLarge means that the request body exceeds the limit.
 	BodyTooLarge Reason = "body-too-large"
+	// MalformedBody means that the encoding of the request body is invalid.
+	MalformedBody Reason = "malformed-body"
 	// OverAllowance means that the workspace's allowance is used up.
 	OverAllowance Reason = "over-allowance"
 	// PoisonRequest means that the request has crashed several servers.
@@ -56,7 +58,7 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, OverAllowance, PoisonRequest,
+	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, MalformedBody, OverAllowance, PoisonRequest,
 	NoServer, ServersFull, ServersUnreachable, ResponseLost, InvalidResponse, TimedOut, TimedOutUnsent, StreamBroken,
 }
 
@@ -79,6 +81,8 @@
 		return http.StatusNotFound, true, 0
 	case UnknownKey:
 		return http.StatusUnauthorized, true, 0
+	case MalformedBody:
+		return http.StatusBadRequest, true, 0
 	case BodyTooLarge:
 		return http.StatusRequestEntityTooLarge, true, 0
 	case OverAllowance:
