--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -96,6 +96,8 @@
 	firstByte      time.Time // when the first byte of a server's response was written to the client
 	attempts       []attempt
 	streamStarted  bool // the response headers of a stream were sent
+	retryReserved  bool // the next attempt was withdrawn from the retry budget
+	failedOver     bool // an attempt at a silent server was ended for another server
 	stream         streamProgress
 	usageCounted   bool              // the request was counted in the workspace's usage
 	failedResponse *bufferedResponse // the last server error of an attempt
@@ -174,24 +176,36 @@
 // returns the reason to reject the request, or an empty Reason if it may be sent.
 func (e *exchange) revalidate() Reason {
 	v := e.config.View()
+	r, reason := e.permission(v)
+	if reason != "" {
+		return reason
+	}
 	if v.Table != e.view.Table {
-		r, ok := e.matchRoute(v.Table)
-		if !ok {
-			return NoRoute
-		}
 		e.view, e.route = v, r
-		e.pickService()
+		if !r.Includes(e.service) {
+			e.pickService()
+		}
+	}
+	return ""
+}
+
+// permission returns the request's route in v, and the reason to reject the
+// request, or an empty Reason if v allows sending it.
+func (e *exchange) permission(v View) (*routes.Route, Reason) {
+	r, ok := e.matchRoute(v.Table)
+	if !ok {
+		return nil, NoRoute
 	}
 	if e.workspace == "" {
-		return ""
+		return r, ""
 	}
 	if !v.Fresh {
-		return StaleConfiguration
+		return r, StaleConfiguration
 	}
 	if w, ok := v.Table.WorkspaceByKey(e.r.Header.Get(e.config.Headers.Key)); !ok || w.Name != e.workspace {
-		return UnknownKey
+		return r, UnknownKey
 	}
-	return ""
+	return r, ""
 }
 
 func (e *exchange) readBody() Reason {
@@ -205,13 +219,16 @@
 	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, maxBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil:
+		e.body = body
+		return ""
 	case errors.As(err, &tooLarge):
 		return BodyTooLarge
-	case err != nil:
+	case e.r.Context().Err() != nil || errors.Is(err, io.ErrUnexpectedEOF):
 		return ClientLeft
+	default:
+		return MalformedBody
 	}
-	e.body = body
-	return ""
 }
 
 // computeDeadline returns the time by which the client must have a response.
@@ -286,7 +303,8 @@
 }
 
 // finish records the end of the request in the metrics, in the log and with
-// Config.OnRequestEnd. It panics with http.ErrAbortHandler if a stream is incomplete.
+// Config.OnRequestEnd. It panics with http.ErrAbortHandler if a stream is incomplete
+// or nothing was written, since net/http would then send an empty success.
 func (e *exchange) finish() {
 	e.buffered.release(e.bufferedBytes)
 	now := e.config.Now()
@@ -301,9 +319,9 @@
 	e.metrics.duration.WithLabelValues(kind).Observe(now.Sub(e.start).Seconds())
 	e.log(now)
 	e.reportResult()
-	if e.streamStarted && e.reason != Served {
+	if e.streamStarted && e.reason != Served || e.status == 0 {
 		// Close the connection without the end of the body, so that the client
-		// detects that the stream is incomplete.
+		// detects that the response is incomplete.
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -323,7 +341,7 @@
 
 type metrics struct {
 	requests, attempts  *prometheus.CounterVec
-	omitted             *prometheus.CounterVec
+	omitted, silences   *prometheus.CounterVec
 	firstByte, duration *prometheus.HistogramVec
 }
 
@@ -334,12 +352,13 @@
 		attempts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_sends_total", Help: "Requests sent to backend servers by outcome."}, []string{"outcome"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "forward_first_byte_seconds", Help: "Time to the first byte of a server's answer.", Buckets: buckets}, []string{"kind"}),
 		duration:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "forward_duration_seconds", Help: "Time to the end of a request.", Buckets: buckets}, []string{"kind"}),
+		silences:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_silences_total", Help: "Checks of attempts at silent servers, and those that were ended for another server."}, []string{"outcome"}),
 		omitted:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_log_lines_omitted_total", Help: "Lines for requests left out beyond the budget of lines."}, []string{"kind"}),
 	}
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.attempts, m.omitted, m.firstByte, m.duration} {
+	for _, c := range []prometheus.Collector{m.requests, m.attempts, m.omitted, m.silences, m.firstByte, m.duration} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
