Stop using a server whose entry has become unreadable

An entry that another writer had made unreadable was ignored, so that requests still went to the server that it had named, also after the server was gone and another one had its address. Such an entry now removes the server, until the server writes its own entry again.

TestUnreadableEntryNamesNoServer failed before: the server was still used after a watch and after a listing with the unreadable entry.

--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -89,7 +89,10 @@
 	}
 	s, err := f.config.Format.DecodeServer(item.Key, item.Value)
 	if err != nil {
-		f.config.Log.Warn("decoding server entry failed", zap.String("server", id), zap.Int64("revision", item.Revision), zap.Error(err))
+		// The entry may have been written over that of a known server, which must
+		// not be used by it any longer.
+		removed := f.pool.Remove(id, time.Time{})
+		f.config.Log.Warn("decoding server entry failed", zap.String("server", id), zap.Int64("revision", item.Revision), zap.Bool("removed", removed), zap.Error(err))
 		return
 	}
 	if f.pool.Put(s, f.now()) {
--- a/internal/entry/gateway/apply_test.go
+++ b/internal/entry/gateway/apply_test.go
@@ -1,8 +1,18 @@
 package gateway
 
 import (
+	"errors"
+	"slices"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
+
+	"wasabiworks.example/wasabiworks/internal/backend/pool"
+	"wasabiworks.example/wasabiworks/internal/decide/membership"
+	"wasabiworks.example/wasabiworks/internal/peer/duty"
+	"wasabiworks.example/wasabiworks/internal/platform/follow"
+	"wasabiworks.example/wasabiworks/internal/platform/store"
 )
 
 // Guards against a server that still receives requests two seconds after it left
@@ -29,3 +39,58 @@
 		}
 	}
 }
+
+// newApplying returns an instance that can apply servers' entries. The value of an
+// entry is the service of its server, or "unreadable".
+func newApplying() *Instance {
+	decode := func(key string, data []byte) (pool.Registration, error) {
+		if string(data) == "unreadable" {
+			return pool.Registration{}, errors.New("unreadable")
+		}
+		return pool.Registration{ID: key[len("servers/"):], Service: string(data), Address: "127.0.0.1:1"}, nil
+	}
+	return &Instance{
+		config: Config{Format: Format{ServersPrefix: "servers/", DecodeServer: decode}, Log: zap.NewNop()},
+		now:    time.Now, pool: pool.New(), follower: follow.New(follow.Config{}), serverRevisions: make(map[string]int64),
+		registered: make(map[string]membership.Member), members: membership.NewTable(membership.Config{}), duty: duty.New(duty.Config{}),
+	}
+}
+
+// usableServers returns the IDs of the usable servers of a service.
+func usableServers(f *Instance, service string) (ids []string) {
+	for _, w := range f.pool.Service(service) {
+		if w.Usable() {
+			ids = append(ids, w.ID)
+		}
+	}
+	return ids
+}
+
+// Guards against requests to a server whose entry has become unreadable, and against
+// an unreadable entry that affects other servers or stays in effect after the server
+// has written its own again.
+func TestUnreadableEntryNamesNoServer(t *testing.T) {
+	items := func(revision int64, value string) []store.Item {
+		return []store.Item{{Key: "servers/a", Value: []byte("s"), Revision: 1}, {Key: "servers/b", Value: []byte(value), Revision: revision}}
+	}
+	steps := []struct {
+		name   string
+		change follow.Change
+		want   []string
+	}{
+		{"unreadable from the start", follow.Change{Items: items(2, "unreadable"), Complete: true, Revision: 2}, []string{"a"}},
+		{"readable", follow.Change{Items: items(3, "s")[1:]}, []string{"a", "b"}},
+		{"unreadable by a watch", follow.Change{Items: items(4, "unreadable")[1:]}, []string{"a"}},
+		{"readable again", follow.Change{Items: items(5, "s")[1:]}, []string{"a", "b"}},
+		{"unreadable by a listing", follow.Change{Items: items(6, "unreadable"), Complete: true, Revision: 6}, []string{"a"}},
+		{"an older entry", follow.Change{Items: items(5, "s")[1:]}, []string{"a"}},
+		{"readable after the listing", follow.Change{Items: items(7, "s")[1:]}, []string{"a", "b"}},
+	}
+	f := newApplying()
+	for _, s := range steps {
+		f.applyItems(s.change)
+		if got := usableServers(f, "s"); !slices.Equal(got, s.want) {
+			t.Errorf("%s: got servers %v, want %v", s.name, got, s.want)
+		}
+	}
+}
