--- a/internal/platform/follow/log.go
+++ b/internal/platform/follow/log.go
@@ -50,7 +50,7 @@
 	drop := 0
 	for drop < len(l.items) && (len(l.items)-drop > maxLogItems || l.bytes > maxLogBytes) {
 		l.bytes -= len(l.items[drop].Value)
-		l.base = l.items[drop].Revision
+		l.base = max(l.base, l.items[drop].Revision)
 		drop++
 	}
 	if drop > 0 {
