List the store again if the changes of a watch cannot be read

A watch returns all changes since a revision, without a bound on their size. With more than three values of 1 MiB, the largest that the store takes, the reply exceeded the limit of the client: the follower asked for the same changes again until the store dropped its history, and no change was in effect meanwhile. The same held for a reply that could not be decoded.

--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -218,7 +218,7 @@
 	}
 	items, next, err := f.config.Store.Watch(ctx, f.config.Prefix, from, maxWait)
 	if errors.Is(err, store.ErrCompacted) {
-		f.config.Log.Info("watched revision was compacted by the store; follower lists all keys again", zap.Int64("revision", from))
+		f.config.Log.Info("changes after the watched revision are not available; follower lists all keys again", zap.Int64("revision", from), zap.Error(err))
 		f.lastFailure.Store(f.config.Now().UnixNano())
 		return 0, 0, nil
 	}
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -66,7 +66,8 @@
 	ListStale(ctx context.Context, prefix string) ([]Item, int64, error)
 	// Watch returns the changes below a prefix after a revision as soon as there
 	// are any, or none after wait, and the revision to continue from. It returns
-	// ErrCompacted if the history after the revision is no longer available.
+	// ErrCompacted if the history after the revision is no longer available or
+	// cannot be read.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
 	// Commit makes a change and returns its revision. It returns ErrConflict if a
 	// condition does not hold and ErrLeaseEnded if the lease of a put has ended.
