Count keys in the size of a relayed reply

The reply to a peer that follows the store was bounded by the values alone. Some thousand small changes with the longest keys exceeded the size of a message (1 MiB and 64 KiB), so that the peers' calls failed and they called the store.

TestServeLimitsTheSizeOfAReply failed before with a reply of 1.36 MB.

--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -91,6 +92,46 @@
 	}
 }
 
+// Guards against replies to peers that exceed the size of a message because of many
+// small changes or of one of the largest values, and against changes that are left
+// out when a reply is full.
+func TestServeLimitsTheSizeOfAReply(t *testing.T) {
+	const messageBytes = 1 << 20
+	now := time.Unix(1000, 0)
+	f := New(Config{Now: func() time.Time { return now }, Apply: func(Change) {}})
+	f.changes.reset(10)
+	f.confirmed.Store(now.UnixNano())
+	revision := int64(10)
+	var items []store.Item
+	for n := range maxLogItems {
+		revision++
+		item := store.Item{Key: strings.Repeat("k", 200), Revision: revision, Value: make([]byte, 100)}
+		if n == maxLogItems-1 {
+			item.Value = make([]byte, messageBytes)
+		}
+		items = append(items, item)
+	}
+	f.changes.add(items, revision)
+	after := int64(10)
+	for received := 0; received < len(items); {
+		r, ok := f.Serve(t.Context(), after, 0)
+		if !ok || len(r.Items) == 0 {
+			t.Fatalf("after %d: got %d items and %v, want the next changes", after, len(r.Items), ok)
+		}
+		size := 0
+		for i, item := range r.Items {
+			if item.Revision != after+int64(i)+1 {
+				t.Fatalf("after %d: change %d has revision %d", after, i, item.Revision)
+			}
+			size += len(item.Key) + len(item.Value) + itemOverhead
+		}
+		if size > messageBytes && len(r.Items) > 1 {
+			t.Errorf("after %d: got a reply of %d bytes, want at most %d", after, size, messageBytes)
+		}
+		after, received = r.Next, received+len(r.Items)
+	}
+}
+
 // unavailableStore fails all calls and counts them.
 type unavailableStore struct {
 	store.Store
--- a/internal/platform/follow/log.go
+++ b/internal/platform/follow/log.go
@@ -14,9 +14,11 @@
 	// calls the store.
 	maxLogItems = 4096
 	maxLogBytes = 8 << 20
-	// maxReplyBytes bounds the total size of the values in one reply to a peer. A
+	// maxReplyBytes bounds the total size of the changes in one reply to a peer. A
 	// single larger change is still sent, so that the peer makes progress.
 	maxReplyBytes = 512 << 10
+	// itemOverhead is the size of a change in a reply besides its key and value.
+	itemOverhead = 32
 )
 
 // changeLog holds the latest changes of the store for peers. With the zero value,
@@ -104,7 +106,7 @@
 		if item.Revision <= after {
 			continue
 		}
-		if size += len(item.Value); size > maxReplyBytes && len(items) > 0 {
+		if size += len(item.Key) + len(item.Value) + itemOverhead; size > maxReplyBytes && len(items) > 0 {
 			return items, items[len(items)-1].Revision, l.wake, true
 		}
 		items = append(items, item)
