Ignore entries of instances that no instance wrote

One odd entry below wasabiworks/instances/ made 'wasabiworks report burn' fail as a whole, and an entry without a peer address or with a port out of range counted as an instance, which made the parts of the allowances smaller and could become a hub.

--- a/internal/entry/gateway/members.go
+++ b/internal/entry/gateway/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -44,7 +45,7 @@
 	Capacity int64 `json:"capacity,omitempty"`
 }
 
-// Registered returns the instances that have entries in s.
+// Registered returns the instances that have valid entries in s.
 func Registered(ctx context.Context, s store.Store) ([]membership.Member, error) {
 	items, _, err := s.List(ctx, instancesPrefix)
 	if err != nil {
@@ -52,15 +53,32 @@
 	}
 	ms := make([]membership.Member, 0, len(items))
 	for _, item := range items {
-		var r registration
-		if err := json.Unmarshal(item.Value, &r); err != nil {
-			return nil, fmt.Errorf("decode instance entry %s: %w", item.Key, err)
+		if r, err := decodeRegistration(item); err == nil {
+			ms = append(ms, r.member())
 		}
-		ms = append(ms, r.member())
 	}
 	return ms, nil
 }
 
+// decodeRegistration decodes an instance's entry in the store. It returns an error
+// for an entry that no instance wrote.
+func decodeRegistration(item store.Item) (r registration, err error) {
+	if err := json.Unmarshal(item.Value, &r); err != nil {
+		return r, fmt.Errorf("decode instance entry %q: %w", item.Key, err)
+	}
+	if r.ID == "" || r.ID != strings.TrimPrefix(item.Key, instancesPrefix) || r.Capacity < 0 {
+		return r, fmt.Errorf("decode instance entry %q: ID is not that of the key, or capacity is negative", item.Key)
+	}
+	address, err := netip.ParseAddrPort(r.PeerAddress)
+	if err != nil {
+		return r, fmt.Errorf("decode instance entry %q: invalid peer address: %w", item.Key, err)
+	}
+	if address.Port() == 0 {
+		return r, fmt.Errorf("decode instance entry %q: peer address has port 0", item.Key)
+	}
+	return r, nil
+}
+
 func (r registration) member() membership.Member {
 	return membership.Member{
 		ID: r.ID, Incarnation: r.Incarnation, FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress, OperationsAddress: r.OperationsAddress,
@@ -123,8 +141,8 @@
 		delete(f.registered, id)
 		return
 	}
-	var r registration
-	if err := json.Unmarshal(item.Value, &r); err != nil || r.ID != id {
+	r, err := decodeRegistration(item)
+	if err != nil {
 		f.config.Log.Warn("ignoring invalid instance entry", zap.String("instance-entry", id), zap.Error(err))
 		return
 	}
--- a/internal/entry/gateway/members_test.go
+++ b/internal/entry/gateway/members_test.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"context"
+	"strings"
 	"testing"
 	"time"
+
+	"wasabiworks.example/wasabiworks/internal/platform/store"
 )
 
 // Guards against instances that each use a whole allowance because the entries of
@@ -33,3 +37,47 @@
 		}
 	}
 }
+
+// listedStore lists the same items at each call.
+type listedStore struct {
+	store.Store
+	items []store.Item
+}
+
+func (s listedStore) List(context.Context, string) ([]store.Item, int64, error) {
+	return s.items, 1, nil
+}
+
+// Guards against an odd entry among those of the instances that hides the others
+// from operators, or that counts as an instance although no peer can reach it.
+func TestOddInstanceEntryNamesNoInstance(t *testing.T) {
+	const valid = `{"id":"a","incarnation":1,"failure-domain":"z","peer-address":"10.0.0.1:80","capacity":1000}`
+	tests := map[string]string{
+		"not JSON":              `{"id":`,
+		"deeply nested":         strings.Repeat("[", 1<<20),
+		"ID of another":         strings.Replace(valid, `"a"`, `"b"`, 1),
+		"no peer address":       strings.Replace(valid, `"peer-address"`, `"x"`, 1),
+		"port out of range":     strings.Replace(valid, `:80`, `:70000`, 1),
+		"port 0":                strings.Replace(valid, `:80`, `:0`, 1),
+		"capacity too large":    strings.Replace(valid, `1000`, `1e999`, 1),
+		"negative capacity":     strings.Replace(valid, `1000`, `-1`, 1),
+		"incarnation too large": strings.Replace(valid, `"incarnation":1`, `"incarnation":1e30`, 1),
+	}
+	for name, entry := range tests {
+		items := []store.Item{
+			{Key: instancesPrefix + "a", Value: []byte(entry)},
+			{Key: instancesPrefix + "c", Value: []byte(strings.Replace(valid, `"a"`, `"c"`, 1))},
+		}
+		listed, err := Registered(t.Context(), listedStore{items: items})
+		if err != nil || len(listed) != 1 || listed[0].ID != "c" {
+			t.Errorf("%s: listed instances %v and error %v, want c", name, listed, err)
+		}
+		f := newApplying()
+		for _, item := range items {
+			f.applyInstance(item)
+		}
+		if _, ok := f.registered["c"]; !ok || len(f.registered) != 1 {
+			t.Errorf("%s: applied instances %v, want c", name, f.registered)
+		}
+	}
+}
