Replace an invalid planned number of servers in the store

The first holder of the duty writes the planned number of a service if there is none. If the key held something else than a number, the write conflicted for ever and no server of the service was ordered; a number near the largest int overflowed in the computation of orders. Such a number is now invalid and is replaced.

TestInvalidPlannedNumberIsReplaced failed before on all 8 values.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -184,6 +184,9 @@
 	duty           *duty.Holder
 	mover          *mover
 	plannedServers sync.Map // service name to the planned number of servers, an int
+	// invalidPlans maps a service name to the store revision of its planned number,
+	// an int64, if that number is invalid.
+	invalidPlans sync.Map
 }
 
 // New returns an Instance, which Run starts.
--- a/internal/entry/gateway/scale.go
+++ b/internal/entry/gateway/scale.go
@@ -32,6 +32,8 @@
 	// planPrefix is the prefix of the store keys that hold the planned numbers of
 	// servers.
 	planPrefix = "wasabiworks/plan/"
+	// maxPlannedServers is the largest accepted planned number of servers.
+	maxPlannedServers = 1 << 20
 	// storeRecoveryTime is how long after a failed call to the store the set of
 	// known servers is assumed to be incomplete.
 	storeRecoveryTime = 3 * time.Second
@@ -197,8 +199,11 @@
 		return 0, false
 	}
 	key := planPrefix + service
+	// An invalid number in the store is replaced.
+	replaced, _ := s.instance.invalidPlans.Load(service)
+	revision, _ := replaced.(int64)
 	_, err := s.instance.config.Store.Commit(ctx, store.Commit{
-		Conditions: []store.Condition{{Key: key}}, Puts: []store.Put{{Key: key, Value: []byte(strconv.Itoa(observed.servers))}},
+		Conditions: []store.Condition{{Key: key, Revision: revision}}, Puts: []store.Put{{Key: key, Value: []byte(strconv.Itoa(observed.servers))}},
 	})
 	if err != nil {
 		// If the number is in the store already, the watch delivers it.
@@ -209,15 +214,23 @@
 	return observed.servers, true
 }
 
-// applyPlan stores the planned number of servers of a service for the scaler. It
-// ignores removals and numbers below 1.
+// applyPlan stores the planned number of servers of a service for the scaler. A
+// number that is known remains in effect if it is removed or replaced by one that
+// is not from 1 to maxPlannedServers.
 func (f *Instance) applyPlan(item store.Item) {
+	service := strings.TrimPrefix(item.Key, planPrefix)
+	f.invalidPlans.Delete(service)
+	if item.Removed {
+		f.config.Log.Warn("planned number of servers was removed", zap.String("key", item.Key), zap.Int64("revision", item.Revision))
+		return
+	}
 	n, err := strconv.Atoi(string(item.Value))
-	if item.Removed || err != nil || n <= 0 {
-		f.config.Log.Warn("ignoring removed or invalid planned number of servers", zap.String("key", item.Key), zap.Error(err))
+	if err != nil || n < 1 || n > maxPlannedServers {
+		f.invalidPlans.Store(service, item.Revision)
+		f.config.Log.Warn("ignoring invalid planned number of servers", zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
 		return
 	}
-	f.plannedServers.Store(strings.TrimPrefix(item.Key, planPrefix), n)
+	f.plannedServers.Store(service, n)
 }
 
 // order sends an order if it differs from the last one or is due again. running is
--- a/internal/entry/gateway/scale_test.go
+++ b/internal/entry/gateway/scale_test.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
+
+	"wasabiworks.example/wasabiworks/internal/backend/pool"
+	"wasabiworks.example/wasabiworks/internal/platform/store"
 )
 
 // Guards against servers that were taken away and are not ordered again for long,
@@ -45,3 +49,37 @@
 		}
 	}
 }
+
+// revisionStore accepts commits whose only condition is that the key is at a revision.
+type revisionStore struct {
+	store.Store
+	revision int64
+}
+
+func (s revisionStore) Commit(_ context.Context, c store.Commit) (int64, error) {
+	if c.Conditions[0].Revision != s.revision {
+		return 0, store.ErrConflict
+	}
+	return s.revision + 1, nil
+}
+
+// Guards against a service whose servers are never ordered, because its planned number
+// in the store is invalid and stays there.
+func TestInvalidPlannedNumberIsReplaced(t *testing.T) {
+	for _, value := range []string{"", "\xff", "0", "-3", "1e999", "99999999999999999999", "9223372036854775807", "{}"} {
+		f := newApplying()
+		now := time.Unix(1000, 0)
+		f.now = func() time.Time { return now }
+		f.config.Store = revisionStore{revision: 7}
+		f.pool.Put(pool.Registration{ID: "a", Service: "s"}, now)
+		f.applyPlan(store.Item{Key: planPrefix + "s", Value: []byte(value), Revision: 7})
+		s := &scaler{instance: f, counts: make(map[string]serverCount)}
+		if n, ok := s.planned(t.Context(), "s"); ok {
+			t.Errorf("value %q: got %d planned servers before their number was stable", value, n)
+		}
+		now = now.Add(stableTime)
+		if n, ok := s.planned(t.Context(), "s"); !ok || n != 1 {
+			t.Errorf("value %q: got %d planned servers and %v, want the number of servers, 1", value, n, ok)
+		}
+	}
+}
