Restore the record of a move that was overwritten

If something else than a record was written at a move's key, each further write of the holder conflicted: the outcome of the move was never recorded. A record with an unknown state was taken, and gave the new version requests by its odd times. Such a value is now invalid: the record that is known remains in effect, and the holder of the duty writes it again, or a new one if none is known.

--- a/internal/entry/gateway/apply_test.go
+++ b/internal/entry/gateway/apply_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -108,3 +110,50 @@
 		t.Errorf("got servers %v, want b", got)
 	}
 }
+
+// committedStore records the last commit and accepts it.
+type committedStore struct {
+	store.Store
+	last store.Commit
+}
+
+func (s *committedStore) Commit(_ context.Context, c store.Commit) (int64, error) {
+	s.last = c
+	return c.Conditions[0].Revision + 1, nil
+}
+
+// Guards against a rolled-back version that gets requests again, and against a move
+// that is never recorded, because another writer has overwritten the record.
+func TestOverwrittenMoveRecordIsRestored(t *testing.T) {
+	const valid = `{"id":"move/s/v2/3","service":"s","to":"v2","start":"2026-01-01T00:00:00Z","deadline":"2026-01-01T00:01:00Z","finish":"2026-01-01T00:02:00Z","state":"rolled-back"}`
+	tests := map[string]string{
+		"not JSON":           `{"id":`,
+		"empty":              ``,
+		"unknown state":      strings.Replace(valid, "rolled-back", "odd", 1),
+		"another service":    strings.Replace(valid, `"service":"s"`, `"service":"t"`, 1),
+		"time out of range":  strings.Replace(valid, "2026-01-01T00:01", "99999-01-01T00:01", 1),
+		"ends before begins": strings.Replace(valid, "2026-01-01T00:01", "2025-01-01T00:01", 1),
+	}
+	for name, odd := range tests {
+		for _, known := range []bool{false, true} {
+			f, s := newApplying(), &committedStore{}
+			f.config.Store = s
+			m := newMover(f)
+			m.orders["s"] = receivedOrder{MoveOrder: MoveOrder{Service: "s", To: "v2", Within: time.Minute}, revision: 3, receivedAt: time.Now()}
+			want := MoveRunning
+			if known {
+				want = MoveRolledBack
+				m.applyRecord(store.Item{Key: movesPrefix + "s", Value: []byte(valid), Revision: 5})
+			}
+			m.applyRecord(store.Item{Key: movesPrefix + "s", Value: []byte(odd), Revision: 6})
+			m.decide(time.Now())
+			if m.Choose("s", 0).UseNewVersion {
+				t.Errorf("%s, known %v: the new version gets requests", name, known)
+			}
+			m.recordMoves(t.Context(), time.Now())
+			if len(s.last.Conditions) != 1 || s.last.Conditions[0].Revision != 6 || m.records["s"].State != want || m.records["s"].overwritten {
+				t.Errorf("%s, known %v: wrote %+v and has %+v, want a record with state %q at revision 6", name, known, s.last, m.records["s"], want)
+			}
+		}
+	}
+}
--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -66,6 +66,12 @@
 	State  MoveState `json:"state"`
 }
 
+// valid reports whether r is the record of a move of a service.
+func (r *moveRecord) valid(service string) bool {
+	known := r.State == MoveRunning || r.State == MoveDone || r.State == MoveRolledBack
+	return known && r.Service == service && !r.Deadline.Before(r.Start) && !r.Finish.Before(r.Deadline)
+}
+
 // activeMove is a move with this instance's latest decision.
 type activeMove struct {
 	moveRecord
@@ -97,6 +103,9 @@
 type storedMove struct {
 	moveRecord
 	revision int64
+	// overwritten means that the store holds something else at this revision, so
+	// that the record must be written again.
+	overwritten bool
 }
 
 func newMover(f *Instance) *mover {
@@ -133,14 +142,15 @@
 	if item.Removed {
 		return
 	}
-	if err := json.Unmarshal(item.Value, &r); err != nil || r.Service != service {
-		m.instance.config.Log.Warn("ignoring invalid move record", zap.String("key", item.Key), zap.Error(err))
+	if err := json.Unmarshal(item.Value, &r); err != nil || !r.valid(service) {
+		m.instance.config.Log.Warn("ignoring invalid move record", zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
+		m.markOverwritten(service, item.Revision)
 		return
 	}
 	m.mu.Lock()
 	known := m.records[service]
 	if item.Revision > known.revision {
-		m.records[service] = storedMove{r, item.Revision}
+		m.records[service] = storedMove{moveRecord: r, revision: item.Revision}
 	}
 	m.mu.Unlock()
 	if known.ID != r.ID || known.State != r.State {
@@ -148,6 +158,17 @@
 	}
 }
 
+// markOverwritten notes that the store holds an invalid record of a service's move.
+// The known record remains in effect.
+func (m *mover) markOverwritten(service string, revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if known := m.records[service]; revision > known.revision {
+		known.revision, known.overwritten = revision, true
+		m.records[service] = known
+	}
+}
+
 // run decides on moves, and records them while this instance holds the duty,
 // until ctx ends.
 func (m *mover) run(ctx context.Context) {
@@ -227,7 +248,7 @@
 			r.State = MoveDone
 			r.Finish = now.Add(min(settleTime, r.Finish.Sub(r.Deadline)))
 		}
-		if r != stored.moveRecord {
+		if r != stored.moveRecord || stored.overwritten {
 			m.storeRecord(ctx, r, stored.revision)
 			continue
 		}
