Add odd entries and pausing servers to the soak test

The soak now writes entries that no server wrote among those of the servers, also over those of real ones, and lets sound servers pause for 1.2 s in the middle of a response. It checks that no instance ends by itself, that no request is sent by an odd entry, and that no response of a server that only paused is abandoned.

--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"syscall"
@@ -39,7 +40,7 @@
 	i := r.instances[r.random.IntN(len(r.instances))]
 	s := r.servers[r.random.IntN(len(r.servers))]
 	duration := time.Duration(500+r.random.IntN(5000)) * time.Millisecond
-	switch r.random.IntN(12) {
+	switch r.random.IntN(15) {
 	case 0:
 		r.restart(i, syscall.SIGKILL)
 	case 1:
@@ -75,6 +76,11 @@
 		r.removeServer(ctx, s)
 	case 11:
 		r.toggleKey()
+	case 12:
+		r.addOddEntry(ctx, s, duration)
+	case 13, 14:
+		s.SetFault(worker.FaultPause)
+		r.undoAfter(ctx, duration, func() { s.SetFault(worker.FaultNone) })
 	}
 }
 
@@ -104,16 +110,22 @@
 // again.
 func (r *soakRun) restart(i *instance, s os.Signal) {
 	r.recordInstanceFault(i)
-	if err := i.cmd.Process.Signal(s); err != nil {
-		return // skip the fault: the instance has already ended, which no check reports
-	}
-	_ = i.cmd.Wait() // Wait returns an error for a killed process
+	r.signal(i, s)
+	<-i.ended
 	if err := r.startInstance(i); err != nil {
 		r.addViolation("instance " + i.name + " did not start: " + err.Error())
 	}
 	r.recordInstanceFault(i)
 }
 
+// signal sends an instance a signal that ends it.
+func (r *soakRun) signal(i *instance, s os.Signal) {
+	r.mu.Lock()
+	i.stopping = true
+	r.mu.Unlock()
+	_ = i.cmd.Process.Signal(s) // an error means that the instance has ended
+}
+
 // freeze stops an instance with SIGSTOP for d or until ctx is done.
 func (r *soakRun) freeze(ctx context.Context, i *instance, d time.Duration) {
 	r.recordInstanceFault(i)
@@ -125,8 +137,8 @@
 	r.recordInstanceFault(i)
 }
 
-// removeServer marks a server as draining or deletes it from the store, and
-// registers it again after 2*leaveWithin.
+// removeServer marks a server as draining, deletes it from the store or overwrites
+// its entry with an odd one, and registers it again after 2*leaveWithin.
 func (r *soakRun) removeServer(ctx context.Context, s *server) {
 	r.mu.Lock()
 	if !s.leavingSince.IsZero() {
@@ -134,10 +146,13 @@
 		return
 	}
 	r.mu.Unlock()
-	if r.random.IntN(2) == 0 {
+	switch r.random.IntN(3) {
+	case 0:
 		r.register(s, "draining")
-	} else {
+	case 1:
 		r.store.Remove("servers/" + s.ID)
+	case 2:
+		r.store.Put("servers/"+s.ID, r.oddEntry(s))
 	}
 	r.mu.Lock()
 	s.leavingSince = time.Now()
@@ -216,6 +231,16 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, s := range r.servers {
+		if n := s.Misdirections(); n > 0 {
+			r.result.Violations = append(r.result.Violations, fmt.Sprintf("server %s got %d requests by odd entries", s.ID, n))
+		}
+		for _, a := range s.Abandoned() {
+			if q, ok := r.requests[a.AttemptID]; ok && q.undisturbed && a.At.Sub(q.sent) < deadline {
+				r.result.Violations = append(r.result.Violations, "response of "+s.ID+" to "+q.kind+" request "+a.AttemptID+" was abandoned although the server only paused")
+			}
+		}
+	}
 	for id, q := range r.requests {
 		n := executions[id]
 		if n > 1 && !q.repeatable {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -31,6 +31,8 @@
 	// faultFreeTime is how long both the instance and the store must have been
 	// without a fault before leaveWithin is checked for a request.
 	faultFreeTime = 5 * time.Second
+	// deadline is the time limit that clients send with a request.
+	deadline = 6 * time.Second
 	// clientPause is the time between a response and the client's next request.
 	clientPause = 15 * time.Millisecond
 )
@@ -60,6 +62,8 @@
 	addresses   map[string]string
 	storeProxy  *proxy
 	cmd         *exec.Cmd
+	ended       chan struct{} // closed when cmd has ended
+	stopping    bool          // a fault or the end of the run ends cmd
 	lastFaultAt time.Time
 }
 
@@ -93,12 +97,13 @@
 
 // request is a request that a client sent and the status that it received.
 type request struct {
-	instance   *instance
-	sent       time.Time
-	key        string
-	faultFree  bool // no fault of the instance or the store for faultFreeTime
-	status     int
-	repeatable bool // may run more than once
+	instance    *instance
+	sent        time.Time
+	kind, key   string
+	faultFree   bool // no fault of the instance or the store for faultFreeTime
+	undisturbed bool // faultFree, and no fault of the instance until the response
+	status      int
+	repeatable  bool // may run more than once
 }
 
 // Run starts the instances and fakes, sends requests and injects faults until
@@ -190,9 +195,14 @@
 }
 
 func (r *soakRun) register(s *server, state string) {
-	r.store.Put("servers/"+s.ID, map[string]any{
-		"service": s.service, "address": s.address, "zone": "zone-0", "version": "v1", "slots": 8, "state": state, "born": 1,
-	})
+	r.store.Put("servers/"+s.ID, s.entry(state))
+}
+
+// entry returns the server's entry in the store.
+func (s *server) entry(state string) map[string]any {
+	return map[string]any{
+		"service": s.service, "address": s.address, "zone": "zone-0", "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1, "born": 1,
+	}
 }
 
 // configure writes the next version of the operator's configuration to the store.
@@ -226,16 +236,31 @@
 		"--usage-window", "1s", "--duties", "metering", "--drain-notice", "4s", "--revoke-within", revokeWithin.String())
 	i.cmd.Stdout, i.cmd.Stderr = r.Log, r.Log
 	r.recordInstanceFault(i)
-	return i.cmd.Start()
+	if err := i.cmd.Start(); err != nil {
+		return err
+	}
+	cmd, ended := i.cmd, make(chan struct{})
+	r.mu.Lock()
+	i.ended, i.stopping = ended, false
+	r.mu.Unlock()
+	go func() {
+		defer close(ended)
+		err := cmd.Wait()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !i.stopping {
+			r.result.Violations = append(r.result.Violations, fmt.Sprintf("instance %s ended by itself: %v", i.name, err))
+		}
+	}()
+	return nil
 }
 
 // stop kills the processes that the run started and closes the fakes.
 func (r *soakRun) stop() {
 	for _, i := range r.instances {
-		if i.cmd != nil && i.cmd.Process != nil {
-			_ = i.cmd.Process.Signal(syscall.SIGCONT)
-			_ = i.cmd.Process.Kill()
-			_ = i.cmd.Wait() // the error is that it was killed
+		if i.ended != nil {
+			r.signal(i, syscall.SIGKILL)
+			<-i.ended
 		}
 		i.storeProxy.close()
 	}
@@ -252,7 +277,7 @@
 		i := r.instances[random.IntN(len(r.instances))]
 		id := fmt.Sprintf("c%d-%d", n, count)
 		kind := kinds[random.IntN(len(kinds))]
-		q := request{instance: i, sent: time.Now(), key: firstKey, repeatable: kind == "read" || kind == "reply"}
+		q := request{instance: i, sent: time.Now(), kind: kind, key: firstKey, repeatable: kind == "read" || kind == "reply"}
 		if random.IntN(4) == 0 {
 			q.key = secondKey
 		}
@@ -262,6 +287,7 @@
 		body, status := r.send(client, i, kind, id, q.key)
 		q.status = status
 		r.mu.Lock()
+		q.undisturbed = q.faultFree && i.lastFaultAt.Before(q.sent)
 		r.requests[id] = q
 		r.result.Sent++
 		if status == http.StatusOK {
@@ -285,7 +311,7 @@
 	q.Host = host
 	q.Header.Set("X-Wasabiworks-Attempt-Id", id)
 	q.Header.Set("X-Wasabiworks-Key", key)
-	q.Header.Set("X-Wasabiworks-Deadline-Ms", "6000")
+	q.Header.Set("X-Wasabiworks-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	response, err := client.Do(q)
 	if err != nil {
 		return "", 0
--- a/internal/bench/worker/worker.go
+++ b/internal/bench/worker/worker.go
@@ -35,8 +35,14 @@
 	FaultServerError Fault = "fail"
 	// FaultHang never responds.
 	FaultHang Fault = "hang"
+	// FaultPause sends nothing for Pause in the middle of the response, which is
+	// otherwise correct: the server is sound.
+	FaultPause Fault = "pause"
 )
 
+// Pause is how long a server with FaultPause sends nothing.
+const Pause = 1200 * time.Millisecond
+
 // Run is a request that the server ran.
 //
 // Request is the attempt ID from the header X-Wasabiworks-Attempt-Id, Target the
@@ -61,9 +67,33 @@
 	// instead of a single body.
 	Stream bool
 
-	mu    sync.Mutex
-	fault Fault
-	runs  []Run
+	mu            sync.Mutex
+	fault         Fault
+	runs          []Run
+	abandoned     []Abandonment
+	misdirections int
+}
+
+// Abandonment is the end of the connection of a request while its server paused.
+type Abandonment struct {
+	AttemptID string
+	At        time.Time
+}
+
+// Abandoned returns a copy of the list of requests that were abandoned during a
+// pause.
+func (w *Server) Abandoned() []Abandonment {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Abandonment(nil), w.abandoned...)
+}
+
+// Misdirections returns the number of requests that expected a server with another
+// ID.
+func (w *Server) Misdirections() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.misdirections
 }
 
 // SetFault sets the fault for requests that arrive from now on.
@@ -91,6 +121,9 @@
 // ServeHTTP implements http.Handler.
 func (w *Server) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	if expect := r.Header.Get("X-Wasabiworks-Expect-Instance"); expect != "" && expect != w.ID {
+		w.mu.Lock()
+		w.misdirections++
+		w.mu.Unlock()
 		rw.Header().Set("X-Wasabiworks-Instance-Id", w.ID)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -131,25 +164,30 @@
 	case FaultDuplicateResponse:
 		w.writeTwice(rw, id)
 	default:
-		w.writeResponse(rw, r, id, f == FaultCutOff)
+		w.writeResponse(rw, r, id, f)
 	}
 }
 
-// writeResponse writes the response. If cut is set, it writes about half of the
-// response and closes the connection.
-func (w *Server) writeResponse(rw http.ResponseWriter, r *http.Request, id string, cut bool) {
-	if !w.Stream {
-		body := Body(id)
-		rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		if cut {
-			body = body[:len(body)/2]
-		}
-		fmt.Fprint(rw, body)
-		if cut {
-			panic(http.ErrAbortHandler)
-		}
+// writeResponse writes the response. With FaultCutOff it writes about half of the
+// response and closes the connection; with FaultPause it pauses in the middle.
+func (w *Server) writeResponse(rw http.ResponseWriter, r *http.Request, id string, f Fault) {
+	if w.Stream {
+		w.writeStream(rw, r, id, f)
+		return
+	}
+	body := Body(id)
+	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	fmt.Fprint(rw, body[:len(body)/2])
+	if f == FaultCutOff {
+		panic(http.ErrAbortHandler)
+	}
+	if f == FaultPause && !w.pause(rw, r, id) {
 		return
 	}
+	fmt.Fprint(rw, body[len(body)/2:])
+}
+
+func (w *Server) writeStream(rw http.ResponseWriter, r *http.Request, id string, f Fault) {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
@@ -157,11 +195,14 @@
 	}
 	for n := first; n <= w.Events; n++ {
 		event := Event(id, n)
-		if cut && n == w.Events/2 {
+		if f == FaultCutOff && n == w.Events/2 {
 			fmt.Fprint(rw, event[:len(event)/2])
 			_ = http.NewResponseController(rw).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if f == FaultPause && n == w.Events/2 && !w.pause(rw, r, id) {
+			return
+		}
 		fmt.Fprint(rw, event)
 		if http.NewResponseController(rw).Flush() != nil {
 			return
@@ -174,6 +215,21 @@
 	}
 }
 
+// pause sends what has been written and then nothing for Pause. It returns false, and
+// records it, if the connection of the request ends meanwhile.
+func (w *Server) pause(rw http.ResponseWriter, r *http.Request, id string) bool {
+	_ = http.NewResponseController(rw).Flush() // an error shows as the end of the connection
+	select {
+	case <-time.After(Pause):
+		return true
+	case <-r.Context().Done():
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.abandoned = append(w.abandoned, Abandonment{id, time.Now()})
+		return false
+	}
+}
+
 // writeTwice sends the response twice with a single flush.
 func (w *Server) writeTwice(rw http.ResponseWriter, id string) {
 	conn, buf, err := http.NewResponseController(rw).Hijack()
