--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -89,6 +89,43 @@
 	}
 }
 
+// Guards against what is known of a process that counts for the next one under the same
+// ID and address: prompts that it has read, its load, its failures and its leaving.
+func TestRestartedServerStartsAnew(t *testing.T) {
+	s := Registration{ID: "a", Service: "s", Address: "127.0.0.1:1", Incarnation: 1700000000000}
+	parts := []route.Part{{Chain: 1, Tokens: 100}}
+	p := New()
+	p.Put(s, epoch)
+	old := p.Service("s")[0]
+	old.Prompts.Add(parts, epoch)
+	old.Begin(100, epoch)
+	old.Failed(epoch)
+	s.Leaving = true
+	p.Put(s, epoch)
+
+	s.Leaving, s.Incarnation = false, s.Incarnation+1
+	if !p.Put(s, epoch) {
+		t.Error("the restart counts as no change")
+	}
+	w := p.Service("s")[0]
+	if w == old || len(p.Service("s")) != 1 {
+		t.Fatalf("got %d servers, the first of which is the old process: %v", len(p.Service("s")), w == old)
+	}
+	if !w.Usable() || w.Suspect(epoch) || w.Running() != 0 || w.PendingTokens() != 0 || w.Prompts.CachedTokens(parts, epoch) != 0 || !w.RecentlyJoined(epoch) {
+		t.Errorf("the restarted server is usable %v, suspect %v, runs %d requests with %d tokens to read and has cached %d tokens, want a new one",
+			w.Usable(), w.Suspect(epoch), w.Running(), w.PendingTokens(), w.Prompts.CachedTokens(parts, epoch))
+	}
+	if old.Usable() {
+		t.Error("the old process is still usable")
+	}
+	// The end of a request of the old process must not count for the new one.
+	old.PromptRead(100)
+	old.End()
+	if w.Running() != 0 || w.PendingTokens() != 0 {
+		t.Errorf("after the end of a request of the old process: %d requests and %d tokens, want none", w.Running(), w.PendingTokens())
+	}
+}
+
 // Guards against a silent server that keeps getting requests, and against a
 // server that is avoided for long after one failure.
 func TestSilentOrFailedServerIsSuspect(t *testing.T) {
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -12,11 +12,16 @@
 var regressionSeeds = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{3, "a resumable stream of a server that only paused was abandoned"},
+	{4, "a resumable stream of a server that only paused was abandoned"},
+	{8, "a resumable stream of a server that only paused was abandoned"},
+	{10, "a resumable stream of a server that only paused was abandoned"},
+}
 
 // Guards against guarantees that are violated when faults overlap: killed, stopped
-// and frozen instances, store outages, wrong responses, leaving servers and
-// removed keys.
+// and frozen instances, store outages, wrong responses, pausing and leaving servers,
+// odd entries and removed keys.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "wasabiworks")
 	build := exec.Command("go", "build", "-o", program, "wasabiworks.example/wasabiworks/cmd/wasabiworks")
