--- a/internal/bench/metastore/store.go
+++ b/internal/bench/metastore/store.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// pageSize is the number of items in a page of a listing.
-	pageSize = 50
+	// pageSize is the number of items in a page of a listing, and pageBytes the size
+	// of their values from which on a page is complete.
+	pageSize  = 50
+	pageBytes = 1 << 20
 	// maxHistory is the number of recent changes that are kept for watches;
 	// the history is trimmed when it is more than a tenth longer.
 	maxHistory = 2000
@@ -263,12 +265,15 @@
 		}
 	}
 	sort.Strings(keys)
-	more := len(keys) > pageSize
-	entries := []Item{}
-	for _, key := range keys[:min(len(keys), pageSize)] {
+	entries, size := []Item{}, 0
+	for _, key := range keys {
+		if len(entries) == pageSize || size >= pageBytes {
+			break
+		}
 		entries = append(entries, s.items[key])
+		size += len(s.items[key].Val)
 	}
-	return http.StatusOK, map[string]any{"entries": entries, "more_pages": more, "as_of": s.revision}
+	return http.StatusOK, map[string]any{"entries": entries, "more_pages": len(entries) < len(keys), "as_of": s.revision}
 }
 
 func (s *Store) watch(r *http.Request) (int, any) {
