--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -101,7 +101,20 @@
 	// ReportLoss reports that a server that may have run a request gave no complete
 	// response, for example because the connection broke or an event exceeded the
 	// size limit. The implementation checks whether the server crashed.
-	ReportLoss(server, address string, incarnation int64, fingerprint uint64)
+	ReportLoss(l Loss)
+}
+
+// Loss describes an attempt without a complete response from a server that may have
+// run the request.
+type Loss struct {
+	Server, Address string
+	Incarnation     int64
+	Fingerprint     uint64
+	// Parts are the IDs of the parts of the prompt, without the last one, which
+	// belongs to the request or its session.
+	Parts []uint64
+	// Events is the number of complete events that the server sent.
+	Events int
 }
 
 // Config configures a Handler. All fields are required except Registerer, Log
--- a/internal/caller/forward/prompt.go
+++ b/internal/caller/forward/prompt.go
@@ -28,7 +28,7 @@
 			break
 		}
 		chain = xxhash.Sum64String(strconv.FormatUint(chain, 16) + ":" + id)
-		p.Parts = append(p.Parts, route.Part{Chain: chain, Tokens: parseCount(size)})
+		p.Parts = append(p.Parts, route.Part{ID: xxhash.Sum64String(id), Chain: chain, Tokens: parseCount(size)})
 	}
 	return p
 }
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -28,6 +28,7 @@
 	status          int
 	err             error
 	promptProcessed bool
+	events          int // complete events that the server sent
 	cancel          context.CancelFunc
 }
 
@@ -151,7 +152,7 @@
 		return outcomeUnreachable
 	}
 	if !clientLeft && !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, context.DeadlineExceeded) {
-		e.config.Poison.ReportLoss(a.server.ID, a.server.Address, a.server.Incarnation, e.fingerprint)
+		e.config.Poison.ReportLoss(e.loss(a))
 	}
 	e.countUsage()
 	return outcomeLost
--- a/internal/decide/route/prompt.go
+++ b/internal/decide/route/prompt.go
@@ -8,9 +8,10 @@
 
 // Part is a section of a prompt that other requests may share.
 type Part struct {
-	// Chain identifies the part together with all parts before it.
-	Chain  uint64
-	Tokens int
+	// ID identifies the part, whatever comes before it. Chain identifies the part
+	// together with all parts before it.
+	ID, Chain uint64
+	Tokens    int
 }
 
 // Prompt describes a request to a language model.
--- a/internal/entry/gateway/poison.go
+++ b/internal/entry/gateway/poison.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"wasabiworks.example/wasabiworks/internal/caller/forward"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/peer/crash"
 )
@@ -27,17 +28,18 @@
 // ReportLoss implements forward.Poison. It records a crash unless the server accepts a
 // new connection: a server that merely lost one response still accepts
 // connections, and a crashed server does not.
-func (p poisonFilter) ReportLoss(server, address string, incarnation int64, fingerprint uint64) {
+func (p poisonFilter) ReportLoss(l forward.Loss) {
 	p.instance.crashChecks.Go(func() {
-		conn, err := net.DialTimeout("tcp", address, crashCheckTimeout)
+		conn, err := net.DialTimeout("tcp", l.Address, crashCheckTimeout)
 		if err == nil {
 			_ = conn.Close() // nothing was sent on it
 			return
 		}
 		f := p.instance
-		f.crashes.Set.Crash(server, strconv.FormatInt(incarnation, 10), []uint64{fingerprint}, time.Now().Add(crash.RecordTTL))
+		f.crashes.Set.Crash(l.Server, strconv.FormatInt(l.Incarnation, 10), []uint64{l.Fingerprint}, time.Now().Add(crash.RecordTTL))
 		f.exchange.Notify()
-		f.config.Log.Info("server crashed while running a request", zap.String("server", server), zap.Uint64("fingerprint", fingerprint),
-			zap.Stringer("verdict", f.crashes.Set.Verdict(fingerprint, time.Now())))
+		f.config.Log.Info("server crashed while running a request", zap.String("server", l.Server), zap.Int64("incarnation", l.Incarnation),
+			zap.Uint64("fingerprint", l.Fingerprint), zap.Uint64s("parts", l.Parts), zap.Int("events", l.Events),
+			zap.Stringer("verdict", f.crashes.Set.Verdict(l.Fingerprint, time.Now())))
 	})
 }
