Block a prompt part that crashes server after server

Crash records held the fingerprint of the whole request (method, URI, key, body). Requests with one guilty part, no two alike, each had a fingerprint of their own, so none was recognized before it had crashed a server, and its retry another one.

Instances now also record which shared parts of prompts a process had not responded to when it crashed, and exchange these reports. A part that was in flight at four crashes, with no response to a prompt with it completed since, is accused, and blocked a second later. Parts that come together with the guilty one are not blocked: a completed response clears a part, and crashes that another accused part explains do not count against a request without that part. The holder of the duties lets one request through after 15 s, then at eightfold intervals, so that a part that no longer crashes servers is cleared. Rejected requests get 503 with Retry-After, and the reason poison-part.

--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -73,6 +73,7 @@
 		return outcomeFailed
 	}
 	a.server.Succeeded(e.config.Now())
+	e.config.Poison.Completed(e.sharedParts)
 	e.deliver(res)
 	return outcomeAnswered
 }
--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -98,6 +98,12 @@
 type Poison interface {
 	// Allowed reports whether a request may be sent.
 	Allowed(fingerprint uint64) bool
+	// CheckParts returns whether a request whose prompt has the given shared parts
+	// may be sent. It is called before each attempt.
+	CheckParts(parts []uint64) PartsVerdict
+	// Completed reports that a server completed a response to a prompt with the
+	// given shared parts.
+	Completed(parts []uint64)
 	// ReportLoss reports that a server that may have run a request gave no complete
 	// response, for example because the connection broke or an event exceeded the
 	// size limit. The implementation checks whether the server crashed.
@@ -113,10 +119,24 @@
 	// Parts are the IDs of the parts of the prompt, without the last one, which
 	// belongs to the request or its session.
 	Parts []uint64
-	// Events is the number of complete events that the server sent.
-	Events int
+	// Events is the number of complete events that the server sent. Responding
+	// reports whether it had sent them for long enough to show that it does not
+	// crash when it begins to respond.
+	Events     int
+	Responding bool
 }
 
+// PartsVerdict states whether a request may be sent, given the parts of its prompt.
+type PartsVerdict uint8
+
+// Verdicts on the parts of a prompt.
+const (
+	PartsAllowed PartsVerdict = iota
+	// PartsOnTrial allows one attempt with a part that has crashed servers.
+	PartsOnTrial
+	PartsBlocked
+)
+
 // Config configures a Handler. All fields are required except Registerer, Log
 // and OnRequestEnd.
 type Config struct {
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -86,6 +86,8 @@
 	body          []byte
 	requestURI    string
 	prompt        route.Prompt
+	sharedParts   []uint64 // IDs of the parts of prompt that other prompts may share
+	partsOnTrial  bool     // a part of the prompt is blocked, and this request is a trial
 	fingerprint   uint64
 	deadline      time.Time
 
@@ -131,11 +133,15 @@
 	}
 	e.deadline = e.computeDeadline()
 	e.prompt = parsePrompt(e.r.Header.Get(c.Headers.Tokens), e.r.Header.Get(c.Headers.Prefix))
+	e.sharedParts = sharedParts(e.prompt.Parts)
 	e.fingerprint = fingerprint(e.r.Method, e.requestURI, e.r.Header.Get(c.Headers.Key), e.body)
 	e.pickService()
 	if !c.Poison.Allowed(e.fingerprint) {
 		return PoisonRequest
 	}
+	if !e.partsAllowed() {
+		return PoisonPart
+	}
 	if workspace != nil {
 		e.workspace = workspace.Name
 		e.allowanceUnits = allowanceUnits(workspace, e.prompt)
@@ -169,10 +175,13 @@
 	return w, ""
 }
 
-// revalidate checks the request's route and key against the current
-// configuration, which may have changed since the request was accepted. It
+// revalidate checks the parts of the prompt, and the request's route and key against
+// the current configuration, all of which may have changed since the request was accepted. It
 // returns the reason to reject the request, or an empty Reason if it may be sent.
 func (e *exchange) revalidate() Reason {
+	if !e.partsAllowed() {
+		return PoisonPart
+	}
 	v := e.config.View()
 	if v.Table != e.view.Table {
 		r, ok := e.matchRoute(v.Table)
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -110,6 +110,8 @@
 func (permissive) AddRequest(string)                                    {}
 func (permissive) AddFirst(string, bool)                                {}
 func (permissive) Allowed(uint64) bool                                  { return true }
+func (permissive) CheckParts([]uint64) PartsVerdict                     { return PartsAllowed }
+func (permissive) Completed([]uint64)                                   {}
 func (permissive) ReportLoss(Loss)                                      {}
 func (permissive) Choose(string, uint64) VersionChoice                  { return VersionChoice{} }
 func (permissive) RecordResult(VersionChoice, bool, string, bool, bool) {}
--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -31,6 +31,8 @@
 	OverAllowance Reason = "over-allowance"
 	// PoisonRequest means that the request has crashed several servers.
 	PoisonRequest Reason = "poison"
+	// PoisonPart means that a part of the prompt has crashed several servers.
+	PoisonPart Reason = "poison-part"
 	// NoServer means that the service has no usable server.
 	NoServer Reason = "no-server"
 	// ServersFull means that the server of the last attempt rejected the request
@@ -56,7 +58,7 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, OverAllowance, PoisonRequest,
+	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, OverAllowance, PoisonRequest, PoisonPart,
 	NoServer, ServersFull, ServersUnreachable, ResponseLost, InvalidResponse, TimedOut, TimedOutUnsent, StreamBroken,
 }
 
@@ -64,6 +66,11 @@
 // was rejected for a temporary reason.
 const defaultRetryAfter = 300 * time.Millisecond
 
+// poisonPartRetryAfter is the time after which a client should retry a request with a
+// part that crashes servers. Only the operator or a change of the servers can make such
+// a request succeed, but a part that was blocked wrongly is cleared within seconds.
+const poisonPartRetryAfter = 3 * time.Second
+
 // minRetryAfter is the minimum of the Retry-After time for a workspace that is
 // over its allowance; 0 would invite an immediate retry.
 const minRetryAfter = time.Millisecond
@@ -75,6 +82,8 @@
 	switch r {
 	case NoConfiguration, StaleConfiguration, NoServer, ServersFull, ServersUnreachable, TimedOutUnsent:
 		return http.StatusServiceUnavailable, true, defaultRetryAfter
+	case PoisonPart:
+		return http.StatusServiceUnavailable, true, poisonPartRetryAfter
 	case NoRoute:
 		return http.StatusNotFound, true, 0
 	case UnknownKey:
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -28,7 +28,8 @@
 	status          int
 	err             error
 	promptProcessed bool
-	events          int // complete events that the server sent
+	events          int       // complete events that the server sent
+	firstEvent      time.Time // when the first of them arrived
 	cancel          context.CancelFunc
 }
 
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -43,7 +43,7 @@
 		now := e.config.Now()
 		if len(event) > 0 && err == nil {
 			a.server.Received(now)
-			a.events++
+			a.countEvent(now)
 			if !a.promptProcessed {
 				a.promptProcessed = true
 				a.server.PromptRead(uncachedTokens)
@@ -143,6 +143,7 @@
 		}
 	}
 	a.server.Succeeded(now)
+	e.config.Poison.Completed(e.sharedParts)
 	e.reason = Served
 	return outcomeAnswered
 }
--- /dev/null
+++ b/internal/decide/poison/parts_test.go
@@ -0,0 +1,229 @@
+package poison
+
+import (
+	"cmp"
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Parts in the tests below.
+const (
+	guilty = iota + 1
+	companion
+	frequent
+	rare
+)
+
+// crashUnder records crashes of n processes under prompts with the given parts.
+func crashUnder(s *PartSet, first, n int, now time.Time, parts ...uint64) {
+	for i := range n {
+		s.Crash(fmt.Sprintf("server/%d", first+i), parts, now.Add(time.Hour), now)
+	}
+}
+
+// Guards against a guilty part that is not blocked with its usual companion or with
+// another, and against a block of the companion alone.
+func TestOnlyTheGuiltyPartIsBlocked(t *testing.T) {
+	is := is.New(t)
+	var s PartSet
+	crashUnder(&s, 0, accusingCrashes-1, epoch, companion, guilty)
+	is.True(!s.Blocked([]uint64{companion, guilty}, epoch.Add(time.Minute)))
+	crashUnder(&s, accusingCrashes-1, 1, epoch, companion, guilty)
+	crashUnder(&s, 100, 1, epoch, companion) // a crash of another cause
+	is.True(!s.Blocked([]uint64{companion, guilty}, epoch.Add(settleTime-1)))
+	now := epoch.Add(settleTime)
+	is.True(s.Blocked([]uint64{companion, guilty}, now))
+	is.True(s.Blocked([]uint64{rare, companion, guilty}, now))
+	is.True(!s.Blocked([]uint64{companion, rare}, now))
+	crashUnder(&s, 200, unexplainedCrashes, now, rare, guilty)
+	is.True(s.Blocked([]uint64{rare, guilty}, now))
+	is.True(!s.Blocked([]uint64{rare}, now))
+	is.True(!s.Blocked([]uint64{companion, rare}, now))
+}
+
+// Guards against an innocent part that stays blocked although servers complete
+// responses to prompts with it, and against a guilty part that is cleared with it.
+func TestCompletedResponseClearsParts(t *testing.T) {
+	is := is.New(t)
+	var s, peer PartSet
+	crashUnder(&s, 0, accusingCrashes, epoch, guilty, frequent)
+	now := epoch.Add(settleTime)
+	is.Equal(s.BlockedParts(now), []uint64{guilty, frequent})
+	is.True(s.Completed([]uint64{companion, frequent}))
+	is.True(!s.Completed([]uint64{companion, frequent}))
+	is.Equal(s.BlockedParts(now), []uint64{guilty})
+	crashUnder(&peer, 0, accusingCrashes, epoch, guilty, frequent)
+	reports, _ := s.Since(0, 0)
+	is.Equal(peer.Merge(reports, now), accusingCrashes)
+	is.Equal(peer.Merge(reports, now), 0)
+	is.Equal(peer.BlockedParts(now), []uint64{guilty})
+}
+
+// Guards against a part that is blocked for good because nothing can clear it, and
+// against trials that crash many servers.
+func TestTrialsAreFew(t *testing.T) {
+	is := is.New(t)
+	var s PartSet
+	crashUnder(&s, 0, accusingCrashes, epoch, guilty)
+	trials := 0
+	for now := epoch; now.Before(epoch.Add(10 * time.Minute)); now = now.Add(100 * time.Millisecond) {
+		if s.Trial([]uint64{companion, guilty}, now) {
+			trials++
+			crashUnder(&s, 100+trials, 1, now, companion, guilty)
+		}
+	}
+	is.Equal(trials, 2)
+	is.True(!s.Trial([]uint64{companion}, epoch.Add(time.Hour)))
+	s.Completed([]uint64{guilty})
+	is.True(!s.Blocked([]uint64{guilty}, epoch.Add(10*time.Minute)))
+}
+
+// Guards against memory that peers can make a set use without limit, and against
+// reports that are never removed.
+func TestPartSetIsBounded(t *testing.T) {
+	is := is.New(t)
+	var s PartSet
+	for n := range 2 * maxPartCrashes {
+		parts := make([]uint64, 2*maxPartsPerCrash)
+		for i := range parts {
+			parts[i] = uint64(n*len(parts) + i)
+		}
+		s.Crash(fmt.Sprint("server/", n), parts, epoch.Add(time.Duration(n+1)*time.Second), epoch)
+	}
+	is.Equal(len(s.crashes), maxPartCrashes)
+	is.Equal(len(s.suspects), maxPartCrashes*maxPartsPerCrash)
+	s.Expire(epoch.Add(time.Hour))
+	is.Equal(len(s.crashes)+len(s.suspects)+len(s.accused), 0)
+}
+
+func drawReports(t *rapid.T, label string) (reports []PartCrash) {
+	part := rapid.Uint64Range(1, 3)
+	for range rapid.IntRange(0, 8).Draw(t, label) {
+		reports = append(reports, PartCrash{
+			Process:  fmt.Sprint("server/", rapid.IntRange(0, 5).Draw(t, "process")),
+			Parts:    rapid.SliceOfN(part, 1, 3).Draw(t, "parts"),
+			Cleared:  rapid.SliceOfN(part, 0, 1).Draw(t, "cleared"),
+			Deadline: epoch.Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "deadline")) * time.Minute),
+		})
+	}
+	return reports
+}
+
+func mergedReports(groups ...[]PartCrash) []PartCrash {
+	var s PartSet
+	for _, g := range groups {
+		s.Merge(g, epoch)
+	}
+	reports, _ := s.Since(0, 0)
+	for _, r := range reports {
+		slices.Sort(r.Parts)
+		slices.Sort(r.Cleared)
+	}
+	slices.SortFunc(reports, func(a, b PartCrash) int { return cmp.Compare(a.Process, b.Process) })
+	return reports
+}
+
+// Guards against instances that block different parts because they merged the same
+// reports in another order, grouping or number.
+func TestPartReportsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawReports(t, "a"), drawReports(t, "b"), drawReports(t, "c")
+		want := mergedReports(a, b, c)
+		for name, got := range map[string][]PartCrash{
+			"commutative": mergedReports(c, b, a), "idempotent": mergedReports(a, b, b, c, a), "associative": mergedReports(mergedReports(b, c), a),
+		} {
+			if !reflect.DeepEqual(got, want) {
+				t.Fatalf("merge is not %s: got %v, want %v", name, got, want)
+			}
+		}
+	})
+}
+
+// promptRun is a prompt on a simulated server.
+type promptRun struct {
+	parts []uint64
+	end   time.Time // when the response is complete
+}
+
+// Guards against a guilty part that crashes more servers than the rules allow, and
+// against innocent parts that stay blocked, in random schedules on instances that
+// exchange their reports with a delay, while other servers crash by themselves.
+func TestGuiltyPartCrashesFewServersInRandomSchedules(t *testing.T) {
+	const (
+		instances, servers = 3, 12
+		step, gossipPeriod = 50 * time.Millisecond, 500 * time.Millisecond
+		contactTime        = 3 * time.Second
+		// allowedCrashes is how many may follow later than contactTime after the fifth.
+		allowedCrashes = 3
+	)
+	prompts := [][]uint64{{companion, guilty}, {frequent}, {frequent, 100}, {companion}, {rare}, {companion, 101}}
+	rapid.Check(t, func(t *rapid.T) {
+		sets := make([]PartSet, instances)
+		running := make([][]promptRun, servers)
+		incarnation := 0
+		var crashedAt []time.Time // under the guilty part
+		crash := func(server int, now time.Time) {
+			incarnation++
+			for n, run := range running[server] {
+				sets[n%instances].Crash(fmt.Sprintf("%d/%d", server, incarnation), run.parts, now.Add(time.Hour), now)
+			}
+			running[server] = nil
+		}
+		now := epoch
+		refused := 0 // the last requests with innocent parts
+		for range 400 {
+			now = now.Add(step)
+			if now.Sub(epoch)%gossipPeriod == 0 {
+				for i := range sets {
+					reports, _ := sets[i].Since(0, 0)
+					sets[(i+1)%instances].Merge(reports, now)
+					sets[(i+2)%instances].Merge(reports, now)
+				}
+			}
+			for server := range running {
+				running[server] = slices.DeleteFunc(running[server], func(r promptRun) bool {
+					done := !r.end.After(now)
+					if done {
+						sets[server%instances].Completed(r.parts)
+					}
+					return done
+				})
+			}
+			if rapid.IntRange(0, 99).Draw(t, "own crash") == 0 {
+				crash(rapid.IntRange(0, servers-1).Draw(t, "crashed server"), now)
+			}
+			parts := prompts[rapid.SampledFrom([]int{0, 0, 1, 1, 1, 2, 2, 3, 4, 5}).Draw(t, "prompt")]
+			instance, server := rapid.IntRange(0, instances-1).Draw(t, "instance"), rapid.IntRange(0, servers-1).Draw(t, "server")
+			switch blocked := sets[instance].Blocked(parts, now); {
+			case blocked && slices.Contains(parts, guilty):
+			case blocked:
+				refused++
+			case slices.Contains(parts, guilty):
+				running[server] = append(running[server], promptRun{parts: parts})
+				crash(server, now)
+				crashedAt = append(crashedAt, now)
+			default:
+				refused = 0
+				running[server] = append(running[server], promptRun{parts, now.Add(200 * time.Millisecond)})
+			}
+		}
+		late := 0
+		for n, at := range crashedAt {
+			if n >= 5 && at.Sub(crashedAt[4]) > contactTime {
+				late++
+			}
+		}
+		if late > allowedCrashes {
+			t.Fatalf("%d crashes later than %v after the fifth, want at most %d; all: %v", late, contactTime, allowedCrashes, crashedAt)
+		}
+		if refused > 20 {
+			t.Fatalf("the last %d requests without the guilty part were refused", refused)
+		}
+	})
+}
--- a/internal/entry/gateway/allowances.go
+++ b/internal/entry/gateway/allowances.go
@@ -66,11 +66,14 @@
 	return n
 }
 
-// refreshAllowancesAndCrashes periodically refreshes the allowances and removes
-// expired crash records, until ctx ends.
+// refreshAllowancesAndCrashes periodically refreshes the allowances, removes
+// expired crash records and logs which parts of prompts are blocked, until ctx ends.
 func (f *Instance) refreshAllowancesAndCrashes(ctx context.Context) {
+	var blocked []uint64
 	wait.Every(ctx, allowance.RefreshPeriod, func() {
 		f.allowances.Refresh()
 		f.crashes.Set.Expire(time.Now())
+		f.partCrashes.Set.Expire(time.Now())
+		blocked = f.logBlockedParts(blocked)
 	})
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -173,6 +173,7 @@
 	exchange           *exchange.Node
 	allowances         *allowance.Limiter
 	crashes            crash.Records
+	partCrashes        crash.PartRecords
 	crashChecks        sync.WaitGroup // counts running checks of whether a server has crashed
 	// counters are shared by all instances: the units that workspaces spent, and
 	// the outcomes of requests at the old and the new version of each move.
@@ -236,6 +237,10 @@
 		return err
 	}
 	f.crashes = crash.Records{Set: new(poison.Set), Now: time.Now}
+	f.partCrashes = crash.PartRecords{Set: new(poison.PartSet), Now: time.Now}
+	if err := f.registerPartMetrics(); err != nil {
+		return err
+	}
 	window := c.UsageWindow
 	if window == 0 {
 		window = defaultUsageWindow
@@ -254,8 +259,8 @@
 	counters := exchange.Evidence{Table: &f.counters, Domain: c.FailureDomain, Self: c.ID, Hub: f.members.IsHub}
 	f.exchange, err = exchange.New(exchange.Config{
 		Members: f.members, MinRemotePeriod: remotePeriod,
-		Sources:    []exchange.Source{counters, f.crashes},
-		Sinks:      []exchange.Sink{counters, f.crashes},
+		Sources:    []exchange.Source{counters, f.crashes, f.partCrashes},
+		Sinks:      []exchange.Sink{counters, f.crashes, f.partCrashes},
 		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.serveWatch, Spend: f.serveSpend},
 		Registerer: f.registry,
 		Logger:     c.Log,
