Treat every stream that ends inside an event as broken off

A client could get the beginning of an event at the end of a stream that looked complete: only without Content-Length and chunks did an incomplete event count as the end of the connection. A server that crashes can also end a framed body there, and one that crashes before its first event gave an empty stream that looked complete if the response ends with its connection.

Any bytes after the last complete event now make the stream broken off, whatever its framing, and so does the end of a connection before the first event. The stream is resumed where that is allowed, and ends without completing otherwise.

--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -126,22 +126,16 @@
 }
 
 // finishStream ends a stream after the end of the server's response. rest is what
-// came after the last complete event.
+// came after the last complete event. A stream that ends inside an event has been
+// broken off, and so has one without events that ends with its connection.
 func (e *exchange) finishStream(a *attempt, r *http.Response, rest []byte) outcome {
 	now := e.config.Now()
-	if len(rest) > 0 && r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
-		// Without Content-Length or chunked encoding, only an incomplete event
-		// shows that the connection broke.
+	endsWithConnection := r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	if len(rest) > 0 || endsWithConnection && a.events == 0 {
 		a.err = io.ErrUnexpectedEOF
 		return e.handleTransportError(a, false)
 	}
 	e.writeHead(r, now)
-	if len(rest) > 0 {
-		if _, err := e.w.Write(rest); err != nil {
-			e.reason = ClientLeft
-			return outcomeAnswered
-		}
-	}
 	a.server.Succeeded(now)
 	e.config.Poison.Completed(e.sharedParts)
 	e.reason = Served
