--- a/internal/decide/poison/parts.go
+++ b/internal/decide/poison/parts.go
@@ -21,8 +21,9 @@
 	// of other servers.
 	settleTime = time.Second
 	// firstTrialDelay is the time between the block of a part and the first trial, in
-	// which one request with it may run; each further delay is trialDelayFactor times
-	// as long. A part that no longer crashes servers is thereby cleared.
+	// which one request with it may run. The time between the block and each further
+	// trial is trialDelayFactor times as long as that before the previous one. A part
+	// that no longer crashes servers is thereby cleared.
 	firstTrialDelay  = 15 * time.Second
 	trialDelayFactor = 8
 	// maxPartCrashes and maxPartsPerCrash limit the memory that peers can make a set
@@ -67,8 +68,7 @@
 type suspect struct {
 	processes map[string]bool // used as a set
 	blockAt   time.Time       // when the part is blocked; zero if it is not accused
-	trialAt   time.Time       // the time of the next trial
-	delay     time.Duration   // the delay before that trial
+	trialAt   time.Time       // when the next trial may take place
 }
 
 // Crash records that a process crashed before it had responded to prompts with the
@@ -126,8 +126,7 @@
 		due = append(due, s.accused[part])
 	}
 	for _, a := range due {
-		a.delay *= trialDelayFactor
-		a.trialAt = now.Add(a.delay)
+		a.trialAt = a.blockAt.Add(trialDelayFactor * a.trialAt.Sub(a.blockAt))
 	}
 	return len(due) > 0
 }
@@ -302,8 +301,7 @@
 	a.processes[process] = true
 	if a.blockAt.IsZero() && len(a.processes) >= accusingCrashes {
 		a.blockAt = now.Add(settleTime)
-		a.delay = firstTrialDelay
-		a.trialAt = a.blockAt.Add(a.delay)
+		a.trialAt = a.blockAt.Add(firstTrialDelay)
 		s.accused[part] = a
 	}
 }
