Block a crashing part one second after its first crash, not its fourth

The delay only serves to let responses of other servers clear frequent parts when several servers are reclaimed at once.

--- a/internal/decide/poison/parts.go
+++ b/internal/decide/poison/parts.go
@@ -16,9 +16,9 @@
 	// part must not explain, so that an innocent part is not blocked because it often
 	// comes together with the guilty one.
 	unexplainedCrashes = 2
-	// settleTime is the time between the accusation of a part and its block. If several
-	// servers are reclaimed at once, frequent parts are cleared in it by the responses
-	// of other servers.
+	// settleTime is the minimum time between the first crash under a part and its
+	// block. If several servers are reclaimed at once, frequent parts are cleared in it
+	// by the responses of other servers.
 	settleTime = time.Second
 	// firstTrialDelay is the time between the block of a part and the first trial, in
 	// which one request with it may run. The time between the block and each further
@@ -67,6 +67,7 @@
 // suspect is a part that was in flight at crashes and not cleared since.
 type suspect struct {
 	processes map[string]bool // used as a set
+	settledAt time.Time       // the end of settleTime
 	blockAt   time.Time       // when the part is blocked; zero if it is not accused
 	trialAt   time.Time       // when the next trial may take place
 }
@@ -295,12 +296,15 @@
 func (s *PartSet) suspect(part uint64, process string, now time.Time) {
 	a := s.suspects[part]
 	if a == nil {
-		a = &suspect{processes: make(map[string]bool)}
+		a = &suspect{processes: make(map[string]bool), settledAt: now.Add(settleTime)}
 		s.suspects[part] = a
 	}
 	a.processes[process] = true
 	if a.blockAt.IsZero() && len(a.processes) >= accusingCrashes {
-		a.blockAt = now.Add(settleTime)
+		a.blockAt = now
+		if now.Before(a.settledAt) {
+			a.blockAt = a.settledAt
+		}
 		a.trialAt = a.blockAt.Add(firstTrialDelay)
 		s.accused[part] = a
 	}
