--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -85,6 +85,9 @@
 		return outcomeFailed
 	}
 	a.server.Succeeded(e.config.Now())
+	if r.StatusCode < 300 {
+		e.config.Poison.Completed(e.sharedParts)
+	}
 	e.deliver(res)
 	return outcomeAnswered
 }
--- a/internal/caller/forward/failover.go
+++ b/internal/caller/forward/failover.go
@@ -81,6 +81,9 @@
 	if r, reason := e.permission(e.config.View()); reason != "" || !r.Repeatable() || len(e.attempts) >= r.Attempts {
 		return false
 	}
+	if len(e.sharedParts) > 0 && e.config.Poison.CheckParts(e.sharedParts) != PartsAllowed {
+		return false
+	}
 	t, ok := e.chooseServer()
 	if !ok || t.server.Suspect(e.config.Now()) || !e.config.Poison.Allowed(e.fingerprint) || !e.config.Budget.Withdraw(e.service) {
 		return false
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -110,7 +110,9 @@
 func (permissive) AddRequest(string)                                    {}
 func (permissive) AddFirst(string, bool)                                {}
 func (permissive) Allowed(uint64) bool                                  { return true }
-func (permissive) ReportLoss(string, string, int64, uint64)             {}
+func (permissive) CheckParts([]uint64) PartsVerdict                     { return PartsAllowed }
+func (permissive) Completed([]uint64)                                   {}
+func (permissive) ReportLoss(Loss)                                      {}
 func (permissive) Choose(string, uint64) VersionChoice                  { return VersionChoice{} }
 func (permissive) RecordResult(VersionChoice, bool, string, bool, bool) {}
 
@@ -170,6 +172,7 @@
 	}
 	request.Host = "app.example"
 	request.Header.Set("Request-Id", id)
+	request.Header.Set("Prefix", "aaa:100,bbb:50,"+id+":10")
 	start := time.Now()
 	response, err := (&http.Client{Timeout: 20 * time.Second}).Do(request)
 	if err != nil {
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -28,6 +28,8 @@
 	status          int
 	err             error
 	promptProcessed bool
+	events          int       // complete events that the server sent
+	firstEvent      time.Time // when the first of them arrived
 	cancel          context.CancelFunc
 	failover        *failover // nil if no other server may take over
 }
@@ -150,7 +152,7 @@
 		return outcomeUnreachable
 	}
 	if !clientLeft && !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, context.DeadlineExceeded) {
-		e.config.Poison.ReportLoss(a.server.ID, a.server.Address, a.server.Incarnation, e.fingerprint)
+		e.config.Poison.ReportLoss(e.loss(a))
 	}
 	e.countUsage()
 	return outcomeLost
