Send nothing to a server that says in an answer that it leaves

A leaving server now says so in all its answers (Server-Leaving: 1), and an instance that has passed such an answer on must not send it a request that comes later than the drain notice.

Any response marks the process (ID, address and incarnation) as leaving for good, whatever request it belongs to and whatever its status. The mark is kept for the process and not for its registration, so that a repeated entry, one with another version, or one that disappeared and returned does not make the process usable again. A new process is not affected.

The soak has servers that leave and say so in their answers only, and checks that no request reaches one later, unless the instance was restarted or frozen. A server that returns there is a new process.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -12,6 +12,7 @@
 type Pool struct {
 	mu      sync.Mutex
 	workers map[string]*Worker
+	states  processStates
 	// removeAt maps the ID of each server whose registration disappeared during
 	// or shortly after a store outage to the time of its removal. A new
 	// registration cancels the removal.
@@ -25,6 +26,7 @@
 // New returns an empty pool.
 func New() *Pool {
 	p := &Pool{workers: make(map[string]*Worker), removeAt: make(map[string]time.Time)}
+	p.states.states = make(map[processKey]*processState)
 	p.publish()
 	return p
 }
@@ -65,17 +67,21 @@
 	defer p.mu.Unlock()
 	delete(p.removeAt, s.ID)
 	current, ok := p.workers[s.ID]
-	if ok && current.Address == s.Address && current.Incarnation == s.Incarnation && current.Service == s.Service && current.Version == s.Version {
+	if ok && current.process() == s.process() && current.Service == s.Service && current.Version == s.Version {
 		// A process that is leaving never becomes usable again.
-		if s.Leaving {
-			return !current.leaving.Swap(true)
-		}
-		return false
+		return s.Leaving && current.MarkLeaving()
 	}
 	if ok {
 		current.retire()
 	}
-	p.workers[s.ID] = newWorker(s, now)
+	w := newWorker(s, p.states.get(&s), now)
+	p.workers[s.ID] = w
+	if ok && current.process() != s.process() {
+		p.forget(current)
+	}
+	if s.Leaving {
+		w.MarkLeaving()
+	}
 	p.publish()
 	return true
 }
@@ -127,13 +133,24 @@
 }
 
 func (p *Pool) remove(id string) {
-	p.workers[id].retire()
+	w := p.workers[id]
+	w.retire()
 	delete(p.workers, id)
 	delete(p.removeAt, id)
+	p.forget(w)
+}
+
+// forget records that the process of w is no longer registered.
+func (p *Pool) forget(w *Worker) {
+	p.states.remove(&w.Registration, func(key processKey) bool {
+		current, ok := p.workers[key.id]
+		return ok && current.process() == key
+	})
 }
 
+// retire ends the use of a Worker that is no longer in the pool.
 func (w *Worker) retire() {
-	w.leaving.Store(true)
+	w.retired.Store(true)
 	w.Transport.CloseIdleConnections()
 }
 
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -92,7 +92,7 @@
 // Guards against a silent server that keeps getting requests, and against a
 // server that is avoided for long after one failure.
 func TestSilentOrFailedServerIsSuspect(t *testing.T) {
-	w := newWorker(Registration{ID: "a"}, epoch)
+	w := newWorker(Registration{ID: "a"}, new(processState), epoch)
 	now := epoch
 	check := func(what string, want bool) {
 		t.Helper()
@@ -168,3 +168,59 @@
 		})
 	}
 }
+
+// Guards against a process that is used again after it said that it leaves, because
+// its registration disappeared and returned, or changed, and against a new process
+// that is taken for it.
+func TestLeavingOutlivesTheRegistration(t *testing.T) {
+	s := Registration{ID: "a", Service: "s", Address: "127.0.0.1:1", Incarnation: 1}
+	changed, restarted, moved := s, s, s
+	changed.Version = "v2"
+	restarted.Incarnation = 2
+	moved.Address = "127.0.0.1:2"
+	for _, tt := range []struct {
+		name     string
+		register func(p *Pool)
+		usable   bool
+	}{
+		{"the same registration", func(p *Pool) { p.Put(s, epoch) }, false},
+		{"another version", func(p *Pool) { p.Put(changed, epoch) }, false},
+		{"removed and registered", func(p *Pool) { p.Remove("a", time.Time{}); p.Put(s, epoch) }, false},
+		{"expired and registered", func(p *Pool) { p.Remove("a", epoch); p.Expire(epoch); p.Put(s, epoch) }, false},
+		{"an old registration after a new process", func(p *Pool) { p.Put(restarted, epoch); p.Put(s, epoch) }, false},
+		{"new incarnation", func(p *Pool) { p.Put(restarted, epoch) }, true},
+		{"new address", func(p *Pool) { p.Put(moved, epoch) }, true},
+	} {
+		p := New()
+		p.Put(s, epoch)
+		p.Service("s")[0].MarkLeaving()
+		tt.register(p)
+		if got := p.Service("s")[0].Usable(); got != tt.usable {
+			t.Errorf("%s: usable %v, want %v", tt.name, got, tt.usable)
+		}
+	}
+	p := New()
+	p.Put(s, epoch)
+	w := p.Service("s")[0]
+	p.Remove("a", time.Time{})
+	w.MarkLeaving() // an answer that comes after the removal
+	p.Put(s, epoch)
+	if p.Service("s")[0].Usable() {
+		t.Error("usable after an answer that came between removal and registration")
+	}
+}
+
+// Guards against memory use that grows with all processes that ever left.
+func TestRemovedProcessesAreBounded(t *testing.T) {
+	p := New()
+	for n := range 3 * maxRemovedProcesses {
+		s := Registration{ID: fmt.Sprint("s", n%5), Service: "s", Address: "127.0.0.1:1", Incarnation: int64(n + 1)}
+		p.Put(s, epoch)
+		if n%2 == 0 {
+			p.Remove(s.ID, time.Time{})
+		}
+	}
+	if got, limit := len(p.states.states), maxRemovedProcesses+5; got > limit || len(p.states.removed) > maxRemovedProcesses {
+		t.Errorf("got %d states and %d removed processes, want at most %d and %d", got, len(p.states.removed), limit, maxRemovedProcesses)
+	}
+}
--- a/internal/backend/pool/worker.go
+++ b/internal/backend/pool/worker.go
@@ -50,7 +50,8 @@
 	// are in nanoseconds.
 
 	joined        time.Time
-	leaving       atomic.Bool
+	state         *processState
+	retired       atomic.Bool  // no longer in the pool
 	running       atomic.Int64 // requests sent and not yet ended
 	pendingTokens atomic.Int64 // prompt tokens of requests whose first response event has not arrived
 	lastReceived  atomic.Int64 // when data last arrived from the server
@@ -60,10 +61,9 @@
 	fullUntil     atomic.Int64 // set by a rejection
 }
 
-func newWorker(s Registration, now time.Time) *Worker {
-	w := &Worker{Registration: s, joined: now}
+func newWorker(s Registration, state *processState, now time.Time) *Worker {
+	w := &Worker{Registration: s, joined: now, state: state}
 	w.Transport = tcp.NewTransport(tcp.Config{DialTimeout: dialTimeout, IdleTimeout: idleTimeout})
-	w.leaving.Store(s.Leaving)
 	return w
 }
 
@@ -72,7 +72,11 @@
 const idleTimeout = 4 * time.Second
 
 // Usable reports whether the server may get new requests.
-func (w *Worker) Usable() bool { return !w.leaving.Load() }
+func (w *Worker) Usable() bool { return !w.retired.Load() && !w.state.leaving.Load() }
+
+// MarkLeaving records that the process of the server is leaving, for good. It
+// reports whether that was not known before.
+func (w *Worker) MarkLeaving() bool { return !w.state.leaving.Swap(true) }
 
 // newServerPeriod is how long a server counts as new. By then it is assumed to
 // have read or fetched the prefixes that are in use.
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -93,6 +93,15 @@
 	i.lastFaultAt = time.Now()
 }
 
+// recordInstanceStop records that a restart or freeze of an instance starts or ends
+// now.
+func (r *soakRun) recordInstanceStop(i *instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i.lastFaultAt = time.Now()
+	i.lastStopAt = i.lastFaultAt
+}
+
 // recordStoreFault records that a fault of the store starts or ends now.
 func (r *soakRun) recordStoreFault() {
 	r.mu.Lock()
@@ -103,7 +112,7 @@
 // restart ends an instance with a signal, waits until it has ended and starts it
 // again.
 func (r *soakRun) restart(i *instance, s os.Signal) {
-	r.recordInstanceFault(i)
+	r.recordInstanceStop(i)
 	if err := i.cmd.Process.Signal(s); err != nil {
 		return // skip the fault: the instance has already ended, which no check reports
 	}
@@ -111,42 +120,49 @@
 	if err := r.startInstance(i); err != nil {
 		r.addViolation("instance " + i.name + " did not start: " + err.Error())
 	}
-	r.recordInstanceFault(i)
+	r.recordInstanceStop(i)
 }
 
 // freeze stops an instance with SIGSTOP for d or until ctx is done.
 func (r *soakRun) freeze(ctx context.Context, i *instance, d time.Duration) {
-	r.recordInstanceFault(i)
+	r.recordInstanceStop(i)
 	if err := i.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 		return
 	}
 	sleep(ctx, d)
 	_ = i.cmd.Process.Signal(syscall.SIGCONT)
-	r.recordInstanceFault(i)
+	r.recordInstanceStop(i)
 }
 
-// removeServer marks a server as draining or deletes it from the store, and
-// registers it again after 2*leaveWithin.
+// removeServer marks a server as draining, deletes it from the store, or only makes
+// it say in its answers that it leaves. After 2*leaveWithin it registers the server
+// as a new process.
 func (r *soakRun) removeServer(ctx context.Context, s *server) {
 	r.mu.Lock()
-	if !s.leavingSince.IsZero() {
-		r.mu.Unlock()
+	leaving := !s.leavingSince.IsZero()
+	r.mu.Unlock()
+	if leaving {
 		return
 	}
-	r.mu.Unlock()
-	if r.random.IntN(2) == 0 {
+	variant := r.random.IntN(3)
+	s.SetLeaving(variant == 2 || r.random.IntN(2) == 0)
+	switch variant {
+	case 0:
 		r.register(s, "draining")
-	} else {
+	case 1:
 		r.store.Remove("servers/" + s.ID)
 	}
 	r.mu.Lock()
-	s.leavingSince = time.Now()
+	s.leavingSince, s.saysLeavingOnly = time.Now(), variant == 2
 	r.mu.Unlock()
 	r.undoAfter(ctx, 2*leaveWithin, func() {
 		r.checkLeavingServer(s)
+		r.checkLeavingNotices(s)
 		r.store.Remove("servers/" + s.ID)
+		s.SetLeaving(false)
 		r.mu.Lock()
 		s.leavingSince = time.Time{}
+		s.incarnation++
 		r.mu.Unlock()
 		r.register(s, "ready")
 	})
@@ -160,6 +176,9 @@
 	executions := s.Runs()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if s.saysLeavingOnly {
+		return // checkLeavingNotices checks what it said
+	}
 	for _, execution := range executions {
 		q, ok := r.requests[execution.AttemptID]
 		if ok && q.faultFree && execution.At.Sub(s.leavingSince) > leaveWithin && q.sent.Sub(s.leavingSince) > leaveWithin && r.storeLastFaultAt.Before(s.leavingSince) {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -61,6 +61,8 @@
 	storeProxy  *proxy
 	cmd         *exec.Cmd
 	lastFaultAt time.Time
+	// lastStopAt is the start or end of the last restart or freeze of the process.
+	lastStopAt time.Time
 }
 
 // soakRun is the state of one run of the test.
@@ -80,15 +82,19 @@
 	keyRemovedAt     time.Time // zero if secondKey is active
 	storeLastFaultAt time.Time // start or end of the last fault of the store
 	requests         map[string]request
+	leavingNotices   []leavingNotice
 	result           Result
 }
 
 // server is a fake back end that is registered in the store. leavingSince is zero
-// unless the server is leaving.
+// unless the server is leaving. saysLeavingOnly is set if it says so in its answers
+// but not in the store. incarnation counts its processes.
 type server struct {
 	*worker.Server
 	service, address string
 	leavingSince     time.Time
+	saysLeavingOnly  bool
+	incarnation      int
 }
 
 // request is a request that a client sent and the status that it received.
@@ -184,14 +190,14 @@
 	if err != nil {
 		return err
 	}
-	r.servers = append(r.servers, &server{Server: w, service: service, address: address})
+	r.servers = append(r.servers, &server{Server: w, service: service, address: address, incarnation: 1})
 	r.register(r.servers[len(r.servers)-1], "ready")
 	return nil
 }
 
 func (r *soakRun) register(s *server, state string) {
 	r.store.Put("servers/"+s.ID, map[string]any{
-		"service": s.service, "address": s.address, "zone": "zone-0", "version": "v1", "slots": 8, "state": state, "born": 1,
+		"service": s.service, "address": s.address, "zone": "zone-0", "version": "v1", "slots": 8, "state": state, "born": s.incarnation,
 	})
 }
 
@@ -225,7 +231,7 @@
 		"--operations-address", i.addresses["operations"], "--store", i.storeProxy.address(), "--cloud", r.fakeAddresses["cloud"],
 		"--usage-window", "1s", "--duties", "metering", "--drain-notice", "4s", "--revoke-within", revokeWithin.String())
 	i.cmd.Stdout, i.cmd.Stderr = r.Log, r.Log
-	r.recordInstanceFault(i)
+	r.recordInstanceStop(i)
 	return i.cmd.Start()
 }
 
@@ -291,6 +297,7 @@
 		return "", 0
 	}
 	defer response.Body.Close()
+	r.recordLeavingNotice(i, response.Header)
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return "", 0
--- a/internal/bench/worker/worker.go
+++ b/internal/bench/worker/worker.go
@@ -61,9 +61,32 @@
 	// instead of a single body.
 	Stream bool
 
-	mu    sync.Mutex
-	fault Fault
-	runs  []Run
+	mu       sync.Mutex
+	fault    Fault
+	leaving  bool
+	arrivals []Arrival
+	runs     []Run
+}
+
+// Arrival is a request that reached the server, whether it ran or not.
+type Arrival struct {
+	AttemptID string
+	At        time.Time
+}
+
+// SetLeaving makes the server say in all its responses whether it is leaving.
+func (w *Server) SetLeaving(leaving bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = leaving
+}
+
+// Arrivals returns a copy of the list of requests that reached the server, without
+// those that were meant for another server.
+func (w *Server) Arrivals() []Arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Arrival(nil), w.arrivals...)
 }
 
 // SetFault sets the fault for requests that arrive from now on.
@@ -92,6 +115,7 @@
 func (w *Server) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	if expect := r.Header.Get("X-Wasabiworks-Expect-Instance"); expect != "" && expect != w.ID {
 		rw.Header().Set("X-Wasabiworks-Instance-Id", w.ID)
+		rw.Header().Set("X-Wasabiworks-Attempt-Id", r.Header.Get("X-Wasabiworks-Attempt-Id"))
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -101,7 +125,8 @@
 	}
 	id := r.Header.Get("X-Wasabiworks-Attempt-Id")
 	w.mu.Lock()
-	f := w.fault
+	f, leaving := w.fault, w.leaving
+	w.arrivals = append(w.arrivals, Arrival{AttemptID: id, At: time.Now()})
 	if f != FaultFull {
 		w.runs = append(w.runs, Run{
 			AttemptID: id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Workspace: r.Header.Get("X-Wasabiworks-Tenant"),
@@ -112,6 +137,9 @@
 	header := rw.Header()
 	header.Set("X-Wasabiworks-Attempt-Id", id)
 	header.Set("X-Wasabiworks-Server-Seal", "seal-of-"+w.ID)
+	if leaving {
+		header.Set("Server-Leaving", "1")
+	}
 	switch f {
 	case FaultReset:
 		resetConnection(rw)
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -90,6 +90,7 @@
 	defer response.Body.Close()
 	a.status = response.StatusCode
 	server.Received(e.config.Now())
+	e.recordAvailability(server, response)
 	return e.handleResponse(a, response, uncachedTokens)
 }
 
