Send nothing to a server before the end of its Retry-After

A server that refuses a request with 503 may add Retry-After: it wants nothing from that instance for so long.

If all servers want no requests for longer than a request may wait, the request is refused at once, and its client is told when the first server accepts requests again, within a third of the time that it has left.

route.Candidate.Leaving becomes Excluded, as it now has two causes. The soak's servers refuse with Retry-After, and it checks that at most two requests reach one between half a second after a refusal and the end of its time, unless the instance was restarted or frozen.

--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -210,6 +210,41 @@
 	}
 }
 
+// Guards against a server that gets requests before the time that it asked for,
+// because of a shorter time in a later refusal, a success, or a new registration.
+func TestRetryTimeHolds(t *testing.T) {
+	s := Registration{ID: "a", Service: "s", Address: "127.0.0.1:1", Incarnation: 1}
+	changed, restarted := s, s
+	changed.Version = "v2"
+	restarted.Incarnation = 2
+	at := epoch.Add(3 * time.Second)
+	for _, tt := range []struct {
+		name   string
+		do     func(p *Pool, w *Worker)
+		before bool
+	}{
+		{"nothing else", func(*Pool, *Worker) {}, false},
+		{"an earlier time", func(_ *Pool, w *Worker) { w.SetRetryAt(epoch.Add(time.Second)) }, false},
+		{"a success", func(_ *Pool, w *Worker) { w.Succeeded(epoch.Add(time.Second)) }, false},
+		{"another version", func(p *Pool, _ *Worker) { p.Put(changed, epoch) }, false},
+		{"removed and registered", func(p *Pool, _ *Worker) { p.Remove("a", time.Time{}); p.Put(s, epoch) }, false},
+		{"new process", func(p *Pool, _ *Worker) { p.Put(restarted, epoch) }, true},
+	} {
+		p := New()
+		p.Put(s, epoch)
+		w := p.Service("s")[0]
+		w.SetRetryAt(at)
+		tt.do(p, w)
+		w = p.Service("s")[0]
+		if got := w.Accepts(at.Add(-1)); got != tt.before {
+			t.Errorf("%s: accepts requests before the time: %v, want %v", tt.name, got, tt.before)
+		}
+		if !w.Accepts(at) {
+			t.Errorf("%s: accepts no requests at the time", tt.name)
+		}
+	}
+}
+
 // Guards against memory use that grows with all processes that ever left.
 func TestRemovedProcessesAreBounded(t *testing.T) {
 	p := New()
--- a/internal/backend/pool/process.go
+++ b/internal/backend/pool/process.go
@@ -1,6 +1,9 @@
 package pool
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // maxRemovedProcesses bounds the processes that are remembered after their
 // removal.
@@ -20,7 +23,32 @@
 // Workers of the process share it: a registration may disappear and return, or
 // change, while the process and its state remain the same.
 type processState struct {
-	leaving atomic.Bool // never reset
+	leaving atomic.Bool  // never reset
+	retryAt atomic.Int64 // on the clock of package boottime, in nanoseconds
+}
+
+// MarkLeaving records that the process of the server is leaving, for good. It
+// reports whether that was not known before.
+func (w *Worker) MarkLeaving() bool { return !w.state.leaving.Swap(true) }
+
+// SetRetryAt records that the server wants no requests of this instance before at.
+// An earlier time than the current one has no effect.
+func (w *Worker) SetRetryAt(at time.Time) {
+	for n := at.UnixNano(); ; {
+		current := w.state.retryAt.Load()
+		if n <= current || w.state.retryAt.CompareAndSwap(current, n) {
+			return
+		}
+	}
+}
+
+// RetryAt returns the time before which the server wants no requests of this
+// instance, which may have passed.
+func (w *Worker) RetryAt() time.Time { return time.Unix(0, w.state.retryAt.Load()) }
+
+// Accepts reports whether the server may get new requests at now.
+func (w *Worker) Accepts(now time.Time) bool {
+	return w.Usable() && now.UnixNano() >= w.state.retryAt.Load()
 }
 
 // processStates holds the states of the registered processes and of those that
--- a/internal/backend/pool/worker.go
+++ b/internal/backend/pool/worker.go
@@ -71,13 +71,9 @@
 // connections, so that a request is rarely sent on one that is being closed.
 const idleTimeout = 4 * time.Second
 
-// Usable reports whether the server may get new requests.
+// Usable reports whether the server is registered and not leaving.
 func (w *Worker) Usable() bool { return !w.retired.Load() && !w.state.leaving.Load() }
 
-// MarkLeaving records that the process of the server is leaving, for good. It
-// reports whether that was not known before.
-func (w *Worker) MarkLeaving() bool { return !w.state.leaving.Swap(true) }
-
 // newServerPeriod is how long a server counts as new. By then it is assumed to
 // have read or fetched the prefixes that are in use.
 const newServerPeriod = 10 * time.Second
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -69,6 +69,7 @@
 		r.store.Compact()
 	case 8, 9:
 		faults := []worker.Fault{worker.FaultReset, worker.FaultCutOff, worker.FaultNoSeal, worker.FaultWrongAttempt, worker.FaultDuplicateResponse, worker.FaultFull, worker.FaultServerError, worker.FaultHang}
+		s.SetRetryAfter(time.Duration(r.random.IntN(3)) * time.Second)
 		s.SetFault(faults[r.random.IntN(len(faults))])
 		r.undoAfter(ctx, duration, func() { s.SetFault(worker.FaultNone) })
 	case 10:
@@ -99,7 +100,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i.lastFaultAt = time.Now()
-	i.lastStopAt = i.lastFaultAt
+	i.stops = append(i.stops, i.lastFaultAt)
 }
 
 // recordStoreFault records that a fault of the store starts or ends now.
@@ -162,7 +163,7 @@
 		s.SetLeaving(false)
 		r.mu.Lock()
 		s.leavingSince = time.Time{}
-		s.incarnation++
+		s.starts = append(s.starts, time.Now())
 		r.mu.Unlock()
 		r.register(s, "ready")
 	})
@@ -227,14 +228,15 @@
 
 // checkResult makes the checks that need all requests of the run.
 func (r *soakRun) checkResult() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	executions := make(map[string]int)
 	for _, s := range r.servers {
+		r.checkRefusals(s)
 		for _, execution := range s.Runs() {
 			executions[execution.AttemptID]++
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	for id, q := range r.requests {
 		n := executions[id]
 		if n > 1 && !q.repeatable {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -61,8 +61,8 @@
 	storeProxy  *proxy
 	cmd         *exec.Cmd
 	lastFaultAt time.Time
-	// lastStopAt is the start or end of the last restart or freeze of the process.
-	lastStopAt time.Time
+	// stops are the starts and ends of restarts and freezes of the process.
+	stops []time.Time
 }
 
 // soakRun is the state of one run of the test.
@@ -88,13 +88,13 @@
 
 // server is a fake back end that is registered in the store. leavingSince is zero
 // unless the server is leaving. saysLeavingOnly is set if it says so in its answers
-// but not in the store. incarnation counts its processes.
+// but not in the store. starts are the starts of its processes.
 type server struct {
 	*worker.Server
 	service, address string
 	leavingSince     time.Time
 	saysLeavingOnly  bool
-	incarnation      int
+	starts           []time.Time
 }
 
 // request is a request that a client sent and the status that it received.
@@ -190,14 +190,14 @@
 	if err != nil {
 		return err
 	}
-	r.servers = append(r.servers, &server{Server: w, service: service, address: address, incarnation: 1})
+	r.servers = append(r.servers, &server{Server: w, service: service, address: address, starts: []time.Time{time.Now()}})
 	r.register(r.servers[len(r.servers)-1], "ready")
 	return nil
 }
 
 func (r *soakRun) register(s *server, state string) {
 	r.store.Put("servers/"+s.ID, map[string]any{
-		"service": s.service, "address": s.address, "zone": "zone-0", "version": "v1", "slots": 8, "state": state, "born": s.incarnation,
+		"service": s.service, "address": s.address, "zone": "zone-0", "version": "v1", "slots": 8, "state": state, "born": len(s.starts),
 	})
 }
 
--- a/internal/bench/worker/worker.go
+++ b/internal/bench/worker/worker.go
@@ -61,17 +61,21 @@
 	// instead of a single body.
 	Stream bool
 
-	mu       sync.Mutex
-	fault    Fault
-	leaving  bool
-	arrivals []Arrival
-	runs     []Run
+	mu      sync.Mutex
+	fault   Fault
+	leaving bool
+	// retryAfter is the time for which each refusal asks for no requests; 0 asks
+	// for nothing.
+	retryAfter time.Duration
+	arrivals   []Arrival
+	runs       []Run
 }
 
-// Arrival is a request that reached the server, whether it ran or not.
+// Arrival is a request that reached the server, whether it ran or not. RetryAt is
+// the time before which the server asked for no requests, or zero.
 type Arrival struct {
-	AttemptID string
-	At        time.Time
+	AttemptID   string
+	At, RetryAt time.Time
 }
 
 // SetLeaving makes the server say in all its responses whether it is leaving.
@@ -81,6 +85,14 @@
 	w.leaving = leaving
 }
 
+// SetRetryAfter sets the time for which each refusal of FaultFull asks for no
+// requests, with the header Retry-After; 0 leaves the header out.
+func (w *Server) SetRetryAfter(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retryAfter = d
+}
+
 // Arrivals returns a copy of the list of requests that reached the server, without
 // those that were meant for another server.
 func (w *Server) Arrivals() []Arrival {
@@ -126,7 +138,12 @@
 	id := r.Header.Get("X-Wasabiworks-Attempt-Id")
 	w.mu.Lock()
 	f, leaving := w.fault, w.leaving
-	w.arrivals = append(w.arrivals, Arrival{AttemptID: id, At: time.Now()})
+	arrival := Arrival{AttemptID: id, At: time.Now()}
+	retryAfter := w.retryAfter
+	if f == FaultFull && retryAfter > 0 {
+		arrival.RetryAt = arrival.At.Add(retryAfter)
+	}
+	w.arrivals = append(w.arrivals, arrival)
 	if f != FaultFull {
 		w.runs = append(w.runs, Run{
 			AttemptID: id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Workspace: r.Header.Get("X-Wasabiworks-Tenant"),
@@ -147,6 +164,9 @@
 		<-r.Context().Done()
 	case FaultFull:
 		header.Set("X-Wasabiworks-Not-Executed", "1")
+		if retryAfter > 0 {
+			header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+		}
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	case FaultServerError:
 		rw.WriteHeader(http.StatusInternalServerError)
--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -36,7 +36,7 @@
 			CachedTokens: s.Prompts.CachedTokens(e.prompt.Parts, now),
 			Local:        s.FailureDomain == e.config.FailureDomain,
 			Suspect:      s.Suspect(now) || e.tried(s) || !preferred,
-			New:          s.RecentlyJoined(now), Leaving: !s.Usable(),
+			New:          s.RecentlyJoined(now), Excluded: !s.Accepts(now),
 		})
 	}
 	if len(e.prompt.Parts) == 0 {
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -264,6 +264,9 @@
 	if reason == OverAllowance {
 		retryAfter = max(e.admission.RetryAfter, minRetryAfter)
 	}
+	if reason == ServersFull {
+		retryAfter = max(retryAfter, e.untilRetry(e.config.Now()))
+	}
 	header := e.w.Header()
 	if e.id != "" {
 		header.Set(e.config.Headers.Request, e.id)
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -132,7 +132,7 @@
 		workers.Put(pool.Registration{ID: "server-" + strconv.Itoa(i), Service: "service", Address: s.address, Slots: 8}, time.Now())
 	}
 	h, err := New(Config{
-		Headers: Headers{Request: "Request-Id", Remaining: "Remaining", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect-Server", NotRun: "Not-Run", ServerSeal: "Seal", Tokens: "Tokens", Prefix: "Prefix", FetchFrom: "Fetch-From"},
+		Headers: Headers{Request: "Request-Id", Remaining: "Remaining", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect-Server", NotRun: "Not-Run", ServerSeal: "Seal", Leaving: "Leaving", Tokens: "Tokens", Prefix: "Prefix", FetchFrom: "Fetch-From"},
 		View:    func() View { return View{Table: table, Confirmed: time.Now(), Fresh: true} }, Pool: workers,
 		Allowances: permissive{}, Budget: permissive{}, Usage: permissive{}, Poison: permissive{}, Versions: permissive{},
 		MaxResponseBytes: maxResponse, Now: time.Now, Random: func() uint64 { return 1 }, Registerer: prometheus.NewRegistry(), Draining: func() bool { return false },
--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -34,7 +34,8 @@
 	// NoServer means that the service has no usable server.
 	NoServer Reason = "no-server"
 	// ServersFull means that the server of the last attempt rejected the request
-	// without running it, and that no server may have run it before.
+	// without running it, or that all servers want no requests for some time, and
+	// that no server may have run the request before.
 	ServersFull Reason = "servers-full"
 	// ServersUnreachable means that no byte of the request was sent in the last attempt,
 	// and that no server may have run it before.
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -55,7 +55,7 @@
 		t, ok := e.chooseServer()
 		if !ok {
 			if lastReason == "" {
-				lastReason = NoServer
+				lastReason = e.reasonForNoServer()
 			}
 			if !e.waitForServer(ctx) {
 				e.giveUp(ctx, lastReason, runs)
@@ -123,10 +123,12 @@
 }
 
 // waitForServer waits for one poll interval and reports whether to check again
-// for a usable server.
+// for a usable server. It doesn't wait if all servers want no requests for longer
+// than the request may wait.
 func (e *exchange) waitForServer(ctx context.Context) bool {
 	maxWait := min(time.Duration(serverWaitFraction*float64(e.route.Objective)), e.deadline.Sub(e.start))
-	if e.config.Now().Sub(e.start) > maxWait {
+	now, end := e.config.Now(), e.start.Add(maxWait)
+	if now.After(end) || e.earliestRetryAt(now).After(end) {
 		return false
 	}
 	t := time.NewTimer(serverPollInterval)
--- a/internal/decide/route/prompt.go
+++ b/internal/decide/route/prompt.go
@@ -54,9 +54,9 @@
 	// Suspect servers are used only if there are no others.
 	Suspect bool
 	// New servers joined recently: they may be the preferred servers of prompts
-	// that other servers have processed. Leaving servers get no requests, but
+	// that other servers have processed. Excluded servers get no requests, but
 	// the tokens that they have processed can still be fetched.
-	New, Leaving bool
+	New, Excluded bool
 }
 
 const (
@@ -101,7 +101,7 @@
 // the prefix or processing it again.
 func ChoosePrompt(cs []Candidate, p Prompt) Placement {
 	shared, chain := p.Shared()
-	preferred := preferredServer(cs, chain, func(c *Candidate) bool { return !c.Leaving })
+	preferred := preferredServer(cs, chain, func(c *Candidate) bool { return !c.Excluded })
 	expected := func(i int) int {
 		if i == preferred {
 			return max(cs[i].CachedTokens, int(expectedCachedFraction*float64(shared)))
@@ -191,13 +191,13 @@
 }
 
 // cheapest returns the index of the candidate with the lowest cost, or -1 if
-// there is none. Leaving candidates are never chosen, and suspects only if there
+// there is none. Excluded candidates are never chosen, and suspects only if there
 // are no others.
 func cheapest(cs []Candidate, cost func(i int) float64) int {
 	for _, suspect := range []bool{false, true} {
 		best, lowest := -1, math.Inf(1)
 		for i := range cs {
-			if cs[i].Suspect != suspect || cs[i].Leaving {
+			if cs[i].Suspect != suspect || cs[i].Excluded {
 				continue
 			}
 			if v := cost(i); v < lowest {
--- a/internal/decide/route/prompt_test.go
+++ b/internal/decide/route/prompt_test.go
@@ -88,17 +88,17 @@
 	p := testPrompt(7)
 	cs := idleCandidates(6)
 	preferred := ChoosePrompt(cs, p).Index
-	cs[preferred].Leaving = true
+	cs[preferred].Excluded = true
 	next := ChoosePrompt(cs, p).Index
 	if next == preferred || next < 0 {
 		t.Fatalf("preferred server %d leaves: got server %d", preferred, next)
 	}
-	cs[preferred].Leaving, cs[preferred].New = false, true
+	cs[preferred].Excluded, cs[preferred].New = false, true
 	got := ChoosePrompt(cs, p)
 	if got.Index != preferred || got.Source != next || got.TokensToFetch < minFetchTokens {
 		t.Errorf("preferred server %d joined recently: got %+v, want it to fetch from %d", preferred, got, next)
 	}
-	cs[next].Leaving = true
+	cs[next].Excluded = true
 	if got := ChoosePrompt(cs, p); got.Index != preferred || got.Source != next {
 		t.Errorf("previous server %d leaves: got %+v, want it as the source", next, got)
 	}
