Trust a refusal only if it echoes the request's ID

Operators of similar systems report that a faulty server wrote an earlier refusal once more on a kept connection: clients were told that a request which the server ran had not run, or it ran at a second server. It happens here: handleResponse looked for the mark of a refusal before it compared the ID.

A refusal without the request's ID now proves nothing: the request may have run, so it ends in 502 unless it may be repeated. The one exception is a 421 on a new connection, on which no response to an earlier request can be left. After a foreign response, and after a 421, the idle connections to the server are closed: net/http has put the connection of a response without a body back before the response is looked at, so that canceling the attempt doesn't close it.

--- a/internal/backend/tcp/sent.go
+++ b/internal/backend/tcp/sent.go
@@ -43,6 +43,14 @@
 	s.uses = append(s.uses, connUse{c, c.writeCount()})
 }
 
+// NewConn reports whether the request was sent on a new connection, on which
+// nothing was written before.
+func (s *SendTrace) NewConn() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.untracked && len(s.uses) == 1 && s.uses[0].writesBefore == 0
+}
+
 // NothingSent reports whether provably no byte of the request was sent. It must not
 // be called before the transport has returned an error, because the call makes
 // connections on which nothing was written for the request reject further writes.
--- a/internal/backend/tcp/sent_test.go
+++ b/internal/backend/tcp/sent_test.go
@@ -43,3 +43,24 @@
 	var none SendTrace
 	is.True(none.NothingSent())
 }
+
+// Guards against a connection that counts as new although an earlier request was
+// written on it.
+func TestNewConn(t *testing.T) {
+	is := is.New(t)
+	local, remote := net.Pipe()
+	defer local.Close()
+	go func() { _, _ = remote.Read(make([]byte, 10)) }()
+	c := &conn{Conn: local}
+	var first, second, other, none SendTrace
+	first.gotConn(httptrace.GotConnInfo{Conn: c})
+	is.True(first.NewConn())
+	_, err := c.Write([]byte("a"))
+	is.NoErr(err)
+	is.True(first.NewConn())
+	second.gotConn(httptrace.GotConnInfo{Conn: c})
+	is.True(!second.NewConn())
+	other.gotConn(httptrace.GotConnInfo{Conn: local}) // not from NewTransport
+	is.True(!other.NewConn())
+	is.True(!none.NewConn())
+}
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -68,7 +68,7 @@
 		r.recordStoreFault()
 		r.store.Compact()
 	case 8, 9:
-		faults := []worker.Fault{worker.FaultReset, worker.FaultCutOff, worker.FaultNoSeal, worker.FaultWrongAttempt, worker.FaultDuplicateResponse, worker.FaultFull, worker.FaultServerError, worker.FaultHang}
+		faults := []worker.Fault{worker.FaultReset, worker.FaultCutOff, worker.FaultNoSeal, worker.FaultWrongAttempt, worker.FaultDuplicateResponse, worker.FaultFull, worker.FaultForeignRefusal, worker.FaultServerError, worker.FaultHang}
 		s.SetRetryAfter(time.Duration(r.random.IntN(3)) * time.Second)
 		s.SetFault(faults[r.random.IntN(len(faults))])
 		r.undoAfter(ctx, duration, func() { s.SetFault(worker.FaultNone) })
--- a/internal/bench/worker/worker.go
+++ b/internal/bench/worker/worker.go
@@ -30,6 +30,8 @@
 	// FaultFull rejects the request with status 503 and the header
 	// X-Wasabiworks-Not-Executed, without running it.
 	FaultFull Fault = "full"
+	// FaultForeignRefusal runs the request and repeats the refusal of another one.
+	FaultForeignRefusal Fault = "foreign refusal"
 	// FaultServerError responds with status 500 and the server seal, which marks a failure
 	// of the backend server itself rather than one on the way to it.
 	FaultServerError Fault = "fail"
@@ -168,6 +170,10 @@
 			header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 		}
 		rw.WriteHeader(http.StatusServiceUnavailable)
+	case FaultForeignRefusal:
+		header.Set("X-Wasabiworks-Attempt-Id", "another")
+		header.Set("X-Wasabiworks-Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
 	case FaultServerError:
 		rw.WriteHeader(http.StatusInternalServerError)
 	case FaultWrongAttempt:
--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -22,21 +22,19 @@
 func (e *exchange) handleResponse(a *attempt, r *http.Response, uncachedTokens int64) outcome {
 	names := &e.config.Headers
 	now := e.config.Now()
-	if r.Header.Get(names.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest {
-		if r.StatusCode == http.StatusMisdirectedRequest {
-			a.server.Failed(now)
-		} else {
-			a.server.Rejected(now, fullServerPause)
-		}
-		return outcomeNotRun
-	}
-	if r.Header.Get(names.Request) != e.id {
+	refused := r.Header.Get(names.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
+	if !e.isOwnResponse(a, r, refused) {
 		// The connection held an extra response to an earlier request. The
-		// server's other connections may hold more of them.
+		// server's other connections may hold more of them. If the response has no
+		// body, its connection is idle already.
 		a.err = errRequestIDMismatch
 		a.cancel()
+		a.server.Transport.CloseIdleConnections()
 		return e.recordInvalid(a)
 	}
+	if refused {
+		return e.recordRefusal(a, r)
+	}
 	if r.StatusCode == http.StatusOK && e.route.Kind == routes.Streaming && strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
 		if r.Header.Get(names.ServerSeal) == "" {
 			a.err = errNoServerSeal
@@ -77,6 +75,33 @@
 	return outcomeAnswered
 }
 
+// isOwnResponse reports whether r is the response to this request. A response is
+// identified by the ID that it echoes. Without an ID, a refusal is the request's
+// own only on a new connection, which holds no responses to earlier requests, and
+// only if it comes from another process than the intended one or the request has no
+// ID to echo.
+func (e *exchange) isOwnResponse(a *attempt, r *http.Response, refused bool) bool {
+	echo := r.Header.Get(e.config.Headers.Request)
+	if refused && echo == "" {
+		return a.newConn && (r.StatusCode == http.StatusMisdirectedRequest || e.id == "")
+	}
+	return echo == e.id
+}
+
+// recordRefusal records a response that proves that the server did not run the
+// request, and returns the outcome.
+func (e *exchange) recordRefusal(a *attempt, r *http.Response) outcome {
+	now := e.config.Now()
+	if r.StatusCode != http.StatusMisdirectedRequest {
+		a.server.Rejected(now, fullServerPause)
+		return outcomeNotRun
+	}
+	// The connections lead to another process than the intended one.
+	a.server.Failed(now)
+	a.server.Transport.CloseIdleConnections()
+	return outcomeNotRun
+}
+
 // recordInvalid records an invalid response and returns the outcome.
 func (e *exchange) recordInvalid(a *attempt) outcome {
 	a.server.Failed(e.config.Now())
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -26,6 +26,7 @@
 	took            time.Duration
 	outcome         outcome
 	status          int
+	newConn         bool // no earlier request was sent on the connection
 	err             error
 	promptProcessed bool
 	cancel          context.CancelFunc
@@ -88,7 +89,7 @@
 		return e.handleTransportError(a, sent.NothingSent())
 	}
 	defer response.Body.Close()
-	a.status = response.StatusCode
+	a.status, a.newConn = response.StatusCode, sent.NewConn()
 	server.Received(e.config.Now())
 	e.recordAvailability(server, response)
 	return e.handleResponse(a, response, uncachedTokens)
