Don't pass on a refusal that doesn't say that the request was not run

Clients take 408, 421, 429 and 503 as a guarantee that their request was not run. A server's response with one of these statuses but without the mark that it did not run the request gives no such guarantee, and was passed on as it came. For a request that must not run twice the client now gets 502; a repeatable one is handled as before.

--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -70,11 +70,25 @@
 		e.failedResponse = res
 		return outcomeFailed
 	}
+	if !e.route.Repeatable() && guaranteesNotRun(r.StatusCode) {
+		a.err = errUnprovenRefusal
+		return e.recordInvalid(a)
+	}
 	a.server.Succeeded(e.config.Now())
 	e.deliver(res)
 	return outcomeAnswered
 }
 
+// guaranteesNotRun reports whether clients take a status as a guarantee that their
+// request was not run and never will be.
+func guaranteesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // isOwnResponse reports whether r is the response to this request. A response is
 // identified by the ID that it echoes. Without an ID, a refusal is the request's
 // own only on a new connection, which holds no responses to earlier requests, and
--- a/internal/caller/forward/refusal_test.go
+++ b/internal/caller/forward/refusal_test.go
@@ -142,3 +142,29 @@
 		}
 	}
 }
+
+// Guards against a status that clients take as a guarantee that a request was not
+// run, passed on from a server that doesn't give that guarantee.
+func TestUnprovenRefusalIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusInternalServerError} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			script := func(c *rawConn) {
+				for id := c.readRequest(); id != ""; id = c.readRequest() {
+					c.send(fmt.Sprintf("HTTP/1.1 %d Status\r\nRequest-Id: %s\r\nSeal: s\r\nContent-Length: 4\r\n\r\nbusy", status, id))
+				}
+			}
+			first, second := serveRaw(t, script), serveRaw(t, script)
+			f := newForwarder(t, 1000, 4*time.Second, first, second)
+			for n, path := range []string{"/book/", "/draft/"} {
+				r := call(t, f, http.MethodPost, path, "r1")
+				if guaranteed := status != http.StatusInternalServerError; guaranteed && !r.mayHaveRun() || !guaranteed && r.status != status {
+					t.Errorf("%s: got status %d with %q, want no guarantee that the server did not give", path, r.status, r.body)
+				}
+				if sends := first.requests.Load() + second.requests.Load(); sends != int64(n+1) {
+					t.Errorf("%s: %d sends so far, want %d", path, sends, n+1)
+				}
+			}
+		})
+	}
+}
