--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -129,7 +129,7 @@
 // Guards against a silent server that keeps getting requests, and against a
 // server that is avoided for long after one failure.
 func TestSilentOrFailedServerIsSuspect(t *testing.T) {
-	w := newWorker(Registration{ID: "a"}, epoch)
+	w := newWorker(Registration{ID: "a"}, new(processState), epoch)
 	now := epoch
 	check := func(what string, want bool) {
 		t.Helper()
@@ -205,3 +205,94 @@
 		})
 	}
 }
+
+// Guards against a process that is used again after it said that it leaves, because
+// its registration disappeared and returned, or changed, and against a new process
+// that is taken for it.
+func TestLeavingOutlivesTheRegistration(t *testing.T) {
+	s := Registration{ID: "a", Service: "s", Address: "127.0.0.1:1", Incarnation: 1}
+	changed, restarted, moved := s, s, s
+	changed.Version = "v2"
+	restarted.Incarnation = 2
+	moved.Address = "127.0.0.1:2"
+	for _, tt := range []struct {
+		name     string
+		register func(p *Pool)
+		usable   bool
+	}{
+		{"the same registration", func(p *Pool) { p.Put(s, epoch) }, false},
+		{"another version", func(p *Pool) { p.Put(changed, epoch) }, false},
+		{"removed and registered", func(p *Pool) { p.Remove("a", time.Time{}); p.Put(s, epoch) }, false},
+		{"expired and registered", func(p *Pool) { p.Remove("a", epoch); p.Expire(epoch); p.Put(s, epoch) }, false},
+		{"an old registration after a new process", func(p *Pool) { p.Put(restarted, epoch); p.Put(s, epoch) }, false},
+		{"new incarnation", func(p *Pool) { p.Put(restarted, epoch) }, true},
+		{"new address", func(p *Pool) { p.Put(moved, epoch) }, true},
+	} {
+		p := New()
+		p.Put(s, epoch)
+		p.Service("s")[0].MarkLeaving()
+		tt.register(p)
+		if got := p.Service("s")[0].Usable(); got != tt.usable {
+			t.Errorf("%s: usable %v, want %v", tt.name, got, tt.usable)
+		}
+	}
+	p := New()
+	p.Put(s, epoch)
+	w := p.Service("s")[0]
+	p.Remove("a", time.Time{})
+	w.MarkLeaving() // an answer that comes after the removal
+	p.Put(s, epoch)
+	if p.Service("s")[0].Usable() {
+		t.Error("usable after an answer that came between removal and registration")
+	}
+}
+
+// Guards against a server that gets requests before the time that it asked for,
+// because of a shorter time in a later refusal, a success, or a new registration.
+func TestRetryTimeHolds(t *testing.T) {
+	s := Registration{ID: "a", Service: "s", Address: "127.0.0.1:1", Incarnation: 1}
+	changed, restarted := s, s
+	changed.Version = "v2"
+	restarted.Incarnation = 2
+	at := epoch.Add(3 * time.Second)
+	for _, tt := range []struct {
+		name   string
+		do     func(p *Pool, w *Worker)
+		before bool
+	}{
+		{"nothing else", func(*Pool, *Worker) {}, false},
+		{"an earlier time", func(_ *Pool, w *Worker) { w.SetRetryAt(epoch.Add(time.Second)) }, false},
+		{"a success", func(_ *Pool, w *Worker) { w.Succeeded(epoch.Add(time.Second)) }, false},
+		{"another version", func(p *Pool, _ *Worker) { p.Put(changed, epoch) }, false},
+		{"removed and registered", func(p *Pool, _ *Worker) { p.Remove("a", time.Time{}); p.Put(s, epoch) }, false},
+		{"new process", func(p *Pool, _ *Worker) { p.Put(restarted, epoch) }, true},
+	} {
+		p := New()
+		p.Put(s, epoch)
+		w := p.Service("s")[0]
+		w.SetRetryAt(at)
+		tt.do(p, w)
+		w = p.Service("s")[0]
+		if got := w.Accepts(at.Add(-1)); got != tt.before {
+			t.Errorf("%s: accepts requests before the time: %v, want %v", tt.name, got, tt.before)
+		}
+		if !w.Accepts(at) {
+			t.Errorf("%s: accepts no requests at the time", tt.name)
+		}
+	}
+}
+
+// Guards against memory use that grows with all processes that ever left.
+func TestRemovedProcessesAreBounded(t *testing.T) {
+	p := New()
+	for n := range 3 * maxRemovedProcesses {
+		s := Registration{ID: fmt.Sprint("s", n%5), Service: "s", Address: "127.0.0.1:1", Incarnation: int64(n + 1)}
+		p.Put(s, epoch)
+		if n%2 == 0 {
+			p.Remove(s.ID, time.Time{})
+		}
+	}
+	if got, limit := len(p.states.states), maxRemovedProcesses+5; got > limit || len(p.states.removed) > maxRemovedProcesses {
+		t.Errorf("got %d states and %d removed processes, want at most %d and %d", got, len(p.states.removed), limit, maxRemovedProcesses)
+	}
+}
--- /dev/null
+++ b/internal/backend/pool/process.go
@@ -0,0 +1,91 @@
+package pool
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// maxRemovedProcesses bounds the processes that are remembered after their
+// removal.
+const maxRemovedProcesses = 1024
+
+// processKey identifies one process of a backend server.
+type processKey struct {
+	id, address string
+	incarnation int64
+}
+
+func (s *Registration) process() processKey {
+	return processKey{id: s.ID, address: s.Address, incarnation: s.Incarnation}
+}
+
+// processState is what is known about a process whatever its registration says. All
+// Workers of the process share it: a registration may disappear and return, or
+// change, while the process and its state remain the same.
+type processState struct {
+	leaving atomic.Bool  // never reset
+	retryAt atomic.Int64 // on the clock of package boottime, in nanoseconds
+}
+
+// MarkLeaving records that the process of the server is leaving, for good. It
+// reports whether that was not known before.
+func (w *Worker) MarkLeaving() bool { return !w.state.leaving.Swap(true) }
+
+// SetRetryAt records that the server wants no requests of this instance before at.
+// An earlier time than the current one has no effect.
+func (w *Worker) SetRetryAt(at time.Time) {
+	for n := at.UnixNano(); ; {
+		current := w.state.retryAt.Load()
+		if n <= current || w.state.retryAt.CompareAndSwap(current, n) {
+			return
+		}
+	}
+}
+
+// RetryAt returns the time before which the server wants no requests of this
+// instance, which may have passed.
+func (w *Worker) RetryAt() time.Time { return time.Unix(0, w.state.retryAt.Load()) }
+
+// Accepts reports whether the server may get new requests at now.
+func (w *Worker) Accepts(now time.Time) bool {
+	return w.Usable() && now.UnixNano() >= w.state.retryAt.Load()
+}
+
+// processStates holds the states of the registered processes and of those that
+// were removed last. The caller synchronizes the calls of its methods.
+type processStates struct {
+	states map[processKey]*processState
+	// removed lists the removed processes, the oldest first. A process that
+	// registers again stays in the list until its turn comes.
+	removed []processKey
+}
+
+// get returns the state of the process of s.
+func (p *processStates) get(s *Registration) *processState {
+	key := s.process()
+	state, ok := p.states[key]
+	if !ok {
+		state = new(processState)
+		p.states[key] = state
+	}
+	return state
+}
+
+// remove records that the process of s is no longer registered. registered reports
+// whether a process is registered.
+func (p *processStates) remove(s *Registration, registered func(processKey) bool) {
+	if s.Incarnation == 0 {
+		// A later process of the server could not be told apart from this one.
+		delete(p.states, s.process())
+		return
+	}
+	p.removed = append(p.removed, s.process())
+	if len(p.removed) <= maxRemovedProcesses {
+		return
+	}
+	oldest := p.removed[0]
+	p.removed = p.removed[1:]
+	if !registered(oldest) {
+		delete(p.states, oldest)
+	}
+}
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -69,7 +69,8 @@
 		r.recordStoreFault()
 		r.store.Compact()
 	case 8, 9:
-		faults := []worker.Fault{worker.FaultReset, worker.FaultCutOff, worker.FaultNoSeal, worker.FaultWrongAttempt, worker.FaultDuplicateResponse, worker.FaultFull, worker.FaultServerError, worker.FaultHang}
+		faults := []worker.Fault{worker.FaultReset, worker.FaultCutOff, worker.FaultNoSeal, worker.FaultWrongAttempt, worker.FaultDuplicateResponse, worker.FaultFull, worker.FaultForeignRefusal, worker.FaultServerError, worker.FaultHang}
+		s.SetRetryAfter(time.Duration(r.random.IntN(3)) * time.Second)
 		s.SetFault(faults[r.random.IntN(len(faults))])
 		r.undoAfter(ctx, duration, func() { s.SetFault(worker.FaultNone) })
 	case 10:
@@ -99,6 +100,15 @@
 	i.lastFaultAt = time.Now()
 }
 
+// recordInstanceStop records that a restart or freeze of an instance starts or ends
+// now.
+func (r *soakRun) recordInstanceStop(i *instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i.lastFaultAt = time.Now()
+	i.stops = append(i.stops, i.lastFaultAt)
+}
+
 // recordStoreFault records that a fault of the store starts or ends now.
 func (r *soakRun) recordStoreFault() {
 	r.mu.Lock()
@@ -109,13 +119,13 @@
 // restart ends an instance with a signal, waits until it has ended and starts it
 // again.
 func (r *soakRun) restart(i *instance, s os.Signal) {
-	r.recordInstanceFault(i)
+	r.recordInstanceStop(i)
 	r.signal(i, s)
 	<-i.ended
 	if err := r.startInstance(i); err != nil {
 		r.addViolation("instance " + i.name + " did not start: " + err.Error())
 	}
-	r.recordInstanceFault(i)
+	r.recordInstanceStop(i)
 }
 
 // signal sends an instance a signal that ends it.
@@ -128,40 +138,46 @@
 
 // freeze stops an instance with SIGSTOP for d or until ctx is done.
 func (r *soakRun) freeze(ctx context.Context, i *instance, d time.Duration) {
-	r.recordInstanceFault(i)
+	r.recordInstanceStop(i)
 	if err := i.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 		return
 	}
 	sleep(ctx, d)
 	_ = i.cmd.Process.Signal(syscall.SIGCONT)
-	r.recordInstanceFault(i)
+	r.recordInstanceStop(i)
 }
 
-// removeServer marks a server as draining, deletes it from the store or overwrites
-// its entry with an odd one, and registers it again after 2*leaveWithin.
+// removeServer marks a server as draining, deletes it from the store, only makes it
+// say in its answers that it leaves, or overwrites its entry with an odd one. After
+// 2*leaveWithin it registers the server as a new process.
 func (r *soakRun) removeServer(ctx context.Context, s *server) {
 	r.mu.Lock()
-	if !s.leavingSince.IsZero() {
-		r.mu.Unlock()
+	leaving := !s.leavingSince.IsZero()
+	r.mu.Unlock()
+	if leaving {
 		return
 	}
-	r.mu.Unlock()
-	switch r.random.IntN(3) {
+	variant := r.random.IntN(4)
+	s.SetLeaving(variant == 2 || r.random.IntN(2) == 0)
+	switch variant {
 	case 0:
 		r.register(s, "draining")
 	case 1:
 		r.store.Remove("servers/" + s.ID)
-	case 2:
+	case 3:
 		r.store.Put("servers/"+s.ID, r.oddEntry(s))
 	}
 	r.mu.Lock()
-	s.leavingSince = time.Now()
+	s.leavingSince, s.saysLeavingOnly = time.Now(), variant == 2
 	r.mu.Unlock()
 	r.undoAfter(ctx, 2*leaveWithin, func() {
 		r.checkLeavingServer(s)
+		r.checkLeavingNotices(s)
 		r.store.Remove("servers/" + s.ID)
+		s.SetLeaving(false)
 		r.mu.Lock()
 		s.leavingSince = time.Time{}
+		s.starts = append(s.starts, time.Now())
 		r.mu.Unlock()
 		r.register(s, "ready")
 	})
@@ -175,6 +191,9 @@
 	executions := s.Runs()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if s.saysLeavingOnly {
+		return // checkLeavingNotices checks what it said
+	}
 	for _, execution := range executions {
 		q, ok := r.requests[execution.AttemptID]
 		if ok && q.faultFree && execution.At.Sub(s.leavingSince) > leaveWithin && q.sent.Sub(s.leavingSince) > leaveWithin && r.storeLastFaultAt.Before(s.leavingSince) {
@@ -223,14 +242,15 @@
 
 // checkResult makes the checks that need all requests of the run.
 func (r *soakRun) checkResult() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	executions := make(map[string]int)
 	for _, s := range r.servers {
+		r.checkRefusals(s)
 		for _, execution := range s.Runs() {
 			executions[execution.AttemptID]++
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	for _, s := range r.servers {
 		if n := s.Misdirections(); n > 0 {
 			r.result.Violations = append(r.result.Violations, fmt.Sprintf("server %s got %d requests by odd entries", s.ID, n))
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -65,6 +65,8 @@
 	ended       chan struct{} // closed when cmd has ended
 	stopping    bool          // a fault or the end of the run ends cmd
 	lastFaultAt time.Time
+	// stops are the starts and ends of restarts and freezes of the process.
+	stops []time.Time
 }
 
 // soakRun is the state of one run of the test.
@@ -84,15 +86,19 @@
 	keyRemovedAt     time.Time // zero if secondKey is active
 	storeLastFaultAt time.Time // start or end of the last fault of the store
 	requests         map[string]request
+	leavingNotices   []leavingNotice
 	result           Result
 }
 
 // server is a fake back end that is registered in the store. leavingSince is zero
-// unless the server is leaving.
+// unless the server is leaving. saysLeavingOnly is set if it says so in its answers
+// but not in the store. starts are the starts of its processes.
 type server struct {
 	*worker.Server
 	service, address string
 	leavingSince     time.Time
+	saysLeavingOnly  bool
+	starts           []time.Time
 }
 
 // request is a request that a client sent and the status that it received.
@@ -189,7 +195,7 @@
 	if err != nil {
 		return err
 	}
-	r.servers = append(r.servers, &server{Server: w, service: service, address: address})
+	r.servers = append(r.servers, &server{Server: w, service: service, address: address, starts: []time.Time{time.Now()}})
 	r.register(r.servers[len(r.servers)-1], "ready")
 	return nil
 }
@@ -201,7 +207,7 @@
 // entry returns the server's entry in the store.
 func (s *server) entry(state string) map[string]any {
 	return map[string]any{
-		"service": s.service, "address": s.address, "zone": "zone-0", "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1, "born": 1,
+		"service": s.service, "address": s.address, "zone": "zone-0", "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1, "born": len(s.starts),
 	}
 }
 
@@ -235,7 +241,7 @@
 		"--operations-address", i.addresses["operations"], "--store", i.storeProxy.address(), "--cloud", r.fakeAddresses["cloud"],
 		"--usage-window", "1s", "--duties", "metering", "--drain-notice", "4s", "--revoke-within", revokeWithin.String())
 	i.cmd.Stdout, i.cmd.Stderr = r.Log, r.Log
-	r.recordInstanceFault(i)
+	r.recordInstanceStop(i)
 	if err := i.cmd.Start(); err != nil {
 		return err
 	}
@@ -317,6 +323,7 @@
 		return "", 0
 	}
 	defer response.Body.Close()
+	r.recordLeavingNotice(i, response.Header)
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return "", 0
--- a/internal/bench/worker/worker.go
+++ b/internal/bench/worker/worker.go
@@ -30,6 +30,8 @@
 	// FaultFull rejects the request with status 503 and the header
 	// X-Wasabiworks-Not-Executed, without running it.
 	FaultFull Fault = "full"
+	// FaultForeignRefusal runs the request and repeats the refusal of another one.
+	FaultForeignRefusal Fault = "foreign refusal"
 	// FaultServerError responds with status 500 and the server seal, which marks a failure
 	// of the backend server itself rather than one on the way to it.
 	FaultServerError Fault = "fail"
@@ -67,8 +69,13 @@
 	// instead of a single body.
 	Stream bool
 
-	mu            sync.Mutex
-	fault         Fault
+	mu      sync.Mutex
+	fault   Fault
+	leaving bool
+	// retryAfter is the time for which each refusal asks for no requests; 0 asks
+	// for nothing.
+	retryAfter    time.Duration
+	arrivals      []Arrival
 	runs          []Run
 	abandoned     []Abandonment
 	misdirections int
@@ -96,6 +103,36 @@
 	return w.misdirections
 }
 
+// Arrival is a request that reached the server, whether it ran or not. RetryAt is
+// the time before which the server asked for no requests, or zero.
+type Arrival struct {
+	AttemptID   string
+	At, RetryAt time.Time
+}
+
+// SetLeaving makes the server say in all its responses whether it is leaving.
+func (w *Server) SetLeaving(leaving bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = leaving
+}
+
+// SetRetryAfter sets the time for which each refusal of FaultFull asks for no
+// requests, with the header Retry-After; 0 leaves the header out.
+func (w *Server) SetRetryAfter(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retryAfter = d
+}
+
+// Arrivals returns a copy of the list of requests that reached the server, without
+// those that were meant for another server.
+func (w *Server) Arrivals() []Arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Arrival(nil), w.arrivals...)
+}
+
 // SetFault sets the fault for requests that arrive from now on.
 func (w *Server) SetFault(f Fault) {
 	w.mu.Lock()
@@ -125,6 +162,7 @@
 		w.misdirections++
 		w.mu.Unlock()
 		rw.Header().Set("X-Wasabiworks-Instance-Id", w.ID)
+		rw.Header().Set("X-Wasabiworks-Attempt-Id", r.Header.Get("X-Wasabiworks-Attempt-Id"))
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -134,7 +172,13 @@
 	}
 	id := r.Header.Get("X-Wasabiworks-Attempt-Id")
 	w.mu.Lock()
-	f := w.fault
+	f, leaving := w.fault, w.leaving
+	arrival := Arrival{AttemptID: id, At: time.Now()}
+	retryAfter := w.retryAfter
+	if f == FaultFull && retryAfter > 0 {
+		arrival.RetryAt = arrival.At.Add(retryAfter)
+	}
+	w.arrivals = append(w.arrivals, arrival)
 	if f != FaultFull {
 		w.runs = append(w.runs, Run{
 			AttemptID: id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Workspace: r.Header.Get("X-Wasabiworks-Tenant"),
@@ -145,12 +189,22 @@
 	header := rw.Header()
 	header.Set("X-Wasabiworks-Attempt-Id", id)
 	header.Set("X-Wasabiworks-Server-Seal", "seal-of-"+w.ID)
+	if leaving {
+		header.Set("Server-Leaving", "1")
+	}
 	switch f {
 	case FaultReset:
 		resetConnection(rw)
 	case FaultHang:
 		<-r.Context().Done()
 	case FaultFull:
+		header.Set("X-Wasabiworks-Not-Executed", "1")
+		if retryAfter > 0 {
+			header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+		}
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	case FaultForeignRefusal:
+		header.Set("X-Wasabiworks-Attempt-Id", "another")
 		header.Set("X-Wasabiworks-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	case FaultServerError:
