Log the version, the first event and the mean gap of each attempt

The line of a request named neither the version of the server nor how fast its stream went, so a slow version could not be told from a slow prompt.

--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -28,6 +28,7 @@
 	status          int
 	err             error
 	promptProcessed bool
+	pace            pace
 	cancel          context.CancelFunc
 }
 
@@ -42,6 +43,11 @@
 	o.AddDuration("took", a.took)
 	o.AddString("fate", a.outcome.String())
 	o.AddInt("status", a.status)
+	o.AddString("version", a.server.Version)
+	if a.pace.events > 0 {
+		o.AddDuration("first-event", a.pace.first.Sub(a.sentAt))
+		o.AddDuration("mean-gap", a.pace.meanGap())
+	}
 	if a.err != nil {
 		o.AddString("error", a.err.Error())
 	}
