Compare the pace of a new version with the old one's

An answer counted as slow only if its first byte came after the route's objective, 1 to 2 s, but the old version answers within 0.2 s, so that a version that is four times slower mostly meets it; and the time between the events of a stream didn't count at all (medians: 19 ms at the old version, 78 to 90 ms at the new one).

An answer is now slow too if its pace is more than three times the median of the old version's recent ones on the route: the time to a response, or between the first events of a stream, which doesn't depend on what a new server has cached. The rule looks at earlier answers of the old version only and applies to both versions, so the test of the move stays valid; what waits on a load is slow at both.

--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -88,10 +88,23 @@
 // Versions chooses between the versions of a service.
 type Versions interface {
 	Choose(service string, random uint64) VersionChoice
-	// RecordResult records the result of a request at a server of the new version if
-	// isNew is set, and of another version otherwise. late reports whether the
-	// first byte came after the route's objective, counted from the attempt.
-	RecordResult(c VersionChoice, isNew bool, route string, failed, late bool)
+	// RecordResult records the result of an attempt.
+	RecordResult(c VersionChoice, r VersionResult)
+}
+
+// VersionResult is the result of an attempt, as evidence about the version of the
+// server.
+type VersionResult struct {
+	Service, Route string
+	// New reports whether the server has the new version of the move.
+	New bool
+	// Failed reports whether there was no complete response without an error, and
+	// Late whether the first byte came after the route's objective, counted from the
+	// attempt.
+	Failed, Late bool
+	// Pace is the time to a successful response, or the mean time between the first
+	// events of a stream; it is 0 if it is unknown.
+	Pace time.Duration
 }
 
 // Poison identifies requests that crash servers.
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -105,14 +105,14 @@
 func (permissive) Take(context.Context, *routes.Workspace, float64) limit.Admission {
 	return limit.Admission{Admitted: true}
 }
-func (permissive) Deposit(string)                                       {}
-func (permissive) Withdraw(string) bool                                 { return true }
-func (permissive) AddRequest(string)                                    {}
-func (permissive) AddFirst(string, bool)                                {}
-func (permissive) Allowed(uint64) bool                                  { return true }
-func (permissive) ReportLoss(string, string, int64, uint64)             {}
-func (permissive) Choose(string, uint64) VersionChoice                  { return VersionChoice{} }
-func (permissive) RecordResult(VersionChoice, bool, string, bool, bool) {}
+func (permissive) Deposit(string)                            {}
+func (permissive) Withdraw(string) bool                      { return true }
+func (permissive) AddRequest(string)                         {}
+func (permissive) AddFirst(string, bool)                     {}
+func (permissive) Allowed(uint64) bool                       { return true }
+func (permissive) ReportLoss(string, string, int64, uint64)  {}
+func (permissive) Choose(string, uint64) VersionChoice       { return VersionChoice{} }
+func (permissive) RecordResult(VersionChoice, VersionResult) {}
 
 // newForwarder runs an instance's handler in front of servers, with a route of each
 // kind below a path of its name. maxResponse is in bytes.
--- a/internal/caller/forward/pace.go
+++ b/internal/caller/forward/pace.go
@@ -2,27 +2,42 @@
 
 import "time"
 
-// pace records when a server answered an attempt. The zero value describes a
-// server that has sent nothing.
+// paceEvents is the number of events after which the pace of a stream is known.
+// The longer a stream, the later its end, so the pace must not wait for it.
+const paceEvents = 9
+
+// pace records when the server of an attempt sent its answer. The zero value
+// describes a server that has sent nothing.
 type pace struct {
-	first, last time.Time // when the first and the last event or whole response came
+	first, last time.Time // when the first and the last of the first paceEvents events came
 	events      int
 }
 
-// add records an event, or a whole response.
+// add records an event of a stream, or a whole response.
 func (p *pace) add(now time.Time) {
 	if p.events == 0 {
 		p.first = now
 	}
-	p.last = now
+	if p.events < paceEvents {
+		p.last = now
+	}
 	p.events++
 }
 
-// meanGap returns the mean time between two events, or 0 if there were fewer than
-// two.
+// meanGap returns the mean time between two of the first events, or 0 if there were
+// fewer than two.
 func (p *pace) meanGap() time.Duration {
 	if p.events < 2 {
 		return 0
 	}
-	return p.last.Sub(p.first) / time.Duration(p.events-1)
+	return p.last.Sub(p.first) / time.Duration(min(p.events, paceEvents)-1)
+}
+
+// paceOfAnswer returns the mean time between the first events of a stream, or the
+// time to a response that is no stream. It is 0 if it is unknown.
+func (a *attempt) paceOfAnswer() time.Duration {
+	if a.isStream || a.pace.events == 0 {
+		return a.pace.meanGap()
+	}
+	return a.pace.first.Sub(a.sentAt)
 }
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -28,6 +28,7 @@
 	status          int
 	err             error
 	promptProcessed bool
+	isStream        bool
 	pace            pace
 	cancel          context.CancelFunc
 }
@@ -170,12 +171,19 @@
 	if a.outcome == outcomeNotRun || a.outcome == outcomeUnreachable || e.r.Context().Err() != nil {
 		return
 	}
-	failed := a.outcome != outcomeAnswered || a.status >= http.StatusInternalServerError
 	firstByte := e.config.Now()
 	if !e.firstByte.IsZero() {
 		firstByte = e.firstByte
 	}
-	e.config.Versions.RecordResult(e.versionChoice, a.server.Version == e.versionChoice.NewVersion, e.route.Name, failed, firstByte.Sub(a.sentAt) > e.route.Objective)
+	result := VersionResult{
+		Service: e.service, Route: e.route.Name, New: a.server.Version == e.versionChoice.NewVersion,
+		Failed: a.outcome != outcomeAnswered || a.status >= http.StatusInternalServerError,
+		Late:   firstByte.Sub(a.sentAt) > e.route.Objective,
+	}
+	if !result.Failed && a.status < http.StatusMultipleChoices {
+		result.Pace = a.paceOfAnswer()
+	}
+	e.config.Versions.RecordResult(e.versionChoice, result)
 }
 
 // countUsage counts the request in its workspace's usage, at most once however
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -35,6 +35,7 @@
 // response it forwards complete events only, so that another server can resume the
 // stream after the last event.
 func (e *exchange) relay(a *attempt, r *http.Response, uncachedTokens int64) outcome {
+	a.isStream = true
 	reader := bufio.NewReaderSize(r.Body, 4<<10)
 	timer := e.watchdog(a)
 	defer timer.Stop()
--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -77,6 +77,7 @@
 // mover implements forward.Versions.
 type mover struct {
 	instance *Instance
+	paces    paces
 	active   atomic.Pointer[map[string]activeMove] // by service
 
 	mu             sync.Mutex
@@ -294,22 +295,28 @@
 }
 
 // RecordResult implements forward.Versions.
-func (m *mover) RecordResult(c forward.VersionChoice, isNew bool, route string, failed, slow bool) {
+func (m *mover) RecordResult(c forward.VersionChoice, r forward.VersionResult) {
+	k := paceKey{r.Service, r.Route}
+	slow := r.Late || r.Pace > 0 && m.paces.isSlow(k, r.Pace)
+	// Once a move is complete, its new version is the current one.
+	if current := !r.New || c.Step == 0 && c.UseNewVersion; current && r.Pace > 0 {
+		m.paces.add(k, r.Pace)
+	}
 	if c.Move == "" || c.Step == 0 {
 		return
 	}
 	version := oldVersion
-	if isNew {
+	if r.New {
 		version = c.NewVersion
 	}
 	count := evidence.Count{}
 	switch {
-	case failed:
+	case r.Failed:
 		count.Failed = 1
 	case slow:
 		count.Answered, count.Slow = 1, 1
 	default:
 		count.Answered = 1
 	}
-	m.instance.counters.Add(m.instance.node, evidence.Key{Move: c.Move, Version: version, Route: route, Step: c.Step}, count)
+	m.instance.counters.Add(m.instance.node, evidence.Key{Move: c.Move, Version: version, Route: r.Route, Step: c.Step}, count)
 }
