Record a slow answer as soon as it is known to be slow

Callers of a service stayed at a slow new version for seconds after the first of them had noticed. An attempt became evidence about the version of its server only at its end: the streams of a version that is four times slower last 4 to 14 s, and a move may be over in 15. An attempt whose client gave up waiting was not evidence at all, so the slowest ones were missing.

The pace of a stream is now recorded at its ninth event, and an attempt without a first byte as late when the route's objective passes; a failure after that is recorded in addition. Both apply to both versions alike.

--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -56,7 +56,7 @@
 		return e.handleTransportError(a, false)
 	}
 	a.server.Received(e.config.Now())
-	a.pace.add(e.config.Now())
+	a.observe(e.config.Now())
 	e.countUsage()
 	if r.StatusCode < 300 && r.Header.Get(names.ServerSeal) == "" {
 		a.err = errNoServerSeal
--- a/internal/caller/forward/pace.go
+++ b/internal/caller/forward/pace.go
@@ -41,3 +41,12 @@
 	}
 	return a.pace.first.Sub(a.sentAt)
 }
+
+// observe records an event of a stream, or a whole response.
+func (a *attempt) observe(now time.Time) {
+	a.pace.add(now)
+	a.verdict.answerBegan()
+	if a.isStream && a.pace.events == paceEvents {
+		a.verdict.recordAnswer(false, a.paceOfAnswer())
+	}
+}
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -30,6 +30,7 @@
 	promptProcessed bool
 	isStream        bool
 	pace            pace
+	verdict         *verdict
 	cancel          context.CancelFunc
 }
 
@@ -75,6 +76,7 @@
 	defer cancel()
 	e.attempts = append(e.attempts, attempt{server: server, cacheSource: t.cacheSource, sentAt: now, sinceStart: now.Sub(e.start), cancel: cancel})
 	a := &e.attempts[len(e.attempts)-1]
+	a.verdict = e.newVerdict(a)
 	server.Begin(uncachedTokens, now)
 	defer func() {
 		if !a.promptProcessed {
@@ -82,7 +84,7 @@
 		}
 		server.End()
 		a.took, a.outcome = e.config.Now().Sub(now), result
-		e.recordVersionResult(a)
+		e.recordEnd(a)
 		e.metrics.attempts.WithLabelValues(result.String()).Inc()
 	}()
 	var sent tcp.SendTrace
@@ -164,28 +166,6 @@
 	return outcomeLost
 }
 
-// recordVersionResult records the attempt as evidence about the server's version.
-// It skips an attempt in which the server did not run the request, and an attempt
-// whose client has disconnected.
-func (e *exchange) recordVersionResult(a *attempt) {
-	if a.outcome == outcomeNotRun || a.outcome == outcomeUnreachable || e.r.Context().Err() != nil {
-		return
-	}
-	firstByte := e.config.Now()
-	if !e.firstByte.IsZero() {
-		firstByte = e.firstByte
-	}
-	result := VersionResult{
-		Service: e.service, Route: e.route.Name, New: a.server.Version == e.versionChoice.NewVersion,
-		Failed: a.outcome != outcomeAnswered || a.status >= http.StatusInternalServerError,
-		Late:   firstByte.Sub(a.sentAt) > e.route.Objective,
-	}
-	if !result.Failed && a.status < http.StatusMultipleChoices {
-		result.Pace = a.paceOfAnswer()
-	}
-	e.config.Versions.RecordResult(e.versionChoice, result)
-}
-
 // countUsage counts the request in its workspace's usage, at most once however
 // many servers began to run it.
 func (e *exchange) countUsage() {
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -44,7 +44,7 @@
 		now := e.config.Now()
 		if len(event) > 0 && err == nil {
 			a.server.Received(now)
-			a.pace.add(now)
+			a.observe(now)
 			if !a.promptProcessed {
 				a.promptProcessed = true
 				a.server.PromptRead(uncachedTokens)
