Count a stream at half the old version's speed as slow

A version whose streams all go at a half of the old version's speed was taken for a good one, since only three times the old version's pace counted. For the time to one response, which varies more, it stays at three times.

--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -102,9 +102,10 @@
 	// Late whether the first byte came after the route's objective, counted from the
 	// attempt.
 	Failed, Late bool
-	// Pace is the time to a successful response, or the mean time between the first
-	// events of a stream; it is 0 if it is unknown.
-	Pace time.Duration
+	// Pace is the time to a successful response, or, if Stream is set, the mean time
+	// between the first events of a stream. It is 0 if it is unknown.
+	Pace   time.Duration
+	Stream bool
 }
 
 // Poison identifies requests that crash servers.
--- a/internal/caller/forward/pace.go
+++ b/internal/caller/forward/pace.go
@@ -47,6 +47,6 @@
 	a.pace.add(now)
 	a.verdict.answerBegan()
 	if a.isStream && a.pace.events == paceEvents {
-		a.verdict.recordAnswer(false, a.paceOfAnswer())
+		a.verdict.recordAnswer(false, a.paceOfAnswer(), true)
 	}
 }
--- a/internal/caller/forward/verdict.go
+++ b/internal/caller/forward/verdict.go
@@ -32,7 +32,7 @@
 		ctx := e.r.Context()
 		v.late = time.AfterFunc(e.route.Objective, func() {
 			if ctx.Err() == nil {
-				v.recordAnswer(true, 0)
+				v.recordAnswer(true, 0, false)
 			}
 		})
 	}
@@ -49,7 +49,7 @@
 
 // recordAnswer records that the server answers, late or at the given pace, unless
 // the attempt is already recorded.
-func (v *verdict) recordAnswer(late bool, pace time.Duration) {
+func (v *verdict) recordAnswer(late bool, pace time.Duration, isStream bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.recorded {
@@ -57,7 +57,7 @@
 	}
 	v.recorded = true
 	r := v.result
-	r.Late, r.Pace = late, pace
+	r.Late, r.Pace, r.Stream = late, pace, isStream
 	v.versions.RecordResult(v.choice, r)
 }
 
@@ -79,8 +79,8 @@
 	case a.outcome != outcomeAnswered || a.status >= http.StatusInternalServerError:
 		a.verdict.recordFailure()
 	case a.status < http.StatusMultipleChoices:
-		a.verdict.recordAnswer(false, a.paceOfAnswer())
+		a.verdict.recordAnswer(false, a.paceOfAnswer(), a.isStream)
 	default:
-		a.verdict.recordAnswer(false, 0)
+		a.verdict.recordAnswer(false, 0, a.isStream)
 	}
 }
--- a/internal/decide/move/pace.go
+++ b/internal/decide/move/pace.go
@@ -6,10 +6,11 @@
 )
 
 const (
-	// slowPaceRatio is the multiple of the old version's median pace above which an
-	// answer is slow. A new version with cold caches on as many servers stays well
-	// below it.
-	slowPaceRatio = 3
+	// SlowResponseRatio and SlowStreamRatio are the multiples of the old version's
+	// median pace above which a response and a stream are slow. The pace of a stream
+	// is a mean over several events and varies less than the time to a response.
+	SlowResponseRatio = 3
+	SlowStreamRatio   = 2
 	// paceSamples is the number of recent answers from which the median is taken,
 	// and minPaceSamples the number below which no answer is slow.
 	paceSamples    = 32
@@ -38,7 +39,8 @@
 	p.median = known[len(known)/2]
 }
 
-// IsSlow reports whether the pace of an answer is several times the old version's.
-func (p *Pace) IsSlow(d time.Duration) bool {
-	return p.count >= minPaceSamples && d > slowPaceRatio*p.median
+// IsSlow reports whether the pace of an answer is more than ratio times the old
+// version's.
+func (p *Pace) IsSlow(d time.Duration, ratio int) bool {
+	return p.count >= minPaceSamples && d > time.Duration(ratio)*p.median
 }
--- a/internal/decide/move/pace_test.go
+++ b/internal/decide/move/pace_test.go
@@ -28,7 +28,7 @@
 				p.Add(d)
 			}
 		}
-		if got := p.IsSlow(test.answer); got != test.want {
+		if got := p.IsSlow(test.answer, SlowResponseRatio); got != test.want {
 			t.Errorf("%s: an answer after %d is slow: %v, want %v", test.name, test.answer, got, test.want)
 		}
 	}
@@ -36,7 +36,7 @@
 	for range minPaceSamples - 1 {
 		p.Add(20)
 	}
-	if p.IsSlow(time.Hour) {
+	if p.IsSlow(time.Hour, SlowResponseRatio) {
 		t.Errorf("an answer is slow by %d answers, want at least %d", minPaceSamples-1, minPaceSamples)
 	}
 }
--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -297,7 +297,11 @@
 // RecordResult implements forward.Versions.
 func (m *mover) RecordResult(c forward.VersionChoice, r forward.VersionResult) {
 	k := paceKey{r.Service, r.Route}
-	slow := r.Late || r.Pace > 0 && m.paces.isSlow(k, r.Pace)
+	ratio := move.SlowResponseRatio
+	if r.Stream {
+		ratio = move.SlowStreamRatio
+	}
+	slow := r.Late || r.Pace > 0 && m.paces.isSlow(k, r.Pace, ratio)
 	// Once a move is complete, its new version is the current one.
 	if current := !r.New || c.Step == 0 && c.UseNewVersion; current && r.Pace > 0 {
 		m.paces.add(k, r.Pace)
--- a/internal/entry/gateway/moves_test.go
+++ b/internal/entry/gateway/moves_test.go
@@ -19,6 +19,8 @@
 		want   evidence.Count
 	}{
 		{"several times slower", forward.VersionResult{New: true, Pace: 4 * oldPace}, evidence.Count{Answered: 1, Slow: 1}},
+		{"stream, more than twice as slow", forward.VersionResult{New: true, Stream: true, Pace: 5 * oldPace / 2}, evidence.Count{Answered: 1, Slow: 1}},
+		{"stream, somewhat slower", forward.VersionResult{New: true, Stream: true, Pace: 2 * oldPace}, evidence.Count{Answered: 1}},
 		{"somewhat slower", forward.VersionResult{New: true, Pace: 2 * oldPace}, evidence.Count{Answered: 1}},
 		{"unknown pace", forward.VersionResult{New: true}, evidence.Count{Answered: 1}},
 		{"old version, once", forward.VersionResult{Pace: 4 * oldPace}, evidence.Count{Answered: 1, Slow: 1}},
--- a/internal/entry/gateway/paces.go
+++ b/internal/entry/gateway/paces.go
@@ -34,11 +34,11 @@
 	known.Add(d)
 }
 
-// isSlow reports whether the pace of an answer is several times that of the current
-// version.
-func (p *paces) isSlow(k paceKey, d time.Duration) bool {
+// isSlow reports whether the pace of an answer is more than ratio times that of the
+// current version.
+func (p *paces) isSlow(k paceKey, d time.Duration, ratio int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.byRoute[k]
-	return known != nil && known.IsSlow(d)
+	return known != nil && known.IsSlow(d, ratio)
 }
