Keep the share of a new version small until the last steps of a move

A version that turned bad in the second half of a move had had more than a tenth of all requests by then: without evidence, the steps went to 25% after 0.3 of the time and to 35% after 0.55; with good evidence, a large service was at 100% after 0.63. Good evidence says nothing about faults that appear late, and the move is reported as complete only at its planned end, so the early steps gained nothing.

The steps now follow the time alone: 15% from 0.2 to 0.8 of it, where evidence comes nearly as fast as at 25%, then the rest. A move is complete when it was before.

TestSmallShareUntilTheLastSteps failed before: 0.153 of all requests without and 0.248 with good evidence, by 0.7 of the time.

--- a/internal/decide/move/schedule.go
+++ b/internal/decide/move/schedule.go
@@ -28,10 +28,6 @@
 	// completion and the deadline, for instances that learn of the last step
 	// late. The time from the start of the move to this margin is its ramp.
 	deadlineMargin = 0.1
-	// earliestCompletion is the fraction of the ramp in which a version with
-	// plenty of evidence takes all steps. The rest is for finding faults that
-	// appear late while the owner still expects the move to run.
-	earliestCompletion = 0.7
 	// suspectRampStart is the fraction of the ramp after which a suspect version
 	// must begin to take its steps.
 	suspectRampStart = 0.7
@@ -47,11 +43,12 @@
 // and highest between 0.2 and 0.5.
 var stepShares = [...]float64{0.02, 0.05, 0.1, 0.15, 0.25, 0.35, 0.5, 0.7}
 
-// forcedStepTimes are the fractions of the ramp at which a version without
-// enough evidence takes the steps after the first one. Most of the time goes to
-// the shares that yield evidence fastest while most clients still use the old
-// version.
-var forcedStepTimes = [...]float64{0.05, 0.12, 0.2, 0.3, 0.55, 0.85, 0.93, 1}
+// stepTimes are the fractions of the ramp at which a version takes the steps after
+// the first one. Most of the time goes to a share that yields evidence nearly as
+// fast as the higher ones, but at which a version that turns bad late has had less
+// than a tenth of the requests of the whole move. Good evidence doesn't shorten
+// it, because it says nothing about faults that appear late.
+var stepTimes = [...]float64{0.04, 0.08, 0.2, 0.8, 0.86, 0.92, 0.96, 1}
 
 // ShareOf returns the share of the new version in a step, and 0 for step 0 and
 // steps that don't exist.
@@ -99,10 +96,10 @@
 	return firstStep
 }
 
-// forcedStep returns the step that is due at progress even without evidence.
-func forcedStep(progress float64) uint8 {
+// stepAt returns the step that is due at progress.
+func stepAt(progress float64) uint8 {
 	step := uint8(firstStep)
-	for _, at := range forcedStepTimes {
+	for _, at := range stepTimes {
 		if progress >= at {
 			step++
 		}
@@ -114,11 +111,11 @@
 }
 
 // observationSlot returns the slot of the observation that contains now. The
-// slots divide the time from the earliest completion to KeepUntil evenly. Each
+// slots divide the time from the completion to KeepUntil evenly. Each
 // slot is evaluated by its own evidence, so that a version that turns bad isn't
 // excused by earlier good results.
 func observationSlot(p Plan, now time.Time) uint8 {
-	from := p.Start.Add(time.Duration(float64(p.Deadline.Sub(p.Start)) * (1 - deadlineMargin) * earliestCompletion))
+	from := p.Start.Add(time.Duration(float64(p.Deadline.Sub(p.Start)) * (1 - deadlineMargin)))
 	total := p.KeepUntil.Sub(from)
 	if total <= 0 || !now.After(from) {
 		return 0
--- a/internal/decide/move/sequential.go
+++ b/internal/decide/move/sequential.go
@@ -9,10 +9,6 @@
 	// maxFalseAlarmRate is the highest probability with which a version that is
 	// no worse than the old one is rolled back.
 	maxFalseAlarmRate = 1e-3
-	// secondStepRequests is the number of requests to the new version that
-	// allow the second step ahead of its forced time; each further step needs
-	// twice as many.
-	secondStepRequests = 10
 )
 
 var (
@@ -29,7 +25,7 @@
 	strongSuspicionThreshold = math.Log(100)
 )
 
-// Sequential raises the share with time and evidence, and rolls back when an
+// Sequential raises the share with time, lowers it on suspicion, and rolls back when an
 // anytime-valid test finds the new version worse than the old one. The zero
 // value is ready to use.
 type Sequential struct{}
@@ -85,11 +81,7 @@
 		}
 		return stepDecision(step, "under suspicion, deadline near")
 	}
-	next := min(stepBetween(elapsed, 0, earliestCompletion), stepForRequests(effectiveRequests(cells)))
-	if forced := forcedStep(elapsed); forced > next {
-		return stepDecision(forced, "deadline near")
-	}
-	return stepDecision(next, "evidence")
+	return stepDecision(stepAt(elapsed), "as planned")
 }
 
 // holdShare keeps the share of an isolated instance unchanged. Only suspicion
@@ -112,20 +104,6 @@
 	return held
 }
 
-// stepForRequests returns the highest step that a number of requests to the new
-// version allows.
-func stepForRequests(requests float64) uint8 {
-	step, needed := uint8(firstStep), float64(secondStepRequests)
-	for step < probeStep && requests >= needed {
-		step++
-		needed *= 2
-	}
-	if step == probeStep {
-		return observationStep
-	}
-	return step
-}
-
 func stepDecision(step uint8, reason string) Decision {
 	d := Decision{Share: ShareOf(step), Step: step, Reason: reason}
 	if step >= observationStep {
--- a/internal/decide/move/sequential_test.go
+++ b/internal/decide/move/sequential_test.go
@@ -244,3 +244,23 @@
 	}
 	is.True(Sequential{}.Decide(State{Plan: plan(), Evidence: e}, epoch.Add(30*time.Minute)).Veto)
 }
+
+// Guards against a version that turns bad late, or shows it late, and has had more
+// than a tenth of all requests by then because it looked good or because time passed.
+func TestSmallShareUntilTheLastSteps(t *testing.T) {
+	const lastStepsFrom = 42 * time.Minute // of 60 to the deadline
+	good := make(counts)
+	for step := uint8(firstStep); step < probeStep; step++ {
+		good[key("v1", step)] = evidence.Count{Answered: 98000}
+		good[key("v2", step)] = evidence.Count{Answered: 2000}
+	}
+	for name, e := range map[string]counts{"no evidence": nil, "good evidence": good} {
+		requests := 0.0 // to the new version, as a part of all until the deadline
+		for at := time.Duration(0); at < lastStepsFrom; at += time.Second {
+			requests += Sequential{}.Decide(State{Plan: plan(), Evidence: e}, epoch.Add(at)).Share / 3600
+		}
+		if requests > 0.1 {
+			t.Errorf("%s: the new version has had %.3f of all requests by %v, want at most 0.1", name, requests, lastStepsFrom)
+		}
+	}
+}
--- a/internal/decide/move/table.go
+++ b/internal/decide/move/table.go
@@ -82,33 +82,6 @@
 	return max(ShareOf(x.step), x.requests[1]/max(x.requests[0]+x.requests[1], 1))
 }
 
-// effectiveRequests returns the number of requests that the new version would
-// have if all strata were covered as thinly as the least covered one: the new
-// version's requests in that stratum divided by the stratum's share of the
-// traffic. Strata with less than minTrafficShare of the traffic are ignored.
-func effectiveRequests(cells []cell) float64 {
-	const minTrafficShare = 0.05
-	var counts [numStrata][2]float64
-	total := 0.0
-	for i := range cells {
-		x := &cells[i]
-		counts[x.stratum][0] += x.requests[0] + x.requests[1]
-		counts[x.stratum][1] += x.requests[1]
-		total += x.requests[0] + x.requests[1]
-	}
-	lowest, found := 0.0, false
-	for _, n := range counts {
-		trafficShare := n[0] / max(total, 1)
-		if trafficShare < minTrafficShare {
-			continue
-		}
-		if effective := n[1] / trafficShare; !found || effective < lowest {
-			lowest, found = effective, true
-		}
-	}
-	return lowest
-}
-
 // stepReached returns the highest step before probeStep in which the new version
 // has had requests, and whether it has had requests during the observation.
 func stepReached(cells []cell) (step uint8, observing bool) {
