Report a completed move before its time limit

The record planned the report for the end of the allowed time as counted from when the instance received the order, and the evaluations at the deadline and at the report add up to 200 ms each. The report is now planned 0.8 s earlier, or a tenth of the time if that is less; old servers keep their 3 s to end their requests.

TestMoveIsReportedWithinItsTime failed before: 700 ms after the limit.

--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -32,6 +32,12 @@
 	// maxSettleFraction bounds settleTime, as a fraction of the time that the order
 	// allows for the move.
 	maxSettleFraction = 0.3
+	// reportMargin is how long before the end of the time that the order allows the
+	// report is due. It covers the time that the order took to arrive, the periods of
+	// the evaluations at the deadline and at the report, and the write to the store.
+	reportMargin = 800 * time.Millisecond
+	// maxReportMarginFraction bounds reportMargin like maxSettleFraction.
+	maxReportMarginFraction = 0.1
 )
 
 // MoveOrder is an operator's order to move a service's traffic to another version.
@@ -220,8 +226,7 @@
 		r := stored.moveRecord
 		switch {
 		case stored.ID != a.ID:
-			settle := min(settleTime, time.Duration(maxSettleFraction*float64(o.Within)))
-			r = moveRecord{ID: a.ID, Service: service, To: o.To, Start: o.receivedAt, Deadline: o.receivedAt.Add(o.Within - settle), Finish: o.receivedAt.Add(o.Within), State: MoveRunning}
+			r = newMoveRecord(a.ID, o)
 		case r.State == MoveRunning && a.decision.Phase == move.RolledBack:
 			r.State = MoveRolledBack
 		case r.State == MoveRunning && a.decision.Phase == move.Done && a.decision.Share == 1 && !now.Before(r.Deadline):
@@ -244,6 +249,14 @@
 	}
 }
 
+// newMoveRecord returns the record of a move that an order begins.
+func newMoveRecord(id string, o receivedOrder) moveRecord {
+	margin := min(reportMargin, time.Duration(maxReportMarginFraction*float64(o.Within)))
+	settle := min(settleTime, time.Duration(maxSettleFraction*float64(o.Within)))
+	finish := o.receivedAt.Add(o.Within - margin)
+	return moveRecord{ID: id, Service: o.Service, To: o.To, Start: o.receivedAt, Deadline: finish.Add(-settle), Finish: finish, State: MoveRunning}
+}
+
 // storeRecord writes a move's record if the one in the store is still at the given
 // revision, the last one that this instance has seen.
 func (m *mover) storeRecord(ctx context.Context, r moveRecord, revision int64) {
--- a/internal/entry/gateway/moves_test.go
+++ b/internal/entry/gateway/moves_test.go
@@ -8,6 +8,23 @@
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 )
 
+// Guards against a good version that is reported as complete only after its time
+// limit, because each step to the report takes a part of a second.
+func TestMoveIsReportedWithinItsTime(t *testing.T) {
+	const arrival, write = 200 * time.Millisecond, 100 * time.Millisecond
+	received := time.Unix(1000, 0)
+	for _, within := range []time.Duration{10 * time.Second, 15 * time.Second, time.Hour} {
+		r := newMoveRecord("m", receivedOrder{MoveOrder: MoveOrder{Service: "s", To: "v2", Within: within}, receivedAt: received})
+		reported := r.Finish.Add(2*movePeriod + write)
+		if limit := received.Add(within - arrival); reported.After(limit) {
+			t.Errorf("time limit %v: reported %v after it", within, reported.Sub(limit))
+		}
+		if !r.Deadline.After(r.Start) || r.Finish.Sub(r.Deadline) != settleTime {
+			t.Errorf("time limit %v: got record %+v, want the deadline %v before the finish", within, r, settleTime)
+		}
+	}
+}
+
 // Guards against a new version that is several times slower than the old one but
 // meets the route's objective, and is therefore taken for a good one.
 func TestSlowVersionWithinObjectiveIsCountedSlow(t *testing.T) {
