--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -105,16 +105,16 @@
 func (permissive) Take(context.Context, *routes.Workspace, float64) limit.Admission {
 	return limit.Admission{Admitted: true}
 }
-func (permissive) Deposit(string)                                       {}
-func (permissive) Withdraw(string) bool                                 { return true }
-func (permissive) AddRequest(string)                                    {}
-func (permissive) AddFirst(string, bool)                                {}
-func (permissive) Allowed(uint64) bool                                  { return true }
-func (permissive) CheckParts([]uint64) PartsVerdict                     { return PartsAllowed }
-func (permissive) Completed([]uint64)                                   {}
-func (permissive) ReportLoss(Loss)                                      {}
-func (permissive) Choose(string, uint64) VersionChoice                  { return VersionChoice{} }
-func (permissive) RecordResult(VersionChoice, bool, string, bool, bool) {}
+func (permissive) Deposit(string)                            {}
+func (permissive) Withdraw(string) bool                      { return true }
+func (permissive) AddRequest(string)                         {}
+func (permissive) AddFirst(string, bool)                     {}
+func (permissive) Allowed(uint64) bool                       { return true }
+func (permissive) CheckParts([]uint64) PartsVerdict          { return PartsAllowed }
+func (permissive) Completed([]uint64)                        {}
+func (permissive) ReportLoss(Loss)                           {}
+func (permissive) Choose(string, uint64) VersionChoice       { return VersionChoice{} }
+func (permissive) RecordResult(VersionChoice, VersionResult) {}
 
 // newForwarder runs an instance's handler in front of servers, with a route of each
 // kind below a path of its name. maxResponse is in bytes.
--- a/internal/caller/forward/parts.go
+++ b/internal/caller/forward/parts.go
@@ -48,19 +48,11 @@
 	return false
 }
 
-// countEvent counts an event that the server sent.
-func (a *attempt) countEvent(now time.Time) {
-	if a.events == 0 {
-		a.firstEvent = now
-	}
-	a.events++
-}
-
 // loss returns the description of an attempt without a complete response.
 func (e *exchange) loss(a *attempt) Loss {
 	return Loss{
 		Server: a.server.ID, Address: a.server.Address, Incarnation: a.server.Incarnation,
 		Fingerprint: e.fingerprint, Parts: e.sharedParts,
-		Events: a.events, Responding: a.events > 0 && e.config.Now().Sub(a.firstEvent) > crashWindow,
+		Events: a.pace.events, Responding: a.pace.events > 0 && e.config.Now().Sub(a.pace.first) > crashWindow,
 	}
 }
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -29,8 +29,9 @@
 	newConn         bool // no earlier request was sent on the connection
 	err             error
 	promptProcessed bool
-	events          int       // complete events that the server sent
-	firstEvent      time.Time // when the first of them arrived
+	isStream        bool
+	pace            pace
+	verdict         *verdict
 	cancel          context.CancelFunc
 	failover        *failover // nil if no other server may take over
 }
@@ -46,6 +47,11 @@
 	o.AddDuration("took", a.took)
 	o.AddString("fate", a.outcome.String())
 	o.AddInt("status", a.status)
+	o.AddString("version", a.server.Version)
+	if a.pace.events > 0 {
+		o.AddDuration("first-event", a.pace.first.Sub(a.sentAt))
+		o.AddDuration("mean-gap", a.pace.meanGap())
+	}
 	if a.err != nil {
 		o.AddString("error", a.err.Error())
 	}
@@ -74,6 +80,7 @@
 	defer cancel()
 	e.attempts = append(e.attempts, attempt{server: server, cacheSource: t.cacheSource, sentAt: now, sinceStart: now.Sub(e.start), cancel: cancel})
 	a := &e.attempts[len(e.attempts)-1]
+	a.verdict = e.newVerdict(a)
 	server.Begin(uncachedTokens, now)
 	defer func() {
 		if !a.promptProcessed {
@@ -82,7 +89,7 @@
 		server.End()
 		e.endFailover(a)
 		a.took, a.outcome = e.config.Now().Sub(now), result
-		e.recordVersionResult(a)
+		e.recordEnd(a)
 		e.metrics.attempts.WithLabelValues(result.String()).Inc()
 	}()
 	var sent tcp.SendTrace
@@ -161,21 +168,6 @@
 	return outcomeLost
 }
 
-// recordVersionResult records the attempt as evidence about the server's version.
-// It skips an attempt in which the server did not run the request, and an attempt
-// whose client has disconnected.
-func (e *exchange) recordVersionResult(a *attempt) {
-	if a.outcome == outcomeNotRun || a.outcome == outcomeUnreachable || e.r.Context().Err() != nil {
-		return
-	}
-	failed := a.outcome != outcomeAnswered || a.status >= http.StatusInternalServerError
-	firstByte := e.config.Now()
-	if !e.firstByte.IsZero() {
-		firstByte = e.firstByte
-	}
-	e.config.Versions.RecordResult(e.versionChoice, a.server.Version == e.versionChoice.NewVersion, e.route.Name, failed, firstByte.Sub(a.sentAt) > e.route.Objective)
-}
-
 // countUsage counts the request in its workspace's usage, at most once however
 // many servers began to run it.
 func (e *exchange) countUsage() {
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -38,6 +38,7 @@
 // response it forwards complete events only, so that another server can resume the
 // stream after the last event.
 func (e *exchange) relay(a *attempt, r *http.Response, uncachedTokens int64) outcome {
+	a.isStream = true
 	reader := bufio.NewReaderSize(r.Body, 4<<10)
 	if e.route.Resumable && e.route.EventGap > 0 && len(e.attempts) < e.route.Attempts {
 		a.failover = startFailover(e.maxSilence(a), e.reserveRetry, a.cancel)
@@ -47,7 +48,7 @@
 		now := e.config.Now()
 		if len(event) > 0 && err == nil {
 			a.server.Received(now)
-			a.countEvent(now)
+			a.observe(now)
 			if !a.promptProcessed {
 				a.promptProcessed = true
 				a.server.PromptRead(uncachedTokens)
@@ -130,13 +131,13 @@
 func (e *exchange) finishStream(a *attempt, r *http.Response, rest []byte) outcome {
 	now := e.config.Now()
 	endsWithConnection := r.ContentLength < 0 && len(r.TransferEncoding) == 0
-	if len(rest) > 0 || endsWithConnection && a.events == 0 {
+	if len(rest) > 0 || endsWithConnection && a.pace.events == 0 {
 		a.err = io.ErrUnexpectedEOF
 		return e.handleTransportError(a, false)
 	}
 	e.writeHead(r, now)
 	a.server.Succeeded(now)
-	if a.events > 0 {
+	if a.pace.events > 0 {
 		e.config.Poison.Completed(e.sharedParts)
 	}
 	e.reason = Served
--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -32,6 +32,12 @@
 	// maxSettleFraction bounds settleTime, as a fraction of the time that the order
 	// allows for the move.
 	maxSettleFraction = 0.3
+	// reportMargin is how long before the end of the time that the order allows the
+	// report is due. It covers the time that the order took to arrive, the periods of
+	// the evaluations at the deadline and at the report, and the write to the store.
+	reportMargin = 800 * time.Millisecond
+	// maxReportMarginFraction bounds reportMargin like maxSettleFraction.
+	maxReportMarginFraction = 0.1
 )
 
 // MoveOrder is an operator's order to move a service's traffic to another version.
@@ -83,6 +89,7 @@
 // mover implements forward.Versions.
 type mover struct {
 	instance *Instance
+	paces    paces
 	active   atomic.Pointer[map[string]activeMove] // by service
 
 	mu             sync.Mutex
@@ -240,8 +247,7 @@
 		r := stored.moveRecord
 		switch {
 		case stored.ID != a.ID:
-			settle := min(settleTime, time.Duration(maxSettleFraction*float64(o.Within)))
-			r = moveRecord{ID: a.ID, Service: service, To: o.To, Start: o.receivedAt, Deadline: o.receivedAt.Add(o.Within - settle), Finish: o.receivedAt.Add(o.Within), State: MoveRunning}
+			r = newMoveRecord(a.ID, o)
 		case r.State == MoveRunning && a.decision.Phase == move.RolledBack:
 			r.State = MoveRolledBack
 		case r.State == MoveRunning && a.decision.Phase == move.Done && a.decision.Share == 1 && !now.Before(r.Deadline):
@@ -264,6 +270,14 @@
 	}
 }
 
+// newMoveRecord returns the record of a move that an order begins.
+func newMoveRecord(id string, o receivedOrder) moveRecord {
+	margin := min(reportMargin, time.Duration(maxReportMarginFraction*float64(o.Within)))
+	settle := min(settleTime, time.Duration(maxSettleFraction*float64(o.Within)))
+	finish := o.receivedAt.Add(o.Within - margin)
+	return moveRecord{ID: id, Service: o.Service, To: o.To, Start: o.receivedAt, Deadline: finish.Add(-settle), Finish: finish, State: MoveRunning}
+}
+
 // storeRecord writes a move's record if the one in the store is still at the given
 // revision, the last one that this instance has seen.
 func (m *mover) storeRecord(ctx context.Context, r moveRecord, revision int64) {
@@ -315,22 +329,32 @@
 }
 
 // RecordResult implements forward.Versions.
-func (m *mover) RecordResult(c forward.VersionChoice, isNew bool, route string, failed, slow bool) {
+func (m *mover) RecordResult(c forward.VersionChoice, r forward.VersionResult) {
+	k := paceKey{r.Service, r.Route}
+	ratio := move.SlowResponseRatio
+	if r.Stream {
+		ratio = move.SlowStreamRatio
+	}
+	slow := r.Late || r.Pace > 0 && m.paces.isSlow(k, r.Pace, ratio)
+	// Once a move is complete, its new version is the current one.
+	if current := !r.New || c.Step == 0 && c.UseNewVersion; current && r.Pace > 0 {
+		m.paces.add(k, r.Pace)
+	}
 	if c.Move == "" || c.Step == 0 {
 		return
 	}
 	version := oldVersion
-	if isNew {
+	if r.New {
 		version = c.NewVersion
 	}
 	count := evidence.Count{}
 	switch {
-	case failed:
+	case r.Failed:
 		count.Failed = 1
 	case slow:
 		count.Answered, count.Slow = 1, 1
 	default:
 		count.Answered = 1
 	}
-	m.instance.counters.Add(m.instance.node, evidence.Key{Move: c.Move, Version: version, Route: route, Step: c.Step}, count)
+	m.instance.counters.Add(m.instance.node, evidence.Key{Move: c.Move, Version: version, Route: r.Route, Step: c.Step}, count)
 }
--- /dev/null
+++ b/internal/entry/gateway/moves_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/caller/forward"
+	"wasabiworks.example/wasabiworks/internal/decide/evidence"
+)
+
+// Guards against a good version that is reported as complete only after its time
+// limit, because each step to the report takes a part of a second.
+func TestMoveIsReportedWithinItsTime(t *testing.T) {
+	const arrival, write = 200 * time.Millisecond, 100 * time.Millisecond
+	received := time.Unix(1000, 0)
+	for _, within := range []time.Duration{10 * time.Second, 15 * time.Second, time.Hour} {
+		r := newMoveRecord("m", receivedOrder{MoveOrder: MoveOrder{Service: "s", To: "v2", Within: within}, receivedAt: received})
+		reported := r.Finish.Add(2*movePeriod + write)
+		if limit := received.Add(within - arrival); reported.After(limit) {
+			t.Errorf("time limit %v: reported %v after it", within, reported.Sub(limit))
+		}
+		if !r.Deadline.After(r.Start) || r.Finish.Sub(r.Deadline) != settleTime {
+			t.Errorf("time limit %v: got record %+v, want the deadline %v before the finish", within, r, settleTime)
+		}
+	}
+}
+
+// Guards against a new version that is several times slower than the old one but
+// meets the route's objective, and is therefore taken for a good one.
+func TestSlowVersionWithinObjectiveIsCountedSlow(t *testing.T) {
+	const oldPace = 20 * time.Millisecond
+	running := forward.VersionChoice{Move: "m", NewVersion: "v2", Step: 1}
+	tests := []struct {
+		name   string
+		result forward.VersionResult
+		want   evidence.Count
+	}{
+		{"several times slower", forward.VersionResult{New: true, Pace: 4 * oldPace}, evidence.Count{Answered: 1, Slow: 1}},
+		{"stream, more than twice as slow", forward.VersionResult{New: true, Stream: true, Pace: 5 * oldPace / 2}, evidence.Count{Answered: 1, Slow: 1}},
+		{"stream, somewhat slower", forward.VersionResult{New: true, Stream: true, Pace: 2 * oldPace}, evidence.Count{Answered: 1}},
+		{"somewhat slower", forward.VersionResult{New: true, Pace: 2 * oldPace}, evidence.Count{Answered: 1}},
+		{"unknown pace", forward.VersionResult{New: true}, evidence.Count{Answered: 1}},
+		{"old version, once", forward.VersionResult{Pace: 4 * oldPace}, evidence.Count{Answered: 1, Slow: 1}},
+		{"late", forward.VersionResult{New: true, Late: true}, evidence.Count{Answered: 1, Slow: 1}},
+	}
+	for _, test := range tests {
+		f := &Instance{node: "edge-1/1"}
+		m := newMover(f)
+		for range 20 {
+			m.RecordResult(forward.VersionChoice{}, forward.VersionResult{Service: "s", Route: "chat", Pace: oldPace})
+		}
+		test.result.Service, test.result.Route = "s", "chat"
+		m.RecordResult(running, test.result)
+		k := evidence.Key{Move: "m", Version: oldVersion, Route: "chat", Step: 1}
+		if test.result.New {
+			k.Version = "v2"
+		}
+		if got := f.counters.Totals("m")[k]; got != test.want {
+			t.Errorf("%s: counted %+v, want %+v", test.name, got, test.want)
+		}
+	}
+}
