--- a/internal/platform/cloud/fuzz_test.go
+++ b/internal/platform/cloud/fuzz_test.go
@@ -23,6 +23,8 @@
 	for _, body := range []string{
 		`{"next":3,"notices":[{"sequence":3,"instance":"engine-0","deadline":"2026-12-04T08:00:00Z"}]}`,
 		`{"next":-1,"notices":null}`, `{"notices":[{"deadline":"soon"}]}`, `{"next":1e30}`, `{"next":9,"notices":[`, "",
+		`{"next":3,"notices":[{"sequence":1e999,"instance":"a"}]}`, `{"next":3,"notices":[{"sequence":3,"deadline":"99999-12-04T08:00:00Z"}]}`,
+		`{"next":9223372036854775807,"notices":[{"sequence":-9223372036854775808,"instance":"a/b\r\n"}]}`, `{"next":3,"notices":[[[[[[[[[[]]]]]]]]]]}`,
 	} {
 		f.Add([]byte(body))
 	}
--- a/internal/platform/instances/fuzz_test.go
+++ b/internal/platform/instances/fuzz_test.go
@@ -23,6 +23,8 @@
 	for _, body := range []string{
 		`{"revision":1,"instances":[{"id":"entry-0","role":"entry","state":"live","price":0.12}]}`,
 		`{"instances":[{},{"id":"a"},{"id":"a"},null]}`, `{"instances":null}`, `{"instances":[{"price":"x"}]}`, `{"instances":[`, "",
+		`{"revision":1e999,"instances":[]}`, `{"instances":[{"id":"a","price":1e999}]}`, `{"instances":[{"id":"a","address":"10.0.0.1:70000"}]}`,
+		`{"instances":[{"id":"a\r\nb/c","role":"odd","state":7}]}`, `{"instances":[[[[[[[[[[]]]]]]]]]]}`,
 	} {
 		f.Add([]byte(body))
 	}
