Use no entry that names the address of the instance itself

An entry with the address of an instance made that instance send requests to itself: one request of a public route grew to 11,000 goroutines in 1.5 s, as each pass through the instance chose the same entry again. Such an entry names no server. Two entries that name two instances can still form such a circle between them.

TestServerAddressWithoutServer failed before. Its other parts passed at once: an attempt at an address without a server does not count as possibly run.

--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"errors"
+	"net"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -90,6 +93,30 @@
 	f.config.Log.Info("configuration applied", zap.Int64("version", t.Version), zap.Int64("revision", item.Revision), zap.Int("routes", len(t.Routes)))
 }
 
+// errOwnAddress means that an entry names an address of this instance as that of a
+// server. The instance would send requests to itself, again and again.
+var errOwnAddress = errors.New("address is one of this instance")
+
+// listenAddresses returns the addresses of listeners.
+func listenAddresses(ls ...net.Listener) map[netip.AddrPort]bool {
+	addresses := make(map[netip.AddrPort]bool)
+	for _, l := range ls {
+		addresses[unmapped(l.Addr().String())] = true
+	}
+	delete(addresses, netip.AddrPort{})
+	return addresses
+}
+
+// unmapped parses an address, and turns an IPv4-mapped IPv6 address into the IPv4
+// address. It returns the zero value if the address is invalid.
+func unmapped(address string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
 // applyServer applies a server's entry. The pages of a listing are not a
 // consistent snapshot, so an old revision of an entry may follow a newer one.
 func (f *Instance) applyServer(id string, item store.Item) {
@@ -102,6 +129,9 @@
 		return
 	}
 	s, err := f.config.Format.DecodeServer(item.Key, item.Value)
+	if err == nil && f.ownAddresses[unmapped(s.Address)] {
+		err = errOwnAddress
+	}
 	if err != nil {
 		// The entry may have been written over that of a known server, which must
 		// not be used by it any longer.
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -158,7 +159,9 @@
 	// serverRevisions are the store revisions of the servers' entries, by server
 	// ID. Only apply and the methods that it calls use them.
 	serverRevisions map[string]int64
-	wasReady        atomic.Bool
+	// ownAddresses are the addresses at which the instance listens.
+	ownAddresses map[netip.AddrPort]bool
+	wasReady     atomic.Bool
 
 	// node identifies this run of the instance as the writer of counters: the
 	// instance ID, a slash and the incarnation.
@@ -205,6 +208,7 @@
 	f := &Instance{
 		config: c, now: boottime.Now, registry: c.Registry, pool: pool.New(),
 		relayAvoidUntil: make(map[string]time.Time), serverRevisions: make(map[string]int64), registered: make(map[string]membership.Member),
+		ownAddresses: listenAddresses(c.Clients, c.Ready, c.Peer, c.Operations),
 	}
 	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay, MaxRelayAge: maxRelayAge, Now: f.now, Log: c.Log})
 	if err := f.initCluster(); err != nil {
