--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -136,7 +136,7 @@
 		// The entry may have been written over that of a known server, which must
 		// not be used by it any longer.
 		removed := f.pool.Remove(id, time.Time{})
-		f.config.Log.Warn("decoding server entry failed", zap.String("server", id), zap.Int64("revision", item.Revision), zap.Bool("removed", removed), zap.Error(err))
+		f.config.Log.Warn("server entry names no usable server", zap.String("server", id), zap.Int64("revision", item.Revision), zap.Bool("removed", removed), zap.Error(err))
 		return
 	}
 	if f.pool.Put(s, f.now()) {
