Trust a refusal of an engine or service only if it echoes the attempt

The clients of engines and of repeatable calls to services keep connections, and took any response with Not-Run as the answer to the current attempt. A refusal of an earlier attempt, written once more, made a running attempt count as not run: the caller was told so, and it was charged nothing. Calls that must not be repeated were safe, as each has its own connection.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -95,7 +95,7 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return statusError(res, a)
+		return statusError(res, &sent, a)
 	}
 	r := frameReader{client: c, attempt: a, next: a.From, yield: yield, watch: watch}
 	if err = r.run(res.Body); err != nil && r.yieldErr == nil {
@@ -127,7 +127,7 @@
 		return nil, err
 	}
 	req.Header["Content-Type"] = []string{"application/json"}
-	req.Header["Attempt"] = []string{a.ID}
+	req.Header[tcp.AttemptHeader] = []string{a.ID}
 	req.Header["Priority"] = []string{a.Priority}
 	req.Header["X-Request-Id"] = []string{a.Request}
 	return c.http.Do(req)
@@ -156,9 +156,12 @@
 	return Lost.New("response of engine %s was lost at token %d: %v", a.Address, next, err)
 }
 
-func statusError(res *http.Response, a *Attempt) error {
+func statusError(res *http.Response, sent *tcp.SendTrace, a *Attempt) error {
 	io.Copy(io.Discard, io.LimitReader(res.Body, 4<<10))
 	if reason := res.Header.Get("Not-Run"); reason != "" && (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests) {
+		if !sent.RefusesAttempt(res.Header, a.ID) {
+			return Lost.New("engine %s sent the refusal of another attempt", a.Address)
+		}
 		return notRun(reason, "engine %s rejected the attempt: %s", a.Address, reason)
 	}
 	return Failed.New("engine %s responded with status %d", a.Address, res.StatusCode)
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -97,7 +97,7 @@
 		req.Header = make(http.Header)
 	}
 	RemoveHopByHop(req.Header)
-	req.Header.Set("Attempt", call.Attempt)
+	req.Header.Set(tcp.AttemptHeader, call.Attempt)
 	if req.Header.Get("User-Agent") == "" {
 		req.Header.Set("User-Agent", "") // prevents net/http from adding its own
 	}
@@ -115,6 +115,9 @@
 	if reason := res.Header.Get("Not-Run"); reason != "" && res.StatusCode == http.StatusServiceUnavailable {
 		io.Copy(io.Discard, io.LimitReader(res.Body, 4<<10))
 		res.Body.Close()
+		if !sent.RefusesAttempt(res.Header, call.Attempt) {
+			return nil, Lost.New("service %s sent the refusal of another attempt", call.Address)
+		}
 		return nil, notRun(reason, "service %s rejected the call: %s", call.Address, reason)
 	}
 	if res.StatusCode < 200 || res.StatusCode > 599 {
--- a/internal/backend/tcp/sent.go
+++ b/internal/backend/tcp/sent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 )
@@ -67,3 +68,14 @@
 	}
 	return true
 }
+
+// AttemptHeader identifies an attempt in its request, and in each refusal of it.
+const AttemptHeader = "Attempt"
+
+// RefusesAttempt reports whether a refusal answers the attempt that s observed and
+// not an earlier one: it echoes the attempt's ID, or it has no ID but came on a new
+// connection, on which no response to an earlier request can be left.
+func (s *SendTrace) RefusesAttempt(h http.Header, id string) bool {
+	echo := h.Get(AttemptHeader)
+	return echo == id && id != "" || echo == "" && s.NewConn()
+}
--- a/internal/bench/engine/generate.go
+++ b/internal/bench/engine/generate.go
@@ -68,6 +68,7 @@
 	if !ok {
 		return
 	}
+	w.Header().Set("Attempt", a.id)
 	run := s.runs.countReceived(a)
 	s.applyLeave()
 	if !s.serves(a.body.Entry, a.body.Version) {
--- a/internal/bench/service/server.go
+++ b/internal/bench/service/server.go
@@ -148,6 +148,7 @@
 		http.Error(w, "invalid body: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	w.Header().Set("Attempt", r.Header.Get("Attempt"))
 	if s.faults.Leaving() {
 		reject(w, "leaving")
 		return
@@ -210,6 +211,5 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Attempt", attempt)
 	_, _ = w.Write(answer.ServiceBody(r.Method, r.URL.Path, key, body))
 }
--- a/internal/caller/openai/fake_test.go
+++ b/internal/caller/openai/fake_test.go
@@ -94,6 +94,7 @@
 	f := e.fault.Load()
 	if reason, ok := strings.CutPrefix(f.kind, "reject:"); ok {
 		w.Header().Set("Not-Run", reason)
+		w.Header().Set("Attempt", r.Header.Get("Attempt"))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
