Do not block the companion of a crashing part before that part

Any suspect that may have caused all crashes but one under a part now excuses requests without it.

Another holder of the duty would also have run a trial of its own. A crash under a blocked part after the time of the trial now postpones the next one on all instances.

Both tests failed before:

parts_test.go:58: not true: !s.Blocked([]uint64{companion, rare}, now) parts_test.go:69: not true: !s.Trial([]uint64{guilty}, now.Add(time.Minute))

--- a/internal/decide/poison/parts.go
+++ b/internal/decide/poison/parts.go
@@ -12,9 +12,9 @@
 	// accusingCrashes is the number of processes that must have crashed under a part,
 	// with no response to a prompt with it completed since, before it is accused.
 	accusingCrashes = 4
-	// unexplainedCrashes is the number of crashes under a part that another accused
-	// part must not explain, so that an innocent part is not blocked because it often
-	// comes together with the guilty one.
+	// unexplainedCrashes is the number of crashes under a part for which no other part
+	// may be to blame. An innocent part is thereby not blocked because it comes together
+	// with the guilty one.
 	unexplainedCrashes = 2
 	// settleTime is the minimum time between the first crash under a part and its
 	// block. If several servers are reclaimed at once, frequent parts are cleared in it
@@ -53,7 +53,7 @@
 	version uint64 // number of changes to crashes
 	crashes map[string]*partCrash
 	// suspects are the parts that were in flight at a crash and not cleared since,
-	// and accused are those of them with accusingCrashes crashes.
+	// and accused those of them with accusingCrashes crashes.
 	suspects map[uint64]*suspect
 	accused  map[uint64]*suspect
 }
@@ -127,13 +127,13 @@
 		due = append(due, s.accused[part])
 	}
 	for _, a := range due {
-		a.trialAt = a.blockAt.Add(trialDelayFactor * a.trialAt.Sub(a.blockAt))
+		a.postponeTrial()
 	}
 	return len(due) > 0
 }
 
 // BlockedParts returns the sorted parts that are blocked at now, including those
-// whose crashes another accused part explains.
+// whose crashes another part explains.
 func (s *PartSet) BlockedParts(now time.Time) (parts []uint64) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -209,23 +209,27 @@
 	if a == nil || now.Before(a.blockAt) {
 		return false
 	}
-	for other, o := range s.accused {
-		if other != part && !slices.Contains(parts, other) && a.unexplainedBy(o) < unexplainedCrashes {
+	for other, o := range s.suspects {
+		if other != part && !slices.Contains(parts, other) && o.explains(a) {
 			return false
 		}
 	}
 	return true
 }
 
-// unexplainedBy returns the number of processes that crashed under a but not under
-// other.
-func (a *suspect) unexplainedBy(other *suspect) (n int) {
+// explains reports whether so many of the crashes under other were also crashes under
+// a that a may have caused them all.
+func (a *suspect) explains(other *suspect) bool {
+	unexplained := len(other.processes)
+	if unexplained-len(a.processes) >= unexplainedCrashes {
+		return false
+	}
 	for process := range a.processes {
-		if !other.processes[process] {
-			n++
+		if other.processes[process] {
+			unexplained--
 		}
 	}
-	return n
+	return unexplained < unexplainedCrashes
 }
 
 func (s *PartSet) add(r PartCrash, now time.Time) (changed bool) {
@@ -300,7 +304,12 @@
 		s.suspects[part] = a
 	}
 	a.processes[process] = true
-	if a.blockAt.IsZero() && len(a.processes) >= accusingCrashes {
+	switch {
+	case !a.blockAt.IsZero():
+		if !now.Before(a.trialAt) {
+			a.postponeTrial() // another instance had a trial
+		}
+	case len(a.processes) >= accusingCrashes:
 		a.blockAt = now
 		if now.Before(a.settledAt) {
 			a.blockAt = a.settledAt
@@ -310,6 +319,11 @@
 	}
 }
 
+// postponeTrial sets the time of the trial after the one that takes place now.
+func (a *suspect) postponeTrial() {
+	a.trialAt = a.blockAt.Add(trialDelayFactor * a.trialAt.Sub(a.blockAt))
+}
+
 func (s *PartSet) unsuspect(part uint64, process string) {
 	a := s.suspects[part]
 	if a == nil {
--- a/internal/decide/poison/parts_test.go
+++ b/internal/decide/poison/parts_test.go
@@ -47,6 +47,29 @@
 	is.True(!s.Blocked([]uint64{companion, rare}, now))
 }
 
+// Guards against a block of the companion of a guilty part that has crashed fewer
+// servers than accuse it, after a crash of another cause under the companion alone.
+func TestCompanionIsNotBlockedBeforeTheGuiltyPart(t *testing.T) {
+	is := is.New(t)
+	var s PartSet
+	crashUnder(&s, 0, accusingCrashes-1, epoch, companion, guilty)
+	crashUnder(&s, 100, 1, epoch, companion)
+	now := epoch.Add(settleTime)
+	is.True(!s.Blocked([]uint64{companion, rare}, now))
+	is.True(s.Blocked([]uint64{companion, guilty}, now))
+}
+
+// Guards against a trial by each of several holders of the duty, one after the other.
+func TestCrashInATrialPostponesTheTrialsOfOtherInstances(t *testing.T) {
+	is := is.New(t)
+	var s PartSet
+	crashUnder(&s, 0, accusingCrashes, epoch, guilty)
+	now := epoch.Add(settleTime + firstTrialDelay)
+	crashUnder(&s, 100, 1, now, guilty) // in another instance's trial
+	is.True(!s.Trial([]uint64{guilty}, now.Add(time.Minute)))
+	is.True(s.Trial([]uint64{guilty}, epoch.Add(settleTime+trialDelayFactor*firstTrialDelay)))
+}
+
 // Guards against an innocent part that stays blocked although servers complete
 // responses to prompts with it, and against a guilty part that is cleared with it.
 func TestCompletedResponseClearsParts(t *testing.T) {
