Clear the parts of a prompt only by a complete success

A server's complete failure, or an empty stream, cleared the parts of its prompt of all crashes. A server that fails some requests before it runs them could thereby keep a part that crashes servers from being accused. Only a complete response with status 2xx counts now, and a stream only with an event.

--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -73,7 +73,9 @@
 		return outcomeFailed
 	}
 	a.server.Succeeded(e.config.Now())
-	e.config.Poison.Completed(e.sharedParts)
+	if r.StatusCode < 300 {
+		e.config.Poison.Completed(e.sharedParts)
+	}
 	e.deliver(res)
 	return outcomeAnswered
 }
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -176,8 +176,9 @@
 }
 
 // revalidate checks the parts of the prompt, and the request's route and key against
-// the current configuration, all of which may have changed since the request was accepted. It
-// returns the reason to reject the request, or an empty Reason if it may be sent.
+// the current configuration. All of these may have changed since the request was
+// accepted. It returns the reason to reject the request, or an empty Reason if it may
+// be sent.
 func (e *exchange) revalidate() Reason {
 	if !e.partsAllowed() {
 		return PoisonPart
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -119,6 +119,11 @@
 // newForwarder runs an instance's handler in front of servers, with a route of each
 // kind below a path of its name. maxResponse is in bytes.
 func newForwarder(t *testing.T, maxResponse int64, timeout time.Duration, servers ...*rawServer) *httptest.Server {
+	t.Helper()
+	return newForwarderWithPoison(t, permissive{}, maxResponse, timeout, servers...)
+}
+
+func newForwarderWithPoison(t *testing.T, poison Poison, maxResponse int64, timeout time.Duration, servers ...*rawServer) *httptest.Server {
 	t.Helper()
 	route := func(name string, kind routes.Kind, resumable bool) routes.Route {
 		return routes.Route{
@@ -136,7 +141,7 @@
 	h, err := New(Config{
 		Headers: Headers{Request: "Request-Id", Remaining: "Remaining", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect-Server", NotRun: "Not-Run", ServerSeal: "Seal", Tokens: "Tokens", Prefix: "Prefix", FetchFrom: "Fetch-From"},
 		View:    func() View { return View{Table: table, Confirmed: time.Now(), Fresh: true} }, Pool: workers,
-		Allowances: permissive{}, Budget: permissive{}, Usage: permissive{}, Poison: permissive{}, Versions: permissive{},
+		Allowances: permissive{}, Budget: permissive{}, Usage: permissive{}, Poison: poison, Versions: permissive{},
 		MaxResponseBytes: maxResponse, Now: time.Now, Random: func() uint64 { return 1 }, Registerer: prometheus.NewRegistry(), Draining: func() bool { return false },
 	})
 	if err != nil {
@@ -164,6 +169,7 @@
 	}
 	request.Host = "app.example"
 	request.Header.Set("Request-Id", id)
+	request.Header.Set("Prefix", "aaa:100,bbb:50,"+id+":10")
 	start := time.Now()
 	response, err := (&http.Client{Timeout: 20 * time.Second}).Do(request)
 	if err != nil {
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -137,7 +137,9 @@
 	}
 	e.writeHead(r, now)
 	a.server.Succeeded(now)
-	e.config.Poison.Completed(e.sharedParts)
+	if a.events > 0 {
+		e.config.Poison.Completed(e.sharedParts)
+	}
 	e.reason = Served
 	return outcomeAnswered
 }
