--- a/internal/decide/poison/parts.go
+++ b/internal/decide/poison/parts.go
@@ -26,6 +26,8 @@
 	// that no longer crashes servers is thereby cleared.
 	firstTrialDelay  = 15 * time.Second
 	trialDelayFactor = 8
+	// PartRetention is the time between a crash and the deadline of its report.
+	PartRetention = time.Hour
 	// maxPartCrashes and maxPartsPerCrash limit the memory that peers can make a set
 	// use to about 50 MB.
 	maxPartCrashes   = 512
@@ -243,7 +245,7 @@
 	for _, part := range r.Parts {
 		if _, known := c.parts[part]; !known && len(c.parts) < maxPartsPerCrash {
 			c.parts[part] = false
-			s.suspect(part, r.Process, now)
+			s.suspect(part, r.Process, crashedAt(r, now), now)
 			changed = true
 		}
 	}
@@ -297,12 +299,24 @@
 	c.lastChange = s.version
 }
 
-func (s *PartSet) suspect(part uint64, process string, now time.Time) {
+// crashedAt returns the time of a crash, which is not later than now even if the clock
+// of the instance that reported it is ahead.
+func crashedAt(r PartCrash, now time.Time) time.Time {
+	if at := r.Deadline.Add(-PartRetention); at.Before(now) {
+		return at
+	}
+	return now
+}
+
+func (s *PartSet) suspect(part uint64, process string, at, now time.Time) {
 	a := s.suspects[part]
 	if a == nil {
-		a = &suspect{processes: make(map[string]bool), settledAt: now.Add(settleTime)}
+		a = &suspect{processes: make(map[string]bool), settledAt: at.Add(settleTime)}
 		s.suspects[part] = a
 	}
+	if settledAt := at.Add(settleTime); settledAt.Before(a.settledAt) {
+		a.settledAt = settledAt
+	}
 	a.processes[process] = true
 	switch {
 	case !a.blockAt.IsZero():
--- a/internal/decide/poison/parts_test.go
+++ b/internal/decide/poison/parts_test.go
@@ -23,7 +23,7 @@
 // crashUnder records crashes of n processes under prompts with the given parts.
 func crashUnder(s *PartSet, first, n int, now time.Time, parts ...uint64) {
 	for i := range n {
-		s.Crash(fmt.Sprintf("server/%d", first+i), parts, now.Add(time.Hour), now)
+		s.Crash(fmt.Sprintf("server/%d", first+i), parts, now.Add(PartRetention), now)
 	}
 }
 
@@ -59,6 +59,18 @@
 	is.True(s.Blocked([]uint64{companion, guilty}, now))
 }
 
+// Guards against an instance that has just started, learns of earlier crashes from its
+// peers, and crashes further servers before it blocks the part.
+func TestEarlierCrashesBlockAtOnce(t *testing.T) {
+	is := is.New(t)
+	var s, started PartSet
+	crashUnder(&s, 0, accusingCrashes, epoch, guilty)
+	now := epoch.Add(time.Minute)
+	reports, _ := s.Since(0, 0)
+	started.Merge(reports, now)
+	is.True(started.Blocked([]uint64{guilty}, now))
+}
+
 // Guards against a trial by each of several holders of the duty, one after the other.
 func TestCrashInATrialPostponesTheTrialsOfOtherInstances(t *testing.T) {
 	is := is.New(t)
@@ -194,7 +206,7 @@
 		crash := func(server int, now time.Time) {
 			incarnation++
 			for n, run := range running[server] {
-				sets[n%instances].Crash(fmt.Sprintf("%d/%d", server, incarnation), run.parts, now.Add(time.Hour), now)
+				sets[n%instances].Crash(fmt.Sprintf("%d/%d", server, incarnation), run.parts, now.Add(PartRetention), now)
 			}
 			running[server] = nil
 		}
--- a/internal/entry/gateway/poison.go
+++ b/internal/entry/gateway/poison.go
@@ -68,7 +68,7 @@
 	deadline := now.Add(crash.RecordTTL)
 	f.crashes.Set.Crash(l.Server, strconv.FormatInt(l.Incarnation, 10), []uint64{l.Fingerprint}, deadline)
 	if !l.Responding {
-		f.partCrashes.Set.Crash(fmt.Sprintf("%s/%d", l.Server, l.Incarnation), l.Parts, deadline, now)
+		f.partCrashes.Set.Crash(fmt.Sprintf("%s/%d", l.Server, l.Incarnation), l.Parts, now.Add(poison.PartRetention), now)
 	}
 	f.exchange.Notify()
 	f.config.Log.Info("server crashed while running a request", zap.String("server", l.Server), zap.Int64("incarnation", l.Incarnation),
--- a/internal/peer/crash/crash.go
+++ b/internal/peer/crash/crash.go
@@ -25,8 +25,8 @@
 
 // clampDeadline returns a peer's deadline, limited to the latest one that this
 // node would set.
-func clampDeadline(nanoseconds int64, now time.Time) time.Time {
-	return time.Unix(0, min(nanoseconds, now.Add(RecordTTL).UnixNano()))
+func clampDeadline(nanoseconds int64, latest time.Time) time.Time {
+	return time.Unix(0, min(nanoseconds, latest.UnixNano()))
 }
 
 // Digest implements exchange.Source.
@@ -47,7 +47,7 @@
 	for _, w := range d.GetCrashes() {
 		for _, fp := range w.GetFingerprints() {
 			if len(rs) < 2*MaxDigestRecords && len(w.GetBackend()) <= maxNameBytes {
-				rs = append(rs, poison.Record{Fingerprint: fp, Process: w.GetBackend(), Deadline: clampDeadline(w.GetDeadline(), r.Now())})
+				rs = append(rs, poison.Record{Fingerprint: fp, Process: w.GetBackend(), Deadline: clampDeadline(w.GetDeadline(), r.Now().Add(RecordTTL))})
 			}
 		}
 	}
--- a/internal/peer/crash/parts.go
+++ b/internal/peer/crash/parts.go
@@ -43,7 +43,7 @@
 	for _, w := range d.GetPartCrashes() {
 		if len(reports) < maxReports && len(w.GetProcess()) <= maxNameBytes {
 			reports = append(reports, poison.PartCrash{
-				Process: w.GetProcess(), Parts: w.GetParts(), Cleared: w.GetCleared(), Deadline: clampDeadline(w.GetDeadline(), now),
+				Process: w.GetProcess(), Parts: w.GetParts(), Cleared: w.GetCleared(), Deadline: clampDeadline(w.GetDeadline(), now.Add(poison.PartRetention)),
 			})
 		}
 	}
