--- a/internal/decide/poison/doc.go
+++ b/internal/decide/poison/doc.go
@@ -1,3 +1,3 @@
-// Package poison identifies requests that crash the backend servers that run
-// them.
+// Package poison identifies requests, and parts of prompts, that crash the backend
+// servers that run them.
 package poison
