--- a/cmd/wasabiworks/report_test.go
+++ b/cmd/wasabiworks/report_test.go
@@ -40,8 +40,8 @@
 	defer instance.Close()
 	store := metastore.New()
 	store.Put(platform.ConfigKey, []byte(`{"version":1,"routes":[{"name":"draft","host":"h","path_prefix":"/d/","type":"streaming","goal_ms":800,"service":"s"}]}`))
-	store.Put("wasabiworks/instances/a", map[string]any{"id": "a", "operations-address": strings.TrimPrefix(instance.URL, "http://")})
-	store.Put("wasabiworks/instances/b", map[string]any{"id": "b", "operations-address": "127.0.0.1:1"})
+	store.Put("wasabiworks/instances/a", map[string]any{"id": "a", "peer-address": "127.0.0.1:2", "operations-address": strings.TrimPrefix(instance.URL, "http://")})
+	store.Put("wasabiworks/instances/b", map[string]any{"id": "b", "peer-address": "127.0.0.1:3", "operations-address": "127.0.0.1:1"})
 	server := httptest.NewServer(store)
 	defer server.Close()
 	var out, stderr bytes.Buffer
--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -162,6 +162,8 @@
 	m.mu.Unlock()
 	if known.ID != r.ID || known.State != r.State {
 		m.instance.config.Log.Info("move record changed", zap.String("service", service), zap.String("to", r.To), zap.String("state", string(r.State)), zap.Int64("revision", item.Revision))
+		// The status may be reported before the next periodic decision.
+		m.decide(time.Now())
 	}
 }
 
