--- a/internal/caller/forward/pace.go
+++ b/internal/caller/forward/pace.go
@@ -45,7 +45,7 @@
 // observe records an event of a stream, or a whole response.
 func (a *attempt) observe(now time.Time) {
 	a.pace.add(now)
-	a.verdict.answerBegan()
+	a.verdict.stopLate()
 	if a.isStream && a.pace.events == paceEvents {
 		a.verdict.recordAnswer(false, a.paceOfAnswer(), true)
 	}
--- a/internal/caller/forward/verdict.go
+++ b/internal/caller/forward/verdict.go
@@ -39,9 +39,8 @@
 	return v
 }
 
-// answerBegan records that the first byte came in time, unless it is already
-// recorded as late.
-func (v *verdict) answerBegan() {
+// stopLate ends the wait for the first byte: it came, or the attempt ended.
+func (v *verdict) stopLate() {
 	if v.late != nil {
 		v.late.Stop()
 	}
@@ -71,7 +70,7 @@
 // recordEnd records the attempt at its end. It skips an attempt in which the server
 // did not run the request, and an attempt whose client has disconnected.
 func (e *exchange) recordEnd(a *attempt) {
-	a.verdict.answerBegan()
+	a.verdict.stopLate()
 	if a.outcome == outcomeNotRun || a.outcome == outcomeUnreachable || e.r.Context().Err() != nil {
 		return
 	}
