Mend faults that the reviews of the merged code found

Shown by trials of the reviewers, or by the soak: - service client: a repeated response of an earlier attempt left its connection in use, and the next call got the response of another one.

--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -296,3 +296,29 @@
 		t.Errorf("got %d states and %d removed processes, want at most %d and %d", got, len(p.states.removed), limit, maxRemovedProcesses)
 	}
 }
+
+// Guards against a leaving process that is used again, because others that were removed
+// and returned many times took its place among those that are remembered.
+func TestReturningProcessesKeepTheOthersRemembered(t *testing.T) {
+	p := New()
+	const servers = 100
+	for range 20 { // rounds
+		for n := range servers {
+			s := Registration{ID: fmt.Sprint("s", n), Service: "s", Address: "127.0.0.1:1", Incarnation: 1}
+			p.Put(s, epoch)
+		}
+		for _, w := range p.Service("s") {
+			w.MarkLeaving()
+		}
+		for n := range servers {
+			p.Remove(fmt.Sprint("s", n), time.Time{})
+		}
+	}
+	if got := len(p.states.removed); got != servers {
+		t.Errorf("got %d removed processes, want %d", got, servers)
+	}
+	p.Put(Registration{ID: "s0", Service: "s", Address: "127.0.0.1:1", Incarnation: 1}, epoch)
+	if p.Service("s")[0].Usable() {
+		t.Error("a process that said that it leaves is usable after it returned")
+	}
+}
--- a/internal/backend/pool/process.go
+++ b/internal/backend/pool/process.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -55,8 +56,7 @@
 // were removed last. The caller synchronizes the calls of its methods.
 type processStates struct {
 	states map[processKey]*processState
-	// removed lists the removed processes, the oldest first. A process that
-	// registers again stays in the list until its turn comes.
+	// removed lists the removed processes, each once, the oldest first.
 	removed []processKey
 }
 
@@ -64,6 +64,9 @@
 func (p *processStates) get(s *Registration) *processState {
 	key := s.process()
 	state, ok := p.states[key]
+	if i := slices.Index(p.removed, key); ok && i >= 0 {
+		p.removed = slices.Delete(p.removed, i, i+1)
+	}
 	if !ok {
 		state = new(processState)
 		p.states[key] = state
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -112,10 +112,17 @@
 		}
 		return nil, Lost.New("no response from service %s: %v", call.Address, err)
 	}
+	if a := res.Header.Get(tcp.AttemptHeader); a != "" && a != call.Attempt {
+		// The response to this attempt may follow on the same connection.
+		res.Body.Close()
+		transport.CloseIdleConnections()
+		return nil, Lost.New("service %s sent the response of another attempt", call.Address)
+	}
 	if reason := res.Header.Get("Not-Run"); reason != "" && res.StatusCode == http.StatusServiceUnavailable {
 		io.Copy(io.Discard, io.LimitReader(res.Body, 4<<10))
 		res.Body.Close()
 		if !sent.RefusesAttempt(res.Header, call.Attempt) {
+			transport.CloseIdleConnections()
 			return nil, Lost.New("service %s sent the refusal of another attempt", call.Address)
 		}
 		return nil, notRun(reason, "service %s rejected the call: %s", call.Address, reason)
--- a/internal/backend/service/refusal_test.go
+++ b/internal/backend/service/refusal_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -72,3 +73,58 @@
 		}
 	}
 }
+
+// Guards against a caller that gets the response to another call, because an earlier
+// response was repeated on a kept connection.
+func TestResponseOfAnotherAttemptIsNotDelivered(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go repeatResponses(c)
+		}
+	}()
+	c := New(Config{})
+	defer c.Close()
+	for _, attempt := range []string{"a1", "a2", "a3", "a4"} {
+		res, err := c.Do(t.Context(), &Call{Method: http.MethodGet, Address: l.Addr().String(), Target: "/", Attempt: attempt, Repeatable: true})
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(res.Body)
+		is.NoErr(err)
+		is.NoErr(res.Body.Close())
+		is.Equal(string(body), attempt)
+	}
+}
+
+// repeatResponses answers each request after repeating the response to the one before
+// on the same connection.
+func repeatResponses(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	previous := ""
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		attempt := r.Header.Get("Attempt")
+		for _, a := range []string{previous, attempt} {
+			if a == "" {
+				continue
+			}
+			if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt: "+a+"\r\nContent-Length: 2\r\n\r\n"+a); err != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		previous = attempt
+	}
+}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -180,13 +180,26 @@
 	return nil
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+const (
+	// firstPort and numPorts are the ports of the instances. They lie below those that
+	// the system gives to outgoing connections, so that no connection takes the port of
+	// an instance while it restarts.
+	firstPort = 16000
+	numPorts  = 14000
+	// portAttempts bounds the search for a free port.
+	portAttempts = 100
+)
+
+// freeAddress returns a loopback address whose port was free when it was checked.
+func freeAddress() (address string, err error) {
+	for range portAttempts {
+		address = fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(numPorts))
+		var l net.Listener
+		if l, err = net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 func (r *soakRun) addServer(id, service string) error {
--- a/internal/decide/poison/parts.go
+++ b/internal/decide/poison/parts.go
@@ -302,10 +302,10 @@
 // crashedAt returns the time of a crash, which is not later than now even if the clock
 // of the instance that reported it is ahead.
 func crashedAt(r PartCrash, now time.Time) time.Time {
-	if at := r.Deadline.Add(-PartRetention); at.Before(now) {
-		return at
-	}
-	return now
+	age := now.Sub(r.Deadline.Add(-PartRetention))
+	// Add keeps the monotonic clock of now, so that a step of the wall clock does not
+	// move the time.
+	return now.Add(-max(0, age))
 }
 
 func (s *PartSet) suspect(part uint64, process string, at, now time.Time) {
--- a/internal/entry/gateway/poison.go
+++ b/internal/entry/gateway/poison.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -49,9 +51,9 @@
 	}
 }
 
-// ReportLoss implements forward.Poison. It records a crash unless the server accepts a
-// new connection: a server that merely lost one response still accepts
-// connections, and a crashed server does not.
+// ReportLoss implements forward.Poison. It records a crash if the server's address
+// refuses a new connection: a server that merely lost one response still accepts
+// connections.
 func (p poisonFilter) ReportLoss(l forward.Loss) {
 	p.instance.crashChecks.Go(func() {
 		conn, err := net.DialTimeout("tcp", l.Address, crashCheckTimeout)
@@ -59,7 +61,10 @@
 			_ = conn.Close() // nothing was sent on it
 			return
 		}
-		p.recordCrash(l)
+		// A timeout may come from the network, and would then blame innocent requests.
+		if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+			p.recordCrash(l)
+		}
 	})
 }
 
