--- a/internal/backend/service/refusal_test.go
+++ b/internal/backend/service/refusal_test.go
@@ -16,7 +16,7 @@
 func TestRepeatedRefusalProvesNothing(t *testing.T) {
 	for _, echo := range []bool{true, false} {
 		is := is.New(t)
-		address := serveRefusals(t, echo)
+		address := serve(t, func(c net.Conn) { refuse(c, echo) })
 		c := New(Config{})
 		call := func(attempt string) error {
 			res, err := c.Do(t.Context(), &Call{Method: http.MethodGet, Address: address, Target: "/", Attempt: attempt, Repeatable: true})
@@ -32,9 +32,9 @@
 	}
 }
 
-// serveRefusals runs a server that answers each request on a connection with the
-// refusal of the first one, and returns its address.
-func serveRefusals(t *testing.T, echo bool) string {
+// serve runs a server that handles each connection with handle, and returns its
+// address.
+func serve(t *testing.T, handle func(net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -47,12 +47,13 @@
 			if err != nil {
 				return
 			}
-			go refuse(c, echo)
+			go handle(c)
 		}
 	}()
 	return l.Addr().String()
 }
 
+// refuse answers each request on a connection with the refusal of the first one.
 func refuse(c net.Conn, echo bool) {
 	defer c.Close()
 	br := bufio.NewReader(c)
@@ -78,22 +79,11 @@
 // response was repeated on a kept connection.
 func TestResponseOfAnotherAttemptIsNotDelivered(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer l.Close()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go repeatResponses(c)
-		}
-	}()
+	address := serve(t, repeatResponses)
 	c := New(Config{})
 	defer c.Close()
 	for _, attempt := range []string{"a1", "a2", "a3", "a4"} {
-		res, err := c.Do(t.Context(), &Call{Method: http.MethodGet, Address: l.Addr().String(), Target: "/", Attempt: attempt, Repeatable: true})
+		res, err := c.Do(t.Context(), &Call{Method: http.MethodGet, Address: address, Target: "/", Attempt: attempt, Repeatable: true})
 		if err != nil {
 			continue
 		}
