Review cases 2 and 3: EXPOSURE, a version that was rolled back; UNASKED, a changed path

Rule: EXPOSURE. Order of events: an order of v2, which is bad, is reverted after 3 to 4 s; half a second later the operator orders v3, before the platform has drained the workers of v2.

Rule: UNASKED. Order of events: a path that begins with two slashes on a route that has the prefix of one slash.

--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -246,19 +246,32 @@
 
 // ask sends one client attempt on a new channel and reads the answer.
 func (d *deployment) ask(i *instance, path, parts, body string) answer {
+	return d.send(i, "http://"+i.client+path, "", key, parts, body)
+}
+
+// send is like ask. If target isn't empty, it is the target of the request line.
+func (d *deployment) send(i *instance, address, target, key, parts, body string) answer {
 	a := answer{id: fmt.Sprintf("%08x", d.ids.Add(1)), at: time.Now(), instance: i}
-	r, err := http.NewRequest(http.MethodPost, "http://"+i.client+path, strings.NewReader(body))
+	r, err := http.NewRequest(http.MethodPost, address, strings.NewReader(body))
 	if err != nil {
 		d.unable("%v", err)
 	}
+	shown := r.URL.RequestURI()
+	if target != "" {
+		// A path that begins with two slashes. net/http writes "http:" before an opaque
+		// one, so the path is set instead.
+		r.URL.Path, shown = target, target
+	}
 	r.Host = host
 	r.Header.Set("X-Wasabiworks-Attempt-Id", a.id)
-	r.Header.Set("X-Wasabiworks-Key", key)
+	if key != "" {
+		r.Header.Set("X-Wasabiworks-Key", key)
+	}
 	r.Header.Set("X-Wasabiworks-Model", "m")
 	r.Header.Set("X-Wasabiworks-Token-Usage", "600,80")
 	r.Header.Set("X-Wasabiworks-Prefix-Hash", parts)
 	r.Header.Set("X-Wasabiworks-Deadline-Ms", "10000")
-	d.log("client sends %s %s %s to %s", a.id, path, parts, i.name)
+	d.log("client sends %s POST %s %s to %s", a.id, shown, parts, i.name)
 	c := http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := c.Do(r)
 	if err != nil {
@@ -297,6 +310,9 @@
 // addWorker starts a worker of sack-assist.
 func (d *deployment) addWorker(id, zone string, w *worker) *worker {
 	w.d, w.id, w.service, w.zone, w.address = d, id, "sack-assist", zone, freeAddress()
+	if w.version == "" {
+		w.version = "v1"
+	}
 	d.workers = append(d.workers, w)
 	w.start()
 	return w
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -19,9 +19,11 @@
 
 // arrival is a request that reached a worker.
 type arrival struct {
-	id, path, parts, worker string
-	at                      time.Time
-	began                   bool // the worker began to run it
+	id, parts, worker string
+	// target is the target of the request line, and host and path are what an HTTP
+	// server makes of it.
+	target, host, path, tenant string
+	at                         time.Time
 }
 
 // worker is a stand-in of one model worker. A request whose prompt has the part
@@ -32,8 +34,15 @@
 	zone, address string
 	deadly        string
 	restartAfter  time.Duration
-	events        int
-	gap           time.Duration
+	// events are the number of events of a stream and gap the time between two. With
+	// plain set, the worker answers as a whole after gap instead.
+	events int
+	gap    time.Duration
+	plain  bool
+	// version is that of the worker's software, v1 by default. Of a bad version, one in
+	// failEach answers fails.
+	version  string
+	failEach int
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -45,6 +54,8 @@
 	broken   int // other requests that were at work at a crash
 	atWork   int
 	stopped  bool
+	draining bool
+	ran      int
 }
 
 func (w *worker) start() {
@@ -78,16 +89,29 @@
 	go w.ping(born)
 }
 
+// entry returns the worker's entry in the store. The caller holds w.mu.
+func (w *worker) entry() map[string]any {
+	return map[string]any{
+		"service": w.service, "address": w.address, "zone": w.zone, "version": w.version, "slots": 64, "state": w.state(),
+		"cold_left_ms": 0, "seq": w.seq, "born": w.born, "phase": "mixed",
+	}
+}
+
+// state returns the state of the worker's entry. The caller holds w.mu.
+func (w *worker) state() string {
+	if w.draining {
+		return "draining"
+	}
+	return "ready"
+}
+
 // ping writes the worker's entry, as long as this lifetime of it lasts.
 func (w *worker) ping(born int64) {
 	for {
 		w.mu.Lock()
 		w.seq++
 		alive := w.listener != nil && w.born == born
-		entry := map[string]any{
-			"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 64, "state": "ready",
-			"cold_left_ms": 0, "seq": w.seq, "born": w.born, "phase": "mixed",
-		}
+		entry := w.entry()
 		w.mu.Unlock()
 		if !alive {
 			return
@@ -129,6 +153,20 @@
 	time.AfterFunc(w.restartAfter, w.start)
 }
 
+// drain reports the worker as draining, and ends it after a time.
+func (w *worker) drain(after time.Duration) {
+	w.mu.Lock()
+	w.draining = true
+	w.seq++
+	entry := w.entry()
+	w.mu.Unlock()
+	w.d.store.write("servers/"+w.id, entry)
+	time.AfterFunc(after, func() {
+		w.stop()
+		w.d.store.erase("servers/" + w.id)
+	})
+}
+
 func (w *worker) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -152,11 +190,11 @@
 	if err != nil {
 		return
 	}
-	a := arrival{id: id, path: r.RequestURI, parts: r.Header.Get("X-Wasabiworks-Prefix-Hash"), worker: w.id, at: time.Now(), began: true}
+	a := arrival{id: id, target: r.RequestURI, host: r.Host, path: r.URL.Path, tenant: r.Header.Get("X-Wasabiworks-Tenant"), parts: r.Header.Get("X-Wasabiworks-Prefix-Hash"), worker: w.id, at: time.Now()}
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, a)
 	w.mu.Unlock()
-	w.d.log("worker %s begins to run %s %s %s", w.id, id, a.path, a.parts)
+	w.d.log("worker %s begins to run %s %s %s", w.id, id, a.target, a.parts)
 	if w.deadly != "" && strings.Contains(","+a.parts, ","+w.deadly+":") {
 		time.Sleep(20 * time.Millisecond) // reads the prompt
 		w.crash()
@@ -171,6 +209,10 @@
 		w.mu.Unlock()
 	}()
 	h.Set("X-Wasabiworks-Server-Seal", "seal-"+w.id+"-"+strconv.Itoa(len(body)))
+	if w.plain {
+		w.answer(rw, id)
+		return
+	}
 	h.Set("Content-Type", "text/event-stream")
 	for n := 1; n <= w.events; n++ {
 		fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s\n\n", n, n, id)
@@ -187,3 +229,17 @@
 		}
 	}
 }
+
+// answer answers as a whole.
+func (w *worker) answer(rw http.ResponseWriter, id string) {
+	time.Sleep(w.gap)
+	w.mu.Lock()
+	w.ran++
+	fails := w.failEach > 0 && w.ran%w.failEach == 0
+	w.mu.Unlock()
+	if fails {
+		w.d.log("worker %s of %s fails %s", w.id, w.version, id)
+		rw.WriteHeader(http.StatusInternalServerError)
+	}
+	fmt.Fprintf(rw, "answer of %s to %s\n", w.version, id)
+}
