Review case 3: EXPOSURE, a version that fails on a route with little traffic is completed

Rule: EXPOSURE.

Order of events: the operator orders v2 within 12 s; one in two of its answers fails on one route with 3.3 of 60 requests a second; at the deadline of the steps it gets all traffic, and is reported as complete although every second request on the route fails.

--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -21,6 +21,10 @@
 	key  = "key-of-members"
 	// contact is contact_ms of the users' small installations.
 	contact = 3 * time.Second
+	// deadlyPart is the part of a prompt that crashes workers.
+	deadlyPart = "dead"
+	// settle is how long a case waits at its end for what is on its way.
+	settle = 500 * time.Millisecond
 )
 
 // deployment is a small installation on loopback: the project's own program as
@@ -190,28 +194,6 @@
 	<-done
 }
 
-// killAll kills all processes of the system at the same moment, and starts them again.
-func (d *deployment) killAll(down time.Duration) {
-	d.log("all processes of the system are killed")
-	var wg sync.WaitGroup
-	for _, i := range d.instances {
-		wg.Go(i.kill)
-	}
-	wg.Wait()
-	time.Sleep(down)
-	for _, i := range d.instances {
-		i.run()
-	}
-	d.waitReady()
-}
-
-// uptime returns how long the process has run at a time.
-func (i *instance) uptime(at time.Time) time.Duration {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return at.Sub(i.started)
-}
-
 func (i *instance) isReady() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	r, err := c.Get("http://" + i.ready + "/-/readyz")
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -40,9 +40,10 @@
 	gap    time.Duration
 	plain  bool
 	// version is that of the worker's software, v1 by default. Of a bad version, one in
-	// failEach answers fails.
+	// failEach answers to paths that begin with failPath fails.
 	version  string
 	failEach int
+	failPath string
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -167,6 +168,7 @@
 	})
 }
 
+// stop ends the worker for good.
 func (w *worker) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -175,6 +177,10 @@
 		_ = w.listener.Close()
 		w.listener = nil
 	}
+	for c := range w.conns {
+		_ = c.Close()
+	}
+	w.conns = nil
 }
 
 // ServeHTTP implements http.Handler.
@@ -210,7 +216,7 @@
 	}()
 	h.Set("X-Wasabiworks-Server-Seal", "seal-"+w.id+"-"+strconv.Itoa(len(body)))
 	if w.plain {
-		w.answer(rw, id)
+		w.answer(rw, id, a.path)
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
@@ -231,11 +237,14 @@
 }
 
 // answer answers as a whole.
-func (w *worker) answer(rw http.ResponseWriter, id string) {
+func (w *worker) answer(rw http.ResponseWriter, id, path string) {
 	time.Sleep(w.gap)
 	w.mu.Lock()
-	w.ran++
-	fails := w.failEach > 0 && w.ran%w.failEach == 0
+	fails := false
+	if w.failEach > 0 && strings.HasPrefix(path, w.failPath) {
+		w.ran++
+		fails = w.ran%w.failEach == 0
+	}
 	w.mu.Unlock()
 	if fails {
 		w.d.log("worker %s of %s fails %s", w.id, w.version, id)
