--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -19,11 +19,8 @@
 
 // arrival is a request that reached a worker.
 type arrival struct {
-	id, parts, worker string
-	// target is the target of the request line, and host and path are what an HTTP
-	// server makes of it.
-	target, host, path, tenant string
-	at                         time.Time
+	id, path, parts, worker string
+	at                      time.Time
 }
 
 // worker is a stand-in of one model worker. A request whose prompt has the part
@@ -196,11 +193,11 @@
 	if err != nil {
 		return
 	}
-	a := arrival{id: id, target: r.RequestURI, host: r.Host, path: r.URL.Path, tenant: r.Header.Get("X-Wasabiworks-Tenant"), parts: r.Header.Get("X-Wasabiworks-Prefix-Hash"), worker: w.id, at: time.Now()}
+	a := arrival{id: id, path: r.URL.Path, parts: r.Header.Get("X-Wasabiworks-Prefix-Hash"), worker: w.id, at: time.Now()}
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, a)
 	w.mu.Unlock()
-	w.d.log("worker %s begins to run %s %s %s", w.id, id, a.target, a.parts)
+	w.d.log("worker %s begins to run %s %s %s", w.id, id, a.path, a.parts)
 	if w.deadly != "" && strings.Contains(","+a.parts, ","+w.deadly+":") {
 		time.Sleep(20 * time.Millisecond) // reads the prompt
 		w.crash()
