Review case 2: RECOVER, a roll-out without a worker of the new version is completed

Rule: RECOVER.

Order of events: the operator orders v2; the workers of v2 are lost for good two seconds later; four seconds after that the final fault kills all processes; at the deadline the system reports the roll-out as complete, and the platform stops the workers of v1.

--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -194,6 +194,21 @@
 	<-done
 }
 
+// killAll kills all processes of the system at the same moment, and starts them again.
+func (d *deployment) killAll(down time.Duration) {
+	d.log("all processes of the system are killed")
+	var wg sync.WaitGroup
+	for _, i := range d.instances {
+		wg.Go(i.kill)
+	}
+	wg.Wait()
+	time.Sleep(down)
+	for _, i := range d.instances {
+		i.run()
+	}
+	d.waitReady()
+}
+
 func (i *instance) isReady() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	r, err := c.Get("http://" + i.ready + "/-/readyz")
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -12,7 +12,7 @@
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(d *deployment, trouble bool) int{"alike": alike, "behind": behind, "again": again, "rare": rare, "torn": torn}
+	cases := map[string]func(d *deployment, trouble bool) int{"alike": alike, "again": again, "rare": rare, "torn": torn, "empty": empty}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -165,6 +165,14 @@
 	})
 }
 
+// lose ends the worker for good without a word. Its entry goes after three ping
+// intervals.
+func (w *worker) lose() {
+	w.stop()
+	w.d.log("worker %s is lost", w.id)
+	time.AfterFunc(expiry, func() { w.d.store.erase("servers/" + w.id) })
+}
+
 // stop ends the worker for good.
 func (w *worker) stop() {
 	w.mu.Lock()
