--- a/review/rig/rare.go
+++ b/review/rig/rare.go
@@ -3,13 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
 )
 
 // rare plays a roll-out to v2. With the disruption, v2 is bad on one route only, which
-// has a small part of the service's traffic: one in two of its answers there fails.
+// has a small part of the service's traffic: one in two of its answers there fails. With
+// NOTFOUND=1, one in two of its answers on all routes is 404 instead.
 func rare(d *deployment, trouble bool) int {
 	const (
 		seconds = 12 // of the order
@@ -20,9 +22,13 @@
 	)
 	d.configure(1, route("pay", "/pay/", "non_idempotent", "sack-assist", 1, false), route("close", "/close/", "non_idempotent", "sack-assist", 1, false))
 	zones := []string{"alappuzha", "kottayam"}
+	failPath, failStatus := "/close/", http.StatusInternalServerError
+	if os.Getenv("NOTFOUND") == "1" {
+		failPath, failStatus = "/", http.StatusNotFound
+	}
 	start := func(version string, failEach int) {
 		for n := range 4 {
-			d.addWorker(fmt.Sprintf("%s-%d", version, n), zones[n%2], &worker{plain: true, gap: 20 * time.Millisecond, version: version, failEach: failEach, failPath: "/close/"})
+			d.addWorker(fmt.Sprintf("%s-%d", version, n), zones[n%2], &worker{plain: true, gap: 20 * time.Millisecond, version: version, failEach: failEach, failPath: failPath, failStatus: failStatus})
 		}
 	}
 	start("v1", 0)
@@ -104,7 +110,7 @@
 				closes++
 			}
 		}
-		if a.status == http.StatusInternalServerError {
+		if a.status == failStatus {
 			failed++
 		}
 	}
@@ -112,7 +118,7 @@
 	for _, version := range []string{"v1", "v2"} {
 		d.say("  %s %v", version, counts[version])
 	}
-	d.say("between the order of v2 and its time limit, %d of %d requests reached v2; allowed for a bad version: %.0f; on the route: %d, of which %d failed", bad, total, share*float64(total)+slack, closes, failed)
+	d.say("between the order of v2 and its time limit, %d of %d requests reached v2; allowed for a bad version: %.0f; on the route: %d; failed: %d", bad, total, share*float64(total)+slack, closes, failed)
 	if trouble && float64(bad) > share*float64(total)+slack {
 		d.say("EXPOSURE is broken")
 		return 1
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -37,10 +38,12 @@
 	gap    time.Duration
 	plain  bool
 	// version is that of the worker's software, v1 by default. Of a bad version, one in
-	// failEach answers to paths that begin with failPath fails.
-	version  string
-	failEach int
-	failPath string
+	// failEach answers to paths that begin with failPath fails, with failStatus (500 by
+	// default).
+	version    string
+	failEach   int
+	failPath   string
+	failStatus int
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -253,7 +256,7 @@
 	w.mu.Unlock()
 	if fails {
 		w.d.log("worker %s of %s fails %s", w.id, w.version, id)
-		rw.WriteHeader(http.StatusInternalServerError)
+		rw.WriteHeader(cmp.Or(w.failStatus, http.StatusInternalServerError))
 	}
 	fmt.Fprintf(rw, "answer of %s to %s\n", w.version, id)
 }
