Review case 2: CONFIG, the keys of the last tenant go on working after it is taken away

Rule: CONFIG (strict_revoke).

Order of events: version 1 has one tenant, version 2 has the same routes and an empty list of tenants; clients go on with the key.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/wasabiworks ] && [ -x target/review/rig ] || { echo "build the deploy file and run review/build.sh first"; exit 2; }
-exec target/review/rig empty review/2/record.txt
+exec target/review/rig last review/2/record.txt
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -281,8 +281,18 @@
 	}
 }
 
-// configure writes the operator's configuration.
+// tenant is a tenant of the operator's configuration.
+func tenant(name string, keys ...string) map[string]any {
+	return map[string]any{"name": name, "api_keys": keys, "unit": "tokens", "raw_tokens": 200, "rate_per_s": 400000, "burst": 800000}
+}
+
+// configure writes the operator's configuration with one tenant, members.
 func (d *deployment) configure(version int, routes ...map[string]any) {
+	d.configureTenants(version, []any{tenant("members", key)}, routes...)
+}
+
+// configureTenants writes the operator's configuration.
+func (d *deployment) configureTenants(version int, tenants []any, routes ...map[string]any) {
 	d.store.write("op/config", map[string]any{
 		"version": version, "routes": routes,
 		"services": []any{
@@ -290,7 +300,7 @@
 			map[string]any{"name": "ledger-desk", "health_path": "/healthz", "max_conns": 110},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
-		"tenants": []any{map[string]any{"name": "members", "api_keys": []string{key}, "unit": "tokens", "raw_tokens": 200, "rate_per_s": 400000, "burst": 800000}},
+		"tenants": tenants,
 	})
 }
 
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -12,7 +12,7 @@
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(d *deployment, trouble bool) int{"alike": alike, "again": again, "rare": rare, "torn": torn, "empty": empty}
+	cases := map[string]func(d *deployment, trouble bool) int{"alike": alike, "rare": rare, "torn": torn, "last": last, "empty": empty}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -55,7 +55,6 @@
 	broken   int // other requests that were at work at a crash
 	atWork   int
 	stopped  bool
-	draining bool
 	ran      int
 }
 
@@ -93,19 +92,11 @@
 // entry returns the worker's entry in the store. The caller holds w.mu.
 func (w *worker) entry() map[string]any {
 	return map[string]any{
-		"service": w.service, "address": w.address, "zone": w.zone, "version": w.version, "slots": 64, "state": w.state(),
+		"service": w.service, "address": w.address, "zone": w.zone, "version": w.version, "slots": 64, "state": "ready",
 		"cold_left_ms": 0, "seq": w.seq, "born": w.born, "phase": "mixed",
 	}
 }
 
-// state returns the state of the worker's entry. The caller holds w.mu.
-func (w *worker) state() string {
-	if w.draining {
-		return "draining"
-	}
-	return "ready"
-}
-
 // ping writes the worker's entry, as long as this lifetime of it lasts.
 func (w *worker) ping(born int64) {
 	for {
@@ -154,20 +145,6 @@
 	time.AfterFunc(w.restartAfter, w.start)
 }
 
-// drain reports the worker as draining, and ends it after a time.
-func (w *worker) drain(after time.Duration) {
-	w.mu.Lock()
-	w.draining = true
-	w.seq++
-	entry := w.entry()
-	w.mu.Unlock()
-	w.d.store.write("servers/"+w.id, entry)
-	time.AfterFunc(after, func() {
-		w.stop()
-		w.d.store.erase("servers/" + w.id)
-	})
-}
-
 // lose ends the worker for good without a word. Its entry goes after three ping
 // intervals.
 func (w *worker) lose() {
