Clear repeated requests that were in flight at crashes they did not cause

Cause: poison.Set counted each request in flight at a crash, and nothing outweighed that: not the responses that servers completed to it, not a part of other prompts that was at the same crashes, and no trial. Parts of prompts had all of these.

Change: one poison.CauseSet holds requests and parts. A request is blocked after two crashes without a completed response in between, unless a part that it lacks, or another request, was at all of them but one. A completed response below 500 clears it on all instances; a blocked request is tried again after 2 s by the holder of the duties, by others at their own times, and eight times later after each crash. It is refused with 503 and Retry-After, since it has not run.

--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -88,13 +88,24 @@
 		return e.recordInvalid(a)
 	}
 	a.server.Succeeded(e.config.Now())
-	if r.StatusCode < 300 {
-		e.config.Poison.Completed(e.sharedParts)
+	if r.StatusCode < http.StatusInternalServerError {
+		e.recordCompleted(r.StatusCode)
 	}
 	e.deliver(res)
 	return outcomeAnswered
 }
 
+// recordCompleted records that the server survived the request. Whether it would have
+// survived the parts of the prompt too is only known from a success: a request may be
+// rejected before its prompt is read.
+func (e *exchange) recordCompleted(status int) {
+	survived := e.suspect
+	if status >= http.StatusMultipleChoices {
+		survived.Parts = nil
+	}
+	e.config.Poison.Completed(survived)
+}
+
 // guaranteesNotRun reports whether clients take a status as a guarantee that their
 // request was not run and never will be.
 func guaranteesNotRun(status int) bool {
--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -10,6 +10,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 )
 
@@ -110,14 +111,14 @@
 
 // Poison identifies requests that crash servers.
 type Poison interface {
-	// Allowed reports whether a request may be sent.
-	Allowed(fingerprint uint64) bool
-	// CheckParts returns whether a request whose prompt has the given shared parts
-	// may be sent. It is called before each attempt.
-	CheckParts(parts []uint64) PartsVerdict
-	// Completed reports that a server completed a response to a prompt with the
-	// given shared parts.
-	Completed(parts []uint64)
+	// Blocked returns whether a request must not be sent, and why. It is called before
+	// each attempt.
+	Blocked(r poison.Request) poison.Block
+	// Trial reports whether a request may be sent once although it is blocked.
+	Trial(r poison.Request) bool
+	// Completed reports that a server completed a response to a request. The request has
+	// no parts if the response does not show that they do no harm.
+	Completed(r poison.Request)
 	// ReportLoss reports that a server that may have run a request gave no complete
 	// response, for example because the connection broke or an event exceeded the
 	// size limit. The implementation checks whether the server crashed.
@@ -129,10 +130,7 @@
 type Loss struct {
 	Server, Address string
 	Incarnation     int64
-	Fingerprint     uint64
-	// Parts are the IDs of the parts of the prompt, without the last one, which
-	// belongs to the request or its session.
-	Parts []uint64
+	Request         poison.Request
 	// Events is the number of complete events that the server sent. Responding
 	// reports whether it had sent them for long enough to show that it does not
 	// crash when it begins to respond.
@@ -140,17 +138,6 @@
 	Responding bool
 }
 
-// PartsVerdict states whether a request may be sent, given the parts of its prompt.
-type PartsVerdict uint8
-
-// Verdicts on the parts of a prompt.
-const (
-	PartsAllowed PartsVerdict = iota
-	// PartsOnTrial allows one attempt with a part that has crashed servers.
-	PartsOnTrial
-	PartsBlocked
-)
-
 // Config configures a Handler. All fields are required except Registerer, Log
 // and OnRequestEnd.
 type Config struct {
--- a/internal/caller/forward/failover.go
+++ b/internal/caller/forward/failover.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
@@ -112,11 +113,8 @@
 	if r, reason := e.permission(e.config.View()); reason != "" || !r.Includes(e.service) || !r.Repeatable() || len(e.attempts) >= r.Attempts {
 		return false
 	}
-	if len(e.sharedParts) > 0 && e.config.Poison.CheckParts(e.sharedParts) != PartsAllowed {
-		return false
-	}
 	t, ok := e.chooseServer()
-	if !ok || t.server.Suspect(e.config.Now()) || !e.config.Poison.Allowed(e.fingerprint) || !e.config.Budget.Withdraw(e.service) {
+	if !ok || t.server.Suspect(e.config.Now()) || e.config.Poison.Blocked(e.suspect) != poison.NotBlocked || !e.config.Budget.Withdraw(e.service) {
 		return false
 	}
 	e.metrics.silences.WithLabelValues("failed-over").Inc()
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 )
@@ -86,9 +87,8 @@
 	body          []byte
 	requestURI    string
 	prompt        route.Prompt
-	sharedParts   []uint64 // IDs of the parts of prompt that other prompts may share
-	partsOnTrial  bool     // a part of the prompt is blocked, and this request is a trial
-	fingerprint   uint64
+	suspect       poison.Request // what of the request may crash a server
+	onTrial       bool           // the request is blocked, and is sent as a trial
 	deadline      time.Time
 
 	allowanceUnits float64 // taken from the workspace's allowance
@@ -135,14 +135,12 @@
 	}
 	e.deadline = e.computeDeadline()
 	e.prompt = parsePrompt(e.r.Header.Get(c.Headers.Tokens), e.r.Header.Get(c.Headers.Prefix))
-	e.sharedParts = sharedParts(e.prompt.Parts)
-	e.fingerprint = fingerprint(e.r.Method, e.requestURI, e.r.Header.Get(c.Headers.Key), e.body)
-	e.pickService()
-	if !c.Poison.Allowed(e.fingerprint) {
-		return PoisonRequest
+	e.suspect = poison.Request{
+		Fingerprint: fingerprint(e.r.Method, e.requestURI, e.r.Header.Get(c.Headers.Key), e.body), Parts: sharedParts(e.prompt.Parts),
 	}
-	if !e.partsAllowed() {
-		return PoisonPart
+	e.pickService()
+	if reason := e.checkPoison(); reason != "" {
+		return reason
 	}
 	if workspace != nil {
 		e.workspace = workspace.Name
@@ -177,13 +175,13 @@
 	return w, ""
 }
 
-// revalidate checks the parts of the prompt, and the request's route and key against
+// revalidate checks whether the request crashes servers, and its route and key against
 // the current configuration. All of these may have changed since the request was
 // accepted. It returns the reason to reject the request, or an empty Reason if it may
 // be sent.
 func (e *exchange) revalidate() Reason {
-	if !e.partsAllowed() {
-		return PoisonPart
+	if reason := e.checkPoison(); reason != "" {
+		return reason
 	}
 	v := e.config.View()
 	r, reason := e.permission(v)
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -18,6 +18,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 )
 
@@ -109,9 +110,9 @@
 func (permissive) Withdraw(string) bool                      { return true }
 func (permissive) AddRequest(string)                         {}
 func (permissive) AddFirst(string, bool)                     {}
-func (permissive) Allowed(uint64) bool                       { return true }
-func (permissive) CheckParts([]uint64) PartsVerdict          { return PartsAllowed }
-func (permissive) Completed([]uint64)                        {}
+func (permissive) Blocked(poison.Request) poison.Block       { return poison.NotBlocked }
+func (permissive) Trial(poison.Request) bool                 { return false }
+func (permissive) Completed(poison.Request)                  {}
 func (permissive) ReportLoss(Loss)                           {}
 func (permissive) Choose(string, uint64) VersionChoice       { return VersionChoice{} }
 func (permissive) RecordResult(VersionChoice, VersionResult) {}
--- a/internal/caller/forward/parts.go
+++ b/internal/caller/forward/parts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 )
 
@@ -24,20 +25,22 @@
 	return ids
 }
 
-// partsAllowed reports whether the request may be sent, given the parts of its
-// prompt. A request on trial is sent to one server only.
-func (e *exchange) partsAllowed() bool {
-	if len(e.sharedParts) == 0 {
-		return true
+// checkPoison returns the reason to reject the request if it crashes servers, or an
+// empty Reason if it may be sent. A request on trial is sent to one server only.
+func (e *exchange) checkPoison() Reason {
+	reason := poisonReasons[e.config.Poison.Blocked(e.suspect)]
+	if reason == "" || e.mayHaveRun() {
+		return reason
 	}
-	if e.partsOnTrial {
-		return !e.mayHaveRun()
+	e.onTrial = e.onTrial || e.config.Poison.Trial(e.suspect)
+	if e.onTrial {
+		return ""
 	}
-	verdict := e.config.Poison.CheckParts(e.sharedParts)
-	e.partsOnTrial = verdict == PartsOnTrial
-	return verdict != PartsBlocked
+	return reason
 }
 
+var poisonReasons = [...]Reason{poison.NotBlocked: "", poison.BlockedRequest: PoisonRequest, poison.BlockedPart: PoisonPart}
+
 // mayHaveRun reports whether a server may have run the request in an earlier attempt.
 func (e *exchange) mayHaveRun() bool {
 	for i := range e.attempts {
@@ -52,7 +55,7 @@
 func (e *exchange) loss(a *attempt) Loss {
 	return Loss{
 		Server: a.server.ID, Address: a.server.Address, Incarnation: a.server.Incarnation,
-		Fingerprint: e.fingerprint, Parts: e.sharedParts,
-		Events: a.pace.events, Responding: a.pace.events > 0 && e.config.Now().Sub(a.pace.first) > crashWindow,
+		Request: e.suspect,
+		Events:  a.pace.events, Responding: a.pace.events > 0 && e.config.Now().Sub(a.pace.first) > crashWindow,
 	}
 }
--- a/internal/caller/forward/parts_test.go
+++ b/internal/caller/forward/parts_test.go
@@ -9,56 +9,65 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
 )
 
-// partsLog records what a handler reports about parts, and blocks them if verdict is
+// poisonLog records what a handler reports about requests, and blocks them if block is
 // set.
-type partsLog struct {
+type poisonLog struct {
 	permissive
-	verdict PartsVerdict
+	block poison.Block
+	trial bool
 
 	mu        sync.Mutex
-	completed [][]uint64
+	completed []poison.Request
 	losses    []Loss
 }
 
-func (p *partsLog) CheckParts([]uint64) PartsVerdict { return p.verdict }
+func (p *poisonLog) Blocked(poison.Request) poison.Block { return p.block }
+func (p *poisonLog) Trial(poison.Request) bool           { return p.trial }
 
-func (p *partsLog) Completed(parts []uint64) {
+func (p *poisonLog) Completed(r poison.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.completed = append(p.completed, parts)
+	p.completed = append(p.completed, r)
 }
 
-func (p *partsLog) ReportLoss(l Loss) {
+func (p *poisonLog) ReportLoss(l Loss) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.losses = append(p.losses, l)
 }
 
-// Guards against parts that are cleared by a failure or an incomplete response, and
-// against reports that name the last part or miss another.
-func TestOnlyCompleteSuccessClearsParts(t *testing.T) {
+// Guards against requests that are cleared by a failure or an incomplete response, or
+// stay rejected although a server answered them, against parts of prompts that are
+// cleared by less than a success, and against reports that name the last part or miss
+// another.
+func TestOnlyCompleteResponseClearsRequest(t *testing.T) {
 	shared := []uint64{xxhash.Sum64String("aaa"), xxhash.Sum64String("bbb")}
 	const event = "id: 1\ndata: a\n\n"
 	tests := []struct {
-		name, path    string
-		status        int
-		head, body    string // further header lines, and the body
-		cleared, lost bool
+		name, path string
+		status     int
+		head, body string // further header lines, and the body
+		// Whether the request and the parts of its prompt are cleared, and whether the
+		// response counts as lost.
+		request, parts, lost bool
 	}{
-		{"whole stream", "/draft/", 200, "", event, true, false},
-		{"stream that ends inside an event", "/draft/", 200, "", event + "id: 2", false, true},
-		{"stream without events", "/draft/", 200, "", "", false, true},
-		{"whole response", "/book/", 200, "Content-Length: 2\r\n", "ok", true, false},
-		{"response that is cut", "/book/", 200, "Content-Length: 9\r\n", "ok", false, true},
-		{"failure of the server", "/book/", 500, "Content-Length: 2\r\n", "no", false, false},
-		{"empty stream of a length", "/draft/", 200, "Content-Length: 0\r\n", "", false, false},
+		{"whole stream", "/draft/", 200, "", event, true, true, false},
+		{"stream that ends inside an event", "/draft/", 200, "", event + "id: 2", false, false, true},
+		{"stream without events", "/draft/", 200, "", "", false, false, true},
+		{"whole response", "/book/", 200, "Content-Length: 2\r\n", "ok", true, true, false},
+		{"response that is cut", "/book/", 200, "Content-Length: 9\r\n", "ok", false, false, true},
+		{"failure of the server", "/book/", 500, "Content-Length: 2\r\n", "no", false, false, false},
+		{"empty stream of a length", "/draft/", 200, "Content-Length: 0\r\n", "", false, false, false},
+		{"rejection by the server", "/book/", 404, "Content-Length: 2\r\n", "no", true, false, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			p := &partsLog{}
+			p := &poisonLog{}
 			f := newForwarderWith(t, func(c *Config) { c.Poison = p }, 1<<20, 5*time.Second, serveRaw(t, func(c *rawConn) {
 				id := c.readRequest()
 				c.send(fmt.Sprintf("HTTP/1.1 %d Status\r\nRequest-Id: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\n%s\r\n%s", tt.status, id, tt.head, tt.body))
@@ -66,37 +75,44 @@
 			call(t, f, http.MethodPost, tt.path, "r1")
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			if cleared := len(p.completed) > 0; cleared != tt.cleared || cleared && !slices.Equal(p.completed[0], shared) {
-				t.Errorf("got cleared parts %v, want cleared %v with %v", p.completed, tt.cleared, shared)
+			if cleared := len(p.completed) > 0; cleared != tt.request || cleared && p.completed[0].Fingerprint == 0 {
+				t.Errorf("got cleared requests %v, want cleared %v", p.completed, tt.request)
+			}
+			if cleared := len(p.completed) > 0 && len(p.completed[0].Parts) > 0; cleared != tt.parts || cleared && !slices.Equal(p.completed[0].Parts, shared) {
+				t.Errorf("got cleared parts %v, want cleared %v with %v", p.completed, tt.parts, shared)
 			}
-			if lost := len(p.losses) > 0; lost != tt.lost || lost && !slices.Equal(p.losses[0].Parts, shared) {
+			if lost := len(p.losses) > 0; lost != tt.lost || lost && !slices.Equal(p.losses[0].Request.Parts, shared) {
 				t.Errorf("got losses %+v, want lost %v with %v", p.losses, tt.lost, shared)
 			}
 		})
 	}
 }
 
-// Guards against a request with a blocked part that reaches a server, or whose client
-// is told that it may have run, and against a trial that goes to a second server.
-func TestBlockedPartsAreNotSent(t *testing.T) {
-	for verdict, want := range map[PartsVerdict]struct {
+// Guards against a blocked request that reaches a server, or whose client is told that it
+// may have run, and against a trial that goes to a second server.
+func TestBlockedRequestsAreNotSent(t *testing.T) {
+	for _, tt := range []struct {
+		block    poison.Block
+		trial    bool
 		status   int
 		attempts int64
 	}{
-		PartsAllowed: {http.StatusBadGateway, 2},
-		PartsOnTrial: {http.StatusBadGateway, 1},
-		PartsBlocked: {http.StatusServiceUnavailable, 0},
+		{poison.NotBlocked, false, http.StatusBadGateway, 2},
+		{poison.BlockedPart, true, http.StatusBadGateway, 1},
+		{poison.BlockedPart, false, http.StatusServiceUnavailable, 0},
+		{poison.BlockedRequest, true, http.StatusBadGateway, 1},
+		{poison.BlockedRequest, false, http.StatusServiceUnavailable, 0},
 	} {
 		crash := func(c *rawConn) { c.readRequest() }
 		servers := []*rawServer{serveRaw(t, crash), serveRaw(t, crash)}
-		f := newForwarderWith(t, func(c *Config) { c.Poison = &partsLog{verdict: verdict} }, 1<<20, 5*time.Second, servers...)
+		f := newForwarderWith(t, func(c *Config) { c.Poison = &poisonLog{block: tt.block, trial: tt.trial} }, 1<<20, 5*time.Second, servers...)
 		r := call(t, f, http.MethodPost, "/reply/", "r1")
 		attempts := servers[0].requests.Load() + servers[1].requests.Load()
-		if r.status != want.status || attempts != want.attempts {
-			t.Errorf("verdict %d: got status %d after %d attempts, want %d after %d", verdict, r.status, attempts, want.status, want.attempts)
+		if r.status != tt.status || attempts != tt.attempts {
+			t.Errorf("block %v, trial %v: got status %d after %d attempts, want %d after %d", tt.block, tt.trial, r.status, attempts, tt.status, tt.attempts)
 		}
-		if blocked := verdict == PartsBlocked; blocked != (r.header.Get("Retry-After") != "") {
-			t.Errorf("verdict %d: got Retry-After %q", verdict, r.header.Get("Retry-After"))
+		if refused := tt.attempts == 0; refused != (r.header.Get("Retry-After") != "") {
+			t.Errorf("block %v, trial %v: got Retry-After %q", tt.block, tt.trial, r.header.Get("Retry-After"))
 		}
 	}
 }
--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -69,10 +69,10 @@
 // was rejected for a temporary reason.
 const defaultRetryAfter = 300 * time.Millisecond
 
-// poisonPartRetryAfter is the time after which a client should retry a request with a
-// part that crashes servers. Only the operator or a change of the servers can make such
-// a request succeed, but a part that was blocked wrongly is cleared within seconds.
-const poisonPartRetryAfter = 3 * time.Second
+// poisonRetryAfter is the time after which a client should retry a request that crashes
+// servers. Only the operator or a change of the servers can make such a request
+// succeed, but one that was blocked wrongly is cleared within seconds.
+const poisonRetryAfter = 3 * time.Second
 
 // minRetryAfter is the minimum of the Retry-After time for a workspace that is
 // over its allowance; 0 would invite an immediate retry.
@@ -85,8 +85,8 @@
 	switch r {
 	case NoConfiguration, StaleConfiguration, NoServer, ServersFull, ServersUnreachable, TimedOutUnsent:
 		return http.StatusServiceUnavailable, true, defaultRetryAfter
-	case PoisonPart:
-		return http.StatusServiceUnavailable, true, poisonPartRetryAfter
+	case PoisonRequest, PoisonPart:
+		return http.StatusServiceUnavailable, true, poisonRetryAfter
 	case NoRoute:
 		return http.StatusNotFound, true, 0
 	case UnknownKey:
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
+	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
@@ -100,7 +101,7 @@
 // server may have run the request.
 func (e *exchange) mayRetry(ctx context.Context, runs int) bool {
 	return e.route.Repeatable() && runs < e.route.Attempts && ctx.Err() == nil &&
-		e.config.Poison.Allowed(e.fingerprint) && e.withdrawRetry(ctx)
+		e.config.Poison.Blocked(e.suspect) == poison.NotBlocked && e.withdrawRetry(ctx)
 }
 
 // giveUp ends a request without a further attempt. runs is the number of attempts
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -138,7 +138,7 @@
 	e.writeHead(r, now)
 	a.server.Succeeded(now)
 	if a.pace.events > 0 {
-		e.config.Poison.Completed(e.sharedParts)
+		e.config.Poison.Completed(e.suspect)
 	}
 	e.reason = Served
 	return outcomeAnswered
--- a/internal/entry/gateway/allowances.go
+++ b/internal/entry/gateway/allowances.go
@@ -73,7 +73,6 @@
 	wait.Every(ctx, allowance.RefreshPeriod, func() {
 		f.allowances.Refresh()
 		f.crashes.Set.Expire(time.Now())
-		f.partCrashes.Set.Expire(time.Now())
 		blocked = f.logBlockedParts(blocked)
 	})
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -175,8 +175,7 @@
 	registeredCount    recentMax
 	exchange           *exchange.Node
 	allowances         *allowance.Limiter
-	crashes            crash.Records
-	partCrashes        crash.PartRecords
+	crashes            crash.Reports
 	crashChecks        sync.WaitGroup // counts running checks of whether a server has crashed
 	// counters are shared by all instances: the units that workspaces spent, and
 	// the outcomes of requests at the old and the new version of each move.
@@ -243,8 +242,7 @@
 	if f.allowances, err = f.newAllowances(); err != nil {
 		return err
 	}
-	f.crashes = crash.Records{Set: new(poison.Set), Now: time.Now}
-	f.partCrashes = crash.PartRecords{Set: new(poison.PartSet), Now: time.Now}
+	f.crashes = crash.Reports{Set: new(poison.CauseSet), Now: time.Now}
 	if err := f.registerPartMetrics(); err != nil {
 		return err
 	}
@@ -266,8 +264,8 @@
 	counters := exchange.Evidence{Table: &f.counters, Domain: c.FailureDomain, Self: c.ID, Hub: f.members.IsHub}
 	f.exchange, err = exchange.New(exchange.Config{
 		Members: f.members, MinRemotePeriod: remotePeriod,
-		Sources:    []exchange.Source{counters, f.crashes, f.partCrashes},
-		Sinks:      []exchange.Sink{counters, f.crashes, f.partCrashes},
+		Sources:    []exchange.Source{counters, f.crashes},
+		Sinks:      []exchange.Sink{counters, f.crashes},
 		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.serveWatch, Spend: f.serveSpend},
 		Registerer: f.registry,
 		Logger:     c.Log,
--- a/internal/entry/gateway/poison.go
+++ b/internal/entry/gateway/poison.go
@@ -1,20 +1,21 @@
 package gateway
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"slices"
-	"strconv"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"wasabiworks.example/wasabiworks/internal/caller/forward"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
-	"wasabiworks.example/wasabiworks/internal/peer/crash"
 )
 
 // crashCheckTimeout bounds the check of whether a server accepts new connections
@@ -25,28 +26,45 @@
 // part of a prompt that has. It implements forward.Poison.
 type poisonFilter struct{ instance *Instance }
 
-// Allowed implements forward.Poison.
-func (p poisonFilter) Allowed(fingerprint uint64) bool {
-	return p.instance.crashes.Set.Verdict(fingerprint, time.Now()) != poison.Poison
+// Blocked implements forward.Poison.
+func (p poisonFilter) Blocked(r poison.Request) poison.Block {
+	return p.instance.crashes.Set.Blocked(r, time.Now())
 }
 
-// CheckParts implements forward.Poison. Only the holder of the duty allows trials, so
-// that the fleet does not run one on each instance.
-func (p poisonFilter) CheckParts(parts []uint64) forward.PartsVerdict {
-	f, now := p.instance, time.Now()
-	if !f.partCrashes.Set.Blocked(parts, now) {
-		return forward.PartsAllowed
+// Trial implements forward.Poison. Only the holder of the duty allows trials of parts of
+// prompts, so that the fleet does not run one on each instance. A request may never
+// reach the holder, so the others allow its trial later, at different times.
+func (p poisonFilter) Trial(r poison.Request) bool {
+	f, now, patience := p.instance, time.Now(), 0.0
+	part := f.crashes.Set.Blocked(r, now) == poison.BlockedPart
+	if _, holder := f.duty.Fence(); !holder {
+		if part {
+			return false
+		}
+		patience = 1 + f.trialPatience(r.Fingerprint)
+	}
+	if !f.crashes.Set.Trial(r, patience, now) {
+		return false
 	}
-	if _, holder := f.duty.Fence(); !holder || !f.partCrashes.Set.Trial(parts, now) {
-		return forward.PartsBlocked
+	message := "request that crashed servers runs as a trial"
+	if part {
+		message = "request with a blocked part runs as a trial"
 	}
-	f.config.Log.Info("request with a blocked part runs as a trial", zap.Uint64s("parts", parts))
-	return forward.PartsOnTrial
+	f.config.Log.Info(message, zap.Uint64("fingerprint", r.Fingerprint), zap.Uint64s("parts", r.Parts))
+	return true
+}
+
+// trialPatience returns a number from 0 to 1 that differs from instance to instance.
+func (f *Instance) trialPatience(fingerprint uint64) float64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(f.config.ID) // never fails
+	_, _ = d.Write(binary.BigEndian.AppendUint64(nil, fingerprint))
+	return float64(d.Sum64()) / math.MaxUint64
 }
 
 // Completed implements forward.Poison.
-func (p poisonFilter) Completed(parts []uint64) {
-	if p.instance.partCrashes.Set.Completed(parts) {
+func (p poisonFilter) Completed(r poison.Request) {
+	if p.instance.crashes.Set.Completed(r) {
 		p.instance.exchange.Notify()
 	}
 }
@@ -70,21 +88,17 @@
 
 func (p poisonFilter) recordCrash(l forward.Loss) {
 	f, now := p.instance, time.Now()
-	deadline := now.Add(crash.RecordTTL)
-	f.crashes.Set.Crash(l.Server, strconv.FormatInt(l.Incarnation, 10), []uint64{l.Fingerprint}, deadline)
-	if !l.Responding {
-		f.partCrashes.Set.Crash(fmt.Sprintf("%s/%d", l.Server, l.Incarnation), l.Parts, now.Add(poison.PartRetention), now)
-	}
+	f.crashes.Set.Crash(fmt.Sprintf("%s/%d", l.Server, l.Incarnation), l.Request, l.Responding, now.Add(poison.CrashRetention), now)
 	f.exchange.Notify()
 	f.config.Log.Info("server crashed while running a request", zap.String("server", l.Server), zap.Int64("incarnation", l.Incarnation),
-		zap.Uint64("fingerprint", l.Fingerprint), zap.Stringer("verdict", f.crashes.Set.Verdict(l.Fingerprint, now)),
-		zap.Uint64s("parts", l.Parts), zap.Int("events", l.Events), zap.Bool("responding", l.Responding))
+		zap.Uint64("fingerprint", l.Request.Fingerprint), zap.Stringer("verdict", f.crashes.Set.Blocked(l.Request, now)),
+		zap.Uint64s("parts", l.Request.Parts), zap.Int("events", l.Events), zap.Bool("responding", l.Responding))
 }
 
 // logBlockedParts logs which parts of prompts have been blocked or cleared since
 // before was returned, and returns the parts that are blocked now.
 func (f *Instance) logBlockedParts(before []uint64) []uint64 {
-	now := f.partCrashes.Set.BlockedParts(time.Now())
+	now := f.crashes.Set.BlockedParts(time.Now())
 	for _, part := range now {
 		if !slices.Contains(before, part) {
 			f.config.Log.Warn("prompt part blocked because servers crashed under it", zap.Uint64("part", part))
@@ -102,5 +116,5 @@
 func (f *Instance) registerPartMetrics() error {
 	return f.registry.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "crash_blocked_parts", Help: "Parts of prompts that are blocked because servers crashed under them.",
-	}, func() float64 { return float64(len(f.partCrashes.Set.BlockedParts(time.Now()))) }))
+	}, func() float64 { return float64(len(f.crashes.Set.BlockedParts(time.Now()))) }))
 }
