Clear the crash records of completed requests in serve

Change: a completed generation marks the records of its request as cleared, which travels to the peers. A later record of the same crash takes precedence by its deadline, so that the order of merges does not matter.

--- a/internal/caller/openai/attempt.go
+++ b/internal/caller/openai/attempt.go
@@ -18,6 +18,7 @@
 	d.cacheAttemptID = ""
 	err := s.config.Engine.Generate(ctx, &a, d.handleFrame)
 	if err == nil {
+		s.config.Poison.Completed(g.fingerprint)
 		d.recordAttempt(false, "")
 		return nil
 	}
--- a/internal/caller/openai/config.go
+++ b/internal/caller/openai/config.go
@@ -72,8 +72,8 @@
 	VerdictClear Verdict = iota
 	// VerdictSuspect requests were in flight when one server process crashed.
 	VerdictSuspect
-	// VerdictPoison requests were in flight when two server processes crashed. They are
-	// not run again.
+	// VerdictPoison requests were in flight when two server processes crashed, and were
+	// not completed since. They are not run again.
 	VerdictPoison
 )
 
@@ -85,6 +85,8 @@
 	AssignedServers(fingerprint uint64, servers []string) []string
 	// Crash records the requests that were in flight when a server crashed.
 	Crash(serverID, incarnation string, fingerprints []uint64)
+	// Completed reports that a server completed a response to a request.
+	Completed(fingerprint uint64)
 }
 
 // Reasons why a failed attempt does not count against its version.
--- a/internal/caller/openai/fake_test.go
+++ b/internal/caller/openai/fake_test.go
@@ -284,6 +284,12 @@
 	return Verdict(min(len(p.crashes[fp]), 2))
 }
 
+func (p *fakePoison) Completed(fp uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.crashes, fp)
+}
+
 func (p *fakePoison) AssignedServers(_ uint64, servers []string) []string { return servers }
 
 func (p *fakePoison) Crash(serverID, incarnation string, fps []uint64) {
--- a/internal/caller/openai/fault_test.go
+++ b/internal/caller/openai/fault_test.go
@@ -248,6 +248,20 @@
 	is.Equal(runs, int64(2))
 }
 
+// Guards against a request that is rejected when a second server crashes, although it was
+// answered in full since the first crash (LOST).
+func TestCompletedRequestIsNoSuspect(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, 2, nil)
+	s.engines[0].fault.Store(&fault{kind: "abort"})
+	res, _ := s.post(t, "/v1/chat/completions", chatBody("often asked", false))
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(s.engines[0].runs.Load(), int64(1))
+	s.poison.mu.Lock()
+	defer s.poison.mu.Unlock()
+	is.Equal(len(s.poison.crashes), 0)
+}
+
 // Guards against two suspects on the same server, which would both be classified
 // as poison if the server crashed, and against a crash that is counted twice for a
 // request. Also guards against correlated losses that are reported as crashes: the
--- a/internal/caller/openai/soak_test.go
+++ b/internal/caller/openai/soak_test.go
@@ -35,6 +35,7 @@
 func (d *poisonAndBudget) AssignedServers(_ uint64, servers []string) []string { return servers }
 
 func (d *poisonAndBudget) Verdict(fp uint64) Verdict { return Verdict(d.set.Verdict(fp, time.Now())) }
+func (d *poisonAndBudget) Completed(fp uint64)       { d.set.Completed(fp) }
 func (d *poisonAndBudget) Crash(serverID, incarnation string, fps []uint64) {
 	d.set.Crash(serverID, incarnation, fps, time.Now().Add(time.Hour))
 }
--- a/internal/caller/services/fake_test.go
+++ b/internal/caller/services/fake_test.go
@@ -61,6 +61,7 @@
 
 func (f *fakeInstance) Verdict(uint64) openai.Verdict  { return openai.VerdictClear }
 func (f *fakeInstance) Crash(string, string, []uint64) {}
+func (f *fakeInstance) Completed(uint64)               {}
 func (f *fakeInstance) Attempt(*openai.AttemptRecord)  {}
 func (f *fakeInstance) Request(*openai.RequestRecord)  {}
 func (f *fakeInstance) Call(c *services.CallResult) {
--- a/internal/decide/poison/set.go
+++ b/internal/decide/poison/set.go
@@ -42,6 +42,8 @@
 	Process string
 	// Deadline is the time at which the record expires.
 	Deadline time.Time
+	// Cleared reports that a server has completed a response to the request since.
+	Cleared bool
 }
 
 // maxRequests limits the memory that peers can make a set use to about 10 MB.
@@ -67,6 +69,7 @@
 type crash struct {
 	process  string
 	deadline time.Time
+	cleared  bool
 }
 
 // Crash records that the requests with the given fingerprints were in flight
@@ -85,13 +88,36 @@
 	defer s.mu.RUnlock()
 	v := Clear
 	for _, c := range s.requests[fingerprint].crashes {
-		if c.deadline.After(now) {
+		if c.counts(now) {
 			v++
 		}
 	}
 	return v
 }
 
+// Completed records that a server completed a response to a request, which clears it
+// of all crashes known so far. It reports whether that changed the set.
+func (s *Set) Completed(fingerprint uint64) (changed bool) {
+	if !s.hasCrash(fingerprint) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.requests[fingerprint].crashes {
+		if c.process != "" && s.addRecord(Record{Fingerprint: fingerprint, Process: c.process, Deadline: c.deadline, Cleared: true}) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (s *Set) hasCrash(fingerprint uint64) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	_, ok := s.requests[fingerprint]
+	return ok
+}
+
 // Suspects returns the sorted fingerprints of the requests that are suspects at
 // now and whose latest record expires after expiringAfter. Callers that use one
 // retention time for all records thereby get the suspects of recent crashes.
@@ -99,7 +125,8 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for fp, r := range s.requests {
-		if r.crashes[0].deadline.After(expiringAfter) && !r.crashes[1].deadline.After(now) {
+		first, second := r.crashes[0], r.crashes[1]
+		if first.counts(expiringAfter) && !second.counts(now) {
 			fingerprints = append(fingerprints, fp)
 		}
 	}
@@ -144,7 +171,7 @@
 	for _, fp := range changed {
 		for _, c := range s.requests[fp].crashes {
 			if c.process != "" {
-				rs = append(rs, Record{Fingerprint: fp, Process: c.process, Deadline: c.deadline})
+				rs = append(rs, Record{Fingerprint: fp, Process: c.process, Deadline: c.deadline, Cleared: c.cleared})
 			}
 		}
 	}
@@ -170,7 +197,7 @@
 	if !known && len(s.requests) >= maxRequests {
 		return false
 	}
-	crashes, changed := latestCrashes(current.crashes, crash{rec.Process, rec.Deadline})
+	crashes, changed := latestCrashes(current.crashes, crash{rec.Process, rec.Deadline, rec.Cleared})
 	if !changed {
 		return false
 	}
@@ -203,10 +230,17 @@
 }
 
 // after orders crashes by deadline, then by process, so that all instances
-// keep the same two.
+// keep the same two. Of one crash, the record that is cleared comes later.
 func (c crash) after(d crash) bool {
-	if !c.deadline.Equal(d.deadline) {
+	switch {
+	case !c.deadline.Equal(d.deadline):
 		return c.deadline.After(d.deadline)
+	case c.process != d.process:
+		return c.process > d.process
+	default:
+		return c.cleared && !d.cleared
 	}
-	return c.process > d.process
 }
+
+// counts reports whether the crash counts against the request at now.
+func (c crash) counts(now time.Time) bool { return c.deadline.After(now) && !c.cleared }
--- a/internal/entry/instance/adapters.go
+++ b/internal/entry/instance/adapters.go
@@ -82,6 +82,14 @@
 	p.notify()
 }
 
+// Completed records that a server completed a response to a request, and notifies the
+// peers if that clears it.
+func (p poisonAdapter) Completed(fingerprint uint64) {
+	if p.set.Completed(fingerprint) {
+		p.notify()
+	}
+}
+
 // journalAdapter adapts the journal to the request path of plain services.
 type journalAdapter struct{ journal *peerjournal.Journal }
 
--- a/internal/peer/crash/crash.go
+++ b/internal/peer/crash/crash.go
@@ -34,7 +34,7 @@
 	rs, next := r.Set.Since(since, MaxDigestRecords)
 	for _, v := range rs {
 		d.Crashes = append(d.Crashes, &peerpb.Crash{
-			Backend: v.Process, Fingerprints: []uint64{v.Fingerprint}, Deadline: v.Deadline.UnixNano(),
+			Backend: v.Process, Fingerprints: []uint64{v.Fingerprint}, Deadline: v.Deadline.UnixNano(), Cleared: v.Cleared,
 		})
 	}
 	return next
@@ -47,7 +47,9 @@
 	for _, w := range d.GetCrashes() {
 		for _, fp := range w.GetFingerprints() {
 			if len(rs) < 2*MaxDigestRecords && len(w.GetBackend()) <= maxNameBytes {
-				rs = append(rs, poison.Record{Fingerprint: fp, Process: w.GetBackend(), Deadline: clampDeadline(w.GetDeadline(), r.Now().Add(RecordTTL))})
+				rs = append(rs, poison.Record{
+					Fingerprint: fp, Process: w.GetBackend(), Deadline: clampDeadline(w.GetDeadline(), r.Now().Add(RecordTTL)), Cleared: w.GetCleared(),
+				})
 			}
 		}
 	}
