Send crash reports and clears in urgent exchanges

Cause: hasNews listed the fields of a digest by name and lacked the crash reports of parts, so that an urgent exchange skipped a peer for which there was nothing else.

Change: buildDigest reports whether any source contributed, so that a new kind of contribution cannot be left out.

Not shown by a run of the old code.

--- a/internal/peer/exchange/digest.go
+++ b/internal/peer/exchange/digest.go
@@ -67,10 +67,11 @@
 	return next
 }
 
-// buildDigest returns the digest for a member and the versions that the member
-// has after merging it. The caller holds p.mu.
-func (n *Node) buildDigest(to membership.Member, p *peer) (*peerpb.Digest, []uint64) {
-	d := &peerpb.Digest{Sender: memberToWire(n.config.Members.Self()), Acknowledged: p.receivedSequence}
+// buildDigest returns the digest for a member, the versions that the member has after
+// merging it, and whether it holds anything that the member does not have. The caller
+// holds p.mu.
+func (n *Node) buildDigest(to membership.Member, p *peer) (d *peerpb.Digest, versions []uint64, news bool) {
+	d = &peerpb.Digest{Sender: memberToWire(n.config.Members.Self()), Acknowledged: p.receivedSequence}
 	if n.config.Revision != nil {
 		d.CatalogueRevision = n.config.Revision()
 	}
@@ -85,7 +86,7 @@
 			d.HeardMillis[domain] = rest.Milliseconds()
 		}
 	}
-	versions := make([]uint64, len(n.sources))
+	versions, news = make([]uint64, len(n.sources)), stateOf(d) != p.sent
 	for i, s := range n.sources {
 		if i < len(p.delivered) {
 			versions[i] = p.delivered[i]
@@ -103,9 +104,9 @@
 			continue
 		}
 		proto.Merge(d, contribution)
-		versions[i] = next
+		versions[i], news = next, true
 	}
-	return d, versions
+	return d, versions, news
 }
 
 // merge passes a peer's digest to the sinks and starts an urgent exchange with
--- a/internal/peer/exchange/node.go
+++ b/internal/peer/exchange/node.go
@@ -305,8 +305,8 @@
 		return
 	}
 	p.mu.Lock()
-	d, versions := n.buildDigest(m, p)
-	if urgent && !p.hasNews(d) {
+	d, versions, news := n.buildDigest(m, p)
+	if urgent && !news {
 		p.mu.Unlock()
 		return
 	}
@@ -347,7 +347,7 @@
 		p.confirm(p.repliedVersions)
 	}
 	p.lastExchange = n.config.Now()
-	reply, versions := n.buildDigest(from, p)
+	reply, versions, _ := n.buildDigest(from, p)
 	p.replySequence++
 	p.repliedVersions = versions
 	reply.Sequence = p.replySequence
--- a/internal/peer/exchange/peer.go
+++ b/internal/peer/exchange/peer.go
@@ -47,13 +47,6 @@
 	return senderState{d.GetCatalogueRevision(), d.GetWatching(), d.GetSender().GetLeaving()}
 }
 
-// hasNews reports whether a digest for the member holds anything that the member
-// does not have. The caller holds p.mu.
-func (p *peer) hasNews(d *peerpb.Digest) bool {
-	return stateOf(d) != p.sent ||
-		len(d.Members)+len(d.Counters)+len(d.Vetoes)+len(d.Crashes)+len(d.Leaving)+len(d.Loads)+len(d.Demands) > 0
-}
-
 // resetIfRestarted resets the versions if the member has a new incarnation,
 // which has lost everything that was sent to the previous one.
 func (p *peer) resetIfRestarted(incarnation int64) {
