Do not complete a version that is in doubt at its deadline

Cause: at the deadline the share went to 1 whatever the evidence was, since only a proof at odds of 1,000 to 1 counted. At 15% a route with 3.3 requests a second yields one failure before that. No evidence, or too little, was taken for good evidence.

Change: the share of a step is divided between the routes so that each has as many requests to the new version, up to half of its own. A version whose failures are a hundred times likelier for a bad version than for a good one is in doubt and keeps 10% or less; successes dispel it. The deadline no longer raises the share of a suspect version, and a doubt or suspicion that remains in the last eighth of the time rolls it back.

--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -88,7 +88,7 @@
 
 // Versions chooses between the versions of a service.
 type Versions interface {
-	Choose(service string, random uint64) VersionChoice
+	Choose(service, route string, random uint64) VersionChoice
 	// RecordResult records the result of an attempt.
 	RecordResult(c VersionChoice, r VersionResult)
 }
@@ -99,7 +99,7 @@
 	Service, Route string
 	// New reports whether the server has the new version of the move.
 	New bool
-	// Failed reports whether there was no complete response without an error, and
+	// Failed reports whether there was no complete response with a status below 300, and
 	// Late whether the first byte came after the route's objective, counted from the
 	// attempt.
 	Failed, Late bool
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -263,7 +263,7 @@
 // pickService chooses the service among those of the route, and its version.
 func (e *exchange) pickService() {
 	e.service = e.route.Pick(e.config.Random())
-	e.versionChoice = e.config.Versions.Choose(e.service, e.config.Random())
+	e.versionChoice = e.config.Versions.Choose(e.service, e.route.Name, e.config.Random())
 }
 
 // allowanceUnits returns the units that a request takes from its workspace's
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -106,16 +106,16 @@
 func (permissive) Take(context.Context, *routes.Workspace, float64) limit.Admission {
 	return limit.Admission{Admitted: true}
 }
-func (permissive) Deposit(string)                            {}
-func (permissive) Withdraw(string) bool                      { return true }
-func (permissive) AddRequest(string)                         {}
-func (permissive) AddFirst(string, bool)                     {}
-func (permissive) Blocked(poison.Request) poison.Block       { return poison.NotBlocked }
-func (permissive) Trial(poison.Request) bool                 { return false }
-func (permissive) Completed(poison.Request)                  {}
-func (permissive) ReportLoss(Loss)                           {}
-func (permissive) Choose(string, uint64) VersionChoice       { return VersionChoice{} }
-func (permissive) RecordResult(VersionChoice, VersionResult) {}
+func (permissive) Deposit(string)                              {}
+func (permissive) Withdraw(string) bool                        { return true }
+func (permissive) AddRequest(string)                           {}
+func (permissive) AddFirst(string, bool)                       {}
+func (permissive) Blocked(poison.Request) poison.Block         { return poison.NotBlocked }
+func (permissive) Trial(poison.Request) bool                   { return false }
+func (permissive) Completed(poison.Request)                    {}
+func (permissive) ReportLoss(Loss)                             {}
+func (permissive) Choose(string, string, uint64) VersionChoice { return VersionChoice{} }
+func (permissive) RecordResult(VersionChoice, VersionResult)   {}
 
 // newForwarder runs an instance's handler in front of servers, with a route of each
 // kind below a path of its name. maxResponse is in bytes.
--- a/internal/caller/forward/verdict_test.go
+++ b/internal/caller/forward/verdict_test.go
@@ -20,7 +20,7 @@
 	results []VersionResult
 }
 
-func (*recordingVersions) Choose(string, uint64) VersionChoice {
+func (*recordingVersions) Choose(string, string, uint64) VersionChoice {
 	return VersionChoice{Move: "m", NewVersion: "v2", UseNewVersion: true, Step: 1}
 }
 
--- a/internal/decide/move/move.go
+++ b/internal/decide/move/move.go
@@ -59,9 +59,13 @@
 type Decision struct {
 	// Share is from 0 to 1.
 	Share float64
+	// RouteShares are the shares on the routes on which they differ from Share.
+	RouteShares map[string]float64
 	Phase Phase
 	// Veto is true if the decision rolls the move back.
 	Veto bool
+	// Suspect is true if evidence against the new version holds the share down.
+	Suspect bool
 	// Reason is shown to operators and, with a veto, sent to peers.
 	Reason string
 	// Step is the current step of the move. It is part of the evidence key of
@@ -74,6 +78,14 @@
 	LogE float64
 }
 
+// ShareOn returns the share of the new version on a route.
+func (d Decision) ShareOn(route string) float64 {
+	if s, ok := d.RouteShares[route]; ok {
+		return s
+	}
+	return d.Share
+}
+
 // Policy decides on a move. Implementations are pure functions.
 type Policy interface {
 	Decide(s State, now time.Time) Decision
--- a/internal/decide/move/schedule.go
+++ b/internal/decide/move/schedule.go
@@ -11,9 +11,6 @@
 	firstStep = 1
 	// probeStep keeps a suspect version at the share of firstStep.
 	probeStep = 9
-	// strongSuspicionMaxStep is the highest step that a version takes before the
-	// move must be complete if its e-value has reached strongSuspicionThreshold.
-	strongSuspicionMaxStep = 5
 	// observationStep is the first step of the observation, which follows the
 	// completion of the move. The observation is divided into slots, each with a
 	// step at share 1 and after it a recheck step, which compares both versions
@@ -28,9 +25,6 @@
 	// completion and the deadline, for instances that learn of the last step
 	// late. The time from the start of the move to this margin is its ramp.
 	deadlineMargin = 0.1
-	// suspectRampStart is the fraction of the ramp after which a suspect version
-	// must begin to take its steps.
-	suspectRampStart = 0.7
 	// recheckShare is the share of a recheck step, in which a version that
 	// looks bad at share 1 is compared with the old one again.
 	recheckShare = 0.25
@@ -82,20 +76,6 @@
 	return float64(now.Sub(p.Start)) / total
 }
 
-// stepBetween returns the step due at progress if the steps are spread evenly
-// between from and to; observationStep means completion.
-func stepBetween(progress, from, to float64) uint8 {
-	n := float64(len(stepShares))
-	i := (progress - from) / (to - from) * n
-	switch {
-	case i >= n:
-		return observationStep
-	case i > 0:
-		return firstStep + uint8(i)
-	}
-	return firstStep
-}
-
 // stepAt returns the step that is due at progress.
 func stepAt(progress float64) uint8 {
 	step := uint8(firstStep)
@@ -116,7 +96,7 @@
 // excused by earlier good results.
 func observationSlot(p Plan, now time.Time) uint8 {
 	from := p.Start.Add(time.Duration(float64(p.Deadline.Sub(p.Start)) * (1 - deadlineMargin)))
-	total := p.KeepUntil.Sub(from)
+	total := effectiveKeepUntil(p).Sub(from)
 	if total <= 0 || !now.After(from) {
 		return 0
 	}
--- a/internal/decide/move/sequential.go
+++ b/internal/decide/move/sequential.go
@@ -19,15 +19,19 @@
 	// becomes suspect and the share returns to the first one: few clients are
 	// affected there, and each further failure is strong evidence.
 	suspicionThreshold = math.Log(20)
-	// strongSuspicionThreshold is the logarithm of the e-value at which the
-	// approaching deadline no longer raises the share above that of
-	// strongSuspicionMaxStep: at most one good version in 100 reaches it.
+	// strongSuspicionThreshold is the logarithm of the e-value at which a completed
+	// version is compared again: at most one good version in 100 reaches it.
 	strongSuspicionThreshold = math.Log(100)
 )
 
-// Sequential raises the share with time, lowers it on suspicion, and rolls back when an
-// anytime-valid test finds the new version worse than the old one. The zero
-// value is ready to use.
+// doubtMaxStep is the highest step that a version in doubt takes. All clients together
+// send it few enough requests there until the time limit, and it can still dispel the
+// doubt by then.
+const doubtMaxStep = 3
+
+// Sequential raises the share with time, lowers it on suspicion or doubt, and rolls back
+// when an anytime-valid test finds the new version worse than the old one, or when a
+// suspicion or doubt remains at the end of the time. The zero value is ready to use.
 type Sequential struct{}
 
 // Decide returns the share of the new version. Unless a veto is known or the
@@ -49,8 +53,9 @@
 	d := advance(cells, s.Plan, elapsed, logE, now)
 	d.LogE = logE
 	if s.Isolated {
-		return holdShare(cells, d, s.Previous)
+		d = holdShare(cells, d, s.Previous)
 	}
+	d.RouteShares = routeShares(&s, d.Share)
 	return d
 }
 
@@ -59,27 +64,27 @@
 	slowness: "more slow responses than the old version",
 }
 
-// advance returns the decision for a move that is not rolled back.
+// advance returns the decision for a move that is not rolled back for its e-value. The
+// deadline binds a version against which nothing speaks. One under suspicion or in doubt
+// has the time until the old version is no longer retained to dispel it.
 func advance(cells []cell, p Plan, elapsed, logE float64, now time.Time) Decision {
 	_, observing := stepReached(cells)
+	slot, suspected, doubtful := observationSlot(p, now), logE >= suspicionThreshold, isDoubtful(cells)
 	switch {
 	case !now.Before(effectiveKeepUntil(p)):
 		return stepDecision(observationStep, "complete")
-	case observing || elapsed >= 1:
-		slot := observationSlot(p, now)
-		if logE >= strongSuspicionThreshold || isSuspect(cells, slot) {
-			return stepDecision(observationStep+2*slot+1, "compared again")
-		}
+	case slot == numObservationSlots-1 && (suspected || doubtful):
+		return Decision{Phase: RolledBack, Veto: true, Reason: "still under suspicion at the end of the time"}
+	case observing && (logE >= strongSuspicionThreshold || isSuspect(cells, slot)):
+		return suspectDecision(observationStep+2*slot+1, "compared again")
+	case observing:
+		return stepDecision(observationStep+2*slot, "complete, watched")
+	case suspected:
+		return suspectDecision(probeStep, "under suspicion")
+	case doubtful:
+		return suspectDecision(min(stepAt(elapsed), doubtMaxStep), "in doubt")
+	case elapsed >= 1:
 		return stepDecision(observationStep+2*slot, "complete, watched")
-	case logE >= suspicionThreshold:
-		step := stepBetween(elapsed, suspectRampStart, 1)
-		if logE >= strongSuspicionThreshold {
-			step = min(step, strongSuspicionMaxStep)
-		}
-		if step == firstStep {
-			return stepDecision(probeStep, "under suspicion")
-		}
-		return stepDecision(step, "under suspicion, deadline near")
 	}
 	return stepDecision(stepAt(elapsed), "as planned")
 }
@@ -90,13 +95,14 @@
 func holdShare(cells []cell, d, last Decision) Decision {
 	step, observing := stepReached(cells)
 	switch {
+	case d.Veto:
+		return d
 	case last.Step != 0:
 		step = last.Step
 	case observing:
 		step = observationStep
 	}
-	lowered := d.LogE >= suspicionThreshold || isRecheck(d.Step)
-	if lowered && d.Share <= ShareOf(step) {
+	if d.Suspect && d.Share <= ShareOf(step) {
 		return d
 	}
 	held := stepDecision(step, "isolated, share held")
@@ -104,6 +110,13 @@
 	return held
 }
 
+// suspectDecision returns the decision on a version under suspicion.
+func suspectDecision(step uint8, reason string) Decision {
+	d := stepDecision(step, reason)
+	d.Suspect = true
+	return d
+}
+
 func stepDecision(step uint8, reason string) Decision {
 	d := Decision{Share: ShareOf(step), Step: step, Reason: reason}
 	if step >= observationStep {
--- a/internal/decide/movetest/run.go
+++ b/internal/decide/movetest/run.go
@@ -113,7 +113,7 @@
 	d := r.domains[domain].decision
 	req := r.traffic.request(second, inWave)
 	key := evidence.Key{Move: r.plan.ID, Version: r.plan.From, Route: routes[req.route], Step: d.Step}
-	isNew := move.UsesNewVersion(d.Share, req.hash)
+	isNew := move.UsesNewVersion(d.ShareOn(key.Route), req.hash)
 	if isNew {
 		key.Version = r.plan.To
 	}
--- a/internal/entry/gateway/apply_test.go
+++ b/internal/entry/gateway/apply_test.go
@@ -147,7 +147,7 @@
 			}
 			m.applyRecord(store.Item{Key: movesPrefix + "s", Value: []byte(odd), Revision: 6})
 			m.decide(time.Now())
-			if m.Choose("s", 0).UseNewVersion {
+			if m.Choose("s", "", 0).UseNewVersion {
 				t.Errorf("%s, known %v: the new version gets requests", name, known)
 			}
 			m.recordMoves(t.Context(), time.Now())
--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -320,13 +320,13 @@
 }
 
 // Choose implements forward.Versions.
-func (m *mover) Choose(service string, random uint64) forward.VersionChoice {
+func (m *mover) Choose(service, route string, random uint64) forward.VersionChoice {
 	a, ok := (*m.active.Load())[service]
 	if !ok {
 		return forward.VersionChoice{}
 	}
 	c := forward.VersionChoice{Move: a.ID, NewVersion: a.To, Step: a.decision.Step, NoFallback: a.decision.Phase != move.Running || a.decision.Share == 0 || a.decision.Share == 1}
-	c.UseNewVersion = move.UsesNewVersion(a.decision.Share, random)
+	c.UseNewVersion = move.UsesNewVersion(a.decision.ShareOn(route), random)
 	return c
 }
 
