Count any answer but a success against a version

Cause: recordEnd took a status below 500 for a sound answer. The comparison with the old version already cancels errors that clients cause themselves.

Change: redirects and errors of any kind count as failures, for the old and the new version alike.

Measured: TestOnlySuccessCountsForVersion failed before for 302 and 404 and passes.

--- a/internal/caller/forward/verdict.go
+++ b/internal/caller/forward/verdict.go
@@ -68,18 +68,17 @@
 }
 
 // recordEnd records the attempt at its end. It skips an attempt in which the server
-// did not run the request, and an attempt whose client has disconnected.
+// did not run the request, and an attempt whose client has disconnected. Any status but
+// a success is a failure here: errors of clients meet both versions alike, and a version
+// that rejects what the old one serves is a bad one.
 func (e *exchange) recordEnd(a *attempt) {
 	a.verdict.stopLate()
 	if a.outcome == outcomeNotRun || a.outcome == outcomeUnreachable || e.r.Context().Err() != nil {
 		return
 	}
-	switch {
-	case a.outcome != outcomeAnswered || a.status >= http.StatusInternalServerError:
+	if a.outcome != outcomeAnswered || a.status >= http.StatusMultipleChoices {
 		a.verdict.recordFailure()
-	case a.status < http.StatusMultipleChoices:
-		a.verdict.recordAnswer(false, a.paceOfAnswer(), a.isStream)
-	default:
-		a.verdict.recordAnswer(false, 0, a.isStream)
+		return
 	}
+	a.verdict.recordAnswer(false, a.paceOfAnswer(), a.isStream)
 }
--- a/internal/caller/forward/verdict_test.go
+++ b/internal/caller/forward/verdict_test.go
@@ -129,3 +129,26 @@
 		})
 	}
 }
+
+// Guards against a version that answers with errors of the client, such as 404, where the
+// old one succeeds, and is taken for a good one (EXPOSURE).
+func TestOnlySuccessCountsForVersion(t *testing.T) {
+	for status, failed := range map[int]bool{200: false, 204: false, 302: true, 404: true, 429: true, 500: true} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			v := new(recordingVersions)
+			f := newMovingForwarder(t, v, 5*time.Second, serveRaw(t, func(c *rawConn) {
+				defer c.Close()
+				id := c.readRequest()
+				if id == "" {
+					return
+				}
+				c.send(fmt.Sprintf("HTTP/1.1 %d Status\r\nRequest-Id: %s\r\nSeal: s\r\nContent-Length: 0\r\n\r\n", status, id))
+			}))
+			call(t, f, http.MethodPost, "/draft/", "r1")
+			if got := v.all(); len(got) != 1 || got[0].Failed != failed {
+				t.Errorf("got results %+v, want one with failed %v", got, failed)
+			}
+		})
+	}
+}
