Require keys where a configuration has no workspace left

Cause: the decoder did not tell an empty list from a missing member, and a table without workspaces asked for no key. The check before each attempt let each request go on that had no workspace when it was accepted.

The check before an attempt is the one at the door, with the current table.

--- a/internal/caller/forward/failover.go
+++ b/internal/caller/forward/failover.go
@@ -110,7 +110,7 @@
 // reads fields of e that no attempt changes.
 func (e *exchange) reserveRetry() bool {
 	e.metrics.silences.WithLabelValues("checked").Inc()
-	if r, reason := e.permission(e.config.View()); reason != "" || !r.Includes(e.service) || !r.Repeatable() || len(e.attempts) >= r.Attempts {
+	if r, _, reason := e.permission(e.config.View()); reason != "" || !r.Includes(e.service) || !r.Repeatable() || len(e.attempts) >= r.Attempts {
 		return false
 	}
 	t, ok := e.chooseServer()
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -126,7 +126,7 @@
 		}
 		return NoRoute
 	}
-	workspace, reason := e.authenticate()
+	workspace, reason := e.authenticate(e.view, e.route)
 	if reason != "" {
 		return reason
 	}
@@ -159,16 +159,16 @@
 	return t.Match(e.r.Host, path)
 }
 
-// authenticate returns the workspace of the client's key, or nil if the route is
-// public or the table has no workspaces.
-func (e *exchange) authenticate() (*routes.Workspace, Reason) {
-	if e.route.Public || len(e.view.Table.Workspaces) == 0 {
+// authenticate returns the workspace of the client's key in v, or nil if the route needs
+// no key.
+func (e *exchange) authenticate(v View, r *routes.Route) (*routes.Workspace, Reason) {
+	if r.Public || !v.Table.KeysRequired {
 		return nil, ""
 	}
-	if !e.view.Fresh {
+	if !v.Fresh {
 		return nil, StaleConfiguration
 	}
-	w, ok := e.view.Table.WorkspaceByKey(e.r.Header.Get(e.config.Headers.Key))
+	w, ok := v.Table.WorkspaceByKey(e.r.Header.Get(e.config.Headers.Key))
 	if !ok {
 		return nil, UnknownKey
 	}
@@ -184,10 +184,13 @@
 		return reason
 	}
 	v := e.config.View()
-	r, reason := e.permission(v)
+	r, workspace, reason := e.permission(v)
 	if reason != "" {
 		return reason
 	}
+	if e.workspace == "" && workspace != nil {
+		e.workspace = workspace.Name // the route has needed a key since the request was accepted
+	}
 	if v.Table != e.view.Table {
 		e.view, e.route = v, r
 		if !r.Includes(e.service) {
@@ -197,23 +200,22 @@
 	return ""
 }
 
-// permission returns the request's route in v, and the reason to reject the
-// request, or an empty Reason if v allows sending it.
-func (e *exchange) permission(v View) (*routes.Route, Reason) {
+// permission returns the request's route in v and the workspace of its key, which is nil
+// if the route needs no key, and the reason to reject the request, or an empty Reason if
+// v allows sending it.
+func (e *exchange) permission(v View) (*routes.Route, *routes.Workspace, Reason) {
 	r, ok := e.matchRoute(v.Table)
 	if !ok {
-		return nil, NoRoute
-	}
-	if e.workspace == "" {
-		return r, ""
+		return nil, nil, NoRoute
 	}
-	if !v.Fresh {
-		return r, StaleConfiguration
+	w, reason := e.authenticate(v, r)
+	if reason != "" {
+		return r, nil, reason
 	}
-	if w, ok := v.Table.WorkspaceByKey(e.r.Header.Get(e.config.Headers.Key)); !ok || w.Name != e.workspace {
-		return r, UnknownKey
+	if w != nil && e.workspace != "" && w.Name != e.workspace {
+		return r, nil, UnknownKey
 	}
-	return r, ""
+	return r, w, ""
 }
 
 func (e *exchange) readBody() Reason {
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -164,14 +164,25 @@
 	took     time.Duration
 }
 
-// call sends a request to f as a client that waits for at most 20 s.
-func call(t *testing.T, f *httptest.Server, method, path, id string) (r result) {
+// call sends a request without a key to f as a client that waits for at most 20 s.
+func call(t *testing.T, f *httptest.Server, method, path, id string) result {
+	t.Helper()
+	return send(t, f, method, path, id, http.Header{})
+}
+
+// callWithKey is like call, for a POST request with a key.
+func callWithKey(t *testing.T, f *httptest.Server, path, id, key string) result {
+	t.Helper()
+	return send(t, f, http.MethodPost, path, id, http.Header{"Key": {key}})
+}
+
+func send(t *testing.T, f *httptest.Server, method, path, id string, header http.Header) result {
 	t.Helper()
 	request, err := http.NewRequest(method, f.URL+path, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	request.Host = "app.example"
+	request.Host, request.Header = "app.example", header
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Prefix", "aaa:100,bbb:50,"+id+":10")
 	start := time.Now()
--- a/internal/decide/move/move.go
+++ b/internal/decide/move/move.go
@@ -61,7 +61,7 @@
 	Share float64
 	// RouteShares are the shares on the routes on which they differ from Share.
 	RouteShares map[string]float64
-	Phase Phase
+	Phase       Phase
 	// Veto is true if the decision rolls the move back.
 	Veto bool
 	// Suspect is true if evidence against the new version holds the share down.
--- a/internal/operator/routes/table.go
+++ b/internal/operator/routes/table.go
@@ -13,7 +13,10 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
-	Limits     Limits
+	// KeysRequired reports whether requests on routes that are not public need the key
+	// of a workspace. Without workspaces, no key is valid then.
+	KeysRequired bool
+	Limits       Limits
 
 	routesByHost     map[string][]*Route // longest prefix first
 	servicesByName   map[string]*Service
@@ -37,6 +40,7 @@
 	for i := range t.Services {
 		t.servicesByName[t.Services[i].Name] = &t.Services[i]
 	}
+	t.KeysRequired = t.KeysRequired || len(t.Workspaces) > 0
 	for i := range t.Workspaces {
 		w := &t.Workspaces[i]
 		t.workspacesByName[w.Name] = w
@@ -44,6 +48,7 @@
 			t.workspacesByKey[k] = w
 		}
 	}
+	delete(t.workspacesByKey, "") // a request without a key has no workspace
 	return &t
 }
 
