Roll back a move that has no server of the new version

Cause: the decision on a move knew answers and the time, but no servers, so that a version without one had nothing against it at the deadline.

Change: the policy is told whether servers of either version are there. Without a new one the share is 0, the move waits, and at the end of its time it is rolled back, also between the last request to the old version and the report. A version that has answered nothing is in doubt. Where no other version has servers, all requests go to the ordered one.

--- a/internal/decide/move/doubt.go
+++ b/internal/decide/move/doubt.go
@@ -46,6 +46,18 @@
 	return false
 }
 
+// isUnproved reports whether the new version has answered no request while the old one has
+// answered many.
+func isUnproved(cells []cell) bool {
+	var oldAnswers, newAnswers float64
+	for i := range cells {
+		x := &cells[i]
+		oldAnswers += x.requests[0] - x.bad[failures][0]
+		newAnswers += x.requests[1] - x.bad[failures][1]
+	}
+	return newAnswers == 0 && oldAnswers >= minRequestsForRate
+}
+
 // badLikelihoodRatio returns how much more likely the failures are if the version is bad
 // than if it has the given failure rate.
 func badLikelihoodRatio(requests, failures, rate float64) float64 {
--- a/internal/decide/move/move.go
+++ b/internal/decide/move/move.go
@@ -38,14 +38,23 @@
 	// unless the move is rolled back. From is retained until KeepUntil, so that
 	// the versions can be compared again and the move can be rolled back.
 	Start, Deadline, KeepUntil time.Time
+	// Retained is true if From is retained after KeepUntil too, until the move is
+	// recorded as done.
+	Retained bool
 }
 
+// isRetained reports whether the move can be rolled back at now.
+func (p Plan) isRetained(now time.Time) bool { return p.Retained || now.Before(effectiveKeepUntil(p)) }
+
 // State is an instance's view of a move.
 type State struct {
 	Plan     Plan
 	Evidence map[evidence.Key]evidence.Count
 	// Vetoed is true once a veto from any instance has been received.
 	Vetoed bool
+	// NewAbsent is true if no server of the new version is there. OldAbsent is true if
+	// all servers have the new version and there is no other to move from.
+	NewAbsent, OldAbsent bool
 	// Isolated is true if the instance hears from fewer than half of the known
 	// failure domains.
 	Isolated bool
--- a/internal/decide/move/sequential.go
+++ b/internal/decide/move/sequential.go
@@ -47,9 +47,15 @@
 	}
 	cells := tabulate(&s)
 	logE, kind := score(cells)
-	if logE >= vetoThreshold && now.Before(effectiveKeepUntil(s.Plan)) {
+	if logE >= vetoThreshold && s.Plan.isRetained(now) {
 		return Decision{Phase: RolledBack, Veto: true, Reason: vetoReasons[kind], LogE: logE}
 	}
+	switch {
+	case s.NewAbsent:
+		return decideAbsent(&s, now)
+	case s.OldAbsent:
+		return stepDecision(observationStep, "no other version")
+	}
 	d := advance(cells, s.Plan, elapsed, logE, now)
 	d.LogE = logE
 	if s.Isolated {
@@ -64,17 +70,30 @@
 	slowness: "more slow responses than the old version",
 }
 
+// decideAbsent returns the decision while no server of the new version is there. The move
+// waits for one until the end of the time: the old version serves, and must not be
+// given up for a version that does not.
+func decideAbsent(s *State, now time.Time) Decision {
+	switch {
+	case !s.Plan.isRetained(now):
+		return stepDecision(observationStep, "complete")
+	case observationSlot(s.Plan, now) == numObservationSlots-1:
+		return Decision{Phase: RolledBack, Veto: true, Reason: "no server of the new version at the end of the time"}
+	}
+	return Decision{Reason: "no server of the new version", Suspect: true}
+}
+
 // advance returns the decision for a move that is not rolled back for its e-value. The
 // deadline binds a version against which nothing speaks. One under suspicion or in doubt
 // has the time until the old version is no longer retained to dispel it.
 func advance(cells []cell, p Plan, elapsed, logE float64, now time.Time) Decision {
 	_, observing := stepReached(cells)
-	slot, suspected, doubtful := observationSlot(p, now), logE >= suspicionThreshold, isDoubtful(cells)
+	slot, suspected, doubtful := observationSlot(p, now), logE >= suspicionThreshold, isDoubtful(cells) || isUnproved(cells)
 	switch {
+	case p.isRetained(now) && slot == numObservationSlots-1 && (suspected || doubtful):
+		return Decision{Phase: RolledBack, Veto: true, Reason: "still under suspicion at the end of the time"}
 	case !now.Before(effectiveKeepUntil(p)):
 		return stepDecision(observationStep, "complete")
-	case slot == numObservationSlots-1 && (suspected || doubtful):
-		return Decision{Phase: RolledBack, Veto: true, Reason: "still under suspicion at the end of the time"}
 	case observing && (logE >= strongSuspicionThreshold || isSuspect(cells, slot)):
 		return suspectDecision(observationStep+2*slot+1, "compared again")
 	case observing:
--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -82,6 +82,8 @@
 type activeMove struct {
 	moveRecord
 	decision move.Decision
+	// newAbsent is true if this instance knows no server of the new version.
+	newAbsent bool
 }
 
 // mover moves traffic between versions. Each instance decides on its own from the
@@ -96,6 +98,7 @@
 	orders         map[string]receivedOrder // by service
 	records        map[string]storedMove    // by service
 	reportedStatus map[string]string        // status last written for the operator, by service
+	presence       move.Presence
 }
 
 // receivedOrder is an order, its revision in the store and when this instance
@@ -200,21 +203,29 @@
 	last := *m.active.Load()
 	next := make(map[string]activeMove)
 	for service, o := range m.orders {
+		newAbsent, oldAbsent := m.absentVersions(service, o.To, now)
 		r, ok := m.records[service]
 		if !ok || r.ID != moveID(o) {
-			next[service] = activeMove{moveRecord: moveRecord{ID: moveID(o), Service: service, To: o.To, State: MoveRunning}}
+			a := activeMove{moveRecord: moveRecord{ID: moveID(o), Service: service, To: o.To, State: MoveRunning}, newAbsent: newAbsent}
+			if oldAbsent && !newAbsent {
+				a.decision.Share = 1
+			}
+			next[service] = a
 			continue
 		}
-		a := activeMove{moveRecord: r.moveRecord}
-		switch r.State {
-		case MoveDone:
+		a := activeMove{moveRecord: r.moveRecord, newAbsent: newAbsent}
+		switch {
+		case r.State == MoveDone && newAbsent && now.Before(r.Finish):
+			a.decision = move.Decision{Reason: "no server of the new version"}
+		case r.State == MoveDone:
 			a.decision = move.Decision{Share: 1, Phase: move.Done}
-		case MoveRolledBack:
+		case r.State == MoveRolledBack:
 			a.decision = move.Decision{Phase: move.RolledBack, Veto: true}
 		default:
 			state := move.State{
-				Plan:     move.Plan{ID: r.ID, From: oldVersion, To: r.To, Start: r.Start, Deadline: r.Deadline, KeepUntil: r.Finish},
+				Plan:     move.Plan{ID: r.ID, From: oldVersion, To: r.To, Start: r.Start, Deadline: r.Deadline, KeepUntil: r.Finish, Retained: true},
 				Evidence: m.instance.counters.Totals(r.ID), Isolated: m.instance.members.Isolated(now),
+				NewAbsent: newAbsent, OldAbsent: oldAbsent,
 			}
 			if previous, ok := last[service]; ok && previous.ID == r.ID {
 				state.Previous = previous.decision
@@ -230,6 +241,17 @@
 	m.active.Store(&next)
 }
 
+// absentVersions reports whether no server of a service has the new version, and whether
+// there is no other version to move from. The caller holds m.mu.
+func (m *mover) absentVersions(service, newVersion string, now time.Time) (newAbsent, oldAbsent bool) {
+	var hasOld, hasNew bool
+	for _, w := range m.instance.pool.Service(service) {
+		hasOld = hasOld || w.Version != newVersion
+		hasNew = hasNew || w.Version == newVersion && w.Usable()
+	}
+	return m.presence.Observe(service, hasOld, hasNew, now)
+}
+
 // oldVersion represents, in the evidence, every version but the new one.
 const oldVersion = "old"
 
@@ -252,17 +274,22 @@
 			r = newMoveRecord(a.ID, o)
 		case r.State == MoveRunning && a.decision.Phase == move.RolledBack:
 			r.State = MoveRolledBack
-		case r.State == MoveRunning && a.decision.Phase == move.Done && a.decision.Share == 1 && !now.Before(r.Deadline):
+		case r.State == MoveRunning && a.decision.Phase == move.Done && a.decision.Share == 1 && !now.Before(r.Deadline) && !a.newAbsent:
 			r.State = MoveDone
 			r.Finish = now.Add(min(settleTime, r.Finish.Sub(r.Deadline)))
+		case r.State == MoveDone && a.newAbsent && now.Before(r.Finish):
+			r.State = MoveRolledBack // the old servers stop only at the report
 		}
 		if r != stored.moveRecord || stored.overwritten {
 			m.storeRecord(ctx, r, stored.revision)
 			continue
 		}
 		state := r.State
-		if state == MoveDone && now.Before(r.Finish) {
+		switch {
+		case state == MoveDone && now.Before(r.Finish):
 			state = MoveRunning
+		case state == MoveDone && a.newAbsent:
+			continue // the old servers would stop
 		}
 		if status := r.ID + string(state); status != reported && m.reportStatus(ctx, r, state) {
 			m.mu.Lock()
--- a/internal/entry/instance/assemble.go
+++ b/internal/entry/instance/assemble.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,8 @@
 	"wasabiworks.example/wasabiworks/internal/caller/services"
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
+	"wasabiworks.example/wasabiworks/internal/decide/move"
+	"wasabiworks.example/wasabiworks/internal/decide/route"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 	"wasabiworks.example/wasabiworks/internal/peer/crash"
 	"wasabiworks.example/wasabiworks/internal/peer/demand"
@@ -31,11 +34,16 @@
 		policy: i.config.Move, evidence: table, isolated: i.members.Isolated, store: store, now: i.now,
 		log: i.config.Log, metrics: i.metrics,
 		isHolder: func() bool { return i.members.WatchHolder(i.now()) == i.config.ID }, wake: make(chan struct{}, 1), catalogueChanged: make(chan struct{}, 1),
-		vetoStored: make(map[string]bool),
+		vetoStored: make(map[string]bool), serves: i.servesVersion, presence: move.Presence{Start: i.now()},
 	}
 	i.moveController.vetoes = newVetoes(i.moveController.onVeto)
 }
 
+// servesVersion reports whether an entry has a server of a version.
+func (i *Instance) servesVersion(entry, version string) bool {
+	return slices.ContainsFunc(i.fleet.View(entry), func(b route.Backend) bool { return b.Serves(version) })
+}
+
 func (i *Instance) initFleet() {
 	i.engine = engine.New(engine.Config{})
 	i.service = service.New(service.Config{})
--- a/internal/entry/instance/moves.go
+++ b/internal/entry/instance/moves.go
@@ -85,6 +85,9 @@
 	// half of the known failure domains. The policy move.Sequential then does not
 	// increase the share of a new version.
 	isolated func(now time.Time) bool
+	// serves reports whether an entry has a server of a version.
+	serves   func(entry, version string) bool
+	presence move.Presence // guarded by mu
 	store    kv.Store
 	now      func() time.Time
 	log      *zap.Logger
@@ -211,6 +214,7 @@
 
 func (m *moveController) decideOne(planned catalogue.Move, last move.Decision, now time.Time) move.Decision {
 	existing, vetoed := m.vetoes.Get(planned.ID)
+	newAbsent, oldAbsent := m.presence.Observe(planned.Entry, m.serves(planned.Entry, planned.From), m.serves(planned.Entry, planned.To), now)
 	d := m.policy.Decide(move.State{
 		Plan: move.Plan{
 			ID: planned.ID, From: planned.From, To: planned.To,
@@ -219,7 +223,7 @@
 		Evidence: m.evidence.Totals(planned.ID),
 		Vetoed:   vetoed,
 		Isolated: m.isolated(now),
-		Previous: last,
+		Previous: last, NewAbsent: newAbsent, OldAbsent: oldAbsent,
 	}, now)
 	if d.Veto && !vetoed {
 		// The peers receive the veto through the exchange. The OnChange callback
--- a/internal/entry/instance/moves_test.go
+++ b/internal/entry/instance/moves_test.go
@@ -34,8 +34,8 @@
 	m := &moveController{
 		policy: move.Sequential{}, evidence: new(evidence.Table), isolated: func(time.Time) bool { return false },
 		store: store, now: func() time.Time { return *now }, log: zap.NewNop(), metrics: metrics,
-		isHolder: func() bool { return false },
-		wake:     make(chan struct{}, 1), catalogueChanged: make(chan struct{}, 1), vetoStored: make(map[string]bool),
+		isHolder: func() bool { return false }, serves: func(string, string) bool { return true },
+		wake: make(chan struct{}, 1), catalogueChanged: make(chan struct{}, 1), vetoStored: make(map[string]bool),
 	}
 	m.vetoes = newVetoes(m.onVeto)
 	return m
