Raise the share of a new version only on routes with little traffic

Cause: dividing the share equally between all routes sent the new version relatively more of the long prompts, whose prefixes then stood on few servers.

Change: only a route whose steps would yield fewer than ten requests to the new version before the last ones gets more, up to half of its own requests, and together 3% of all.

--- a/internal/decide/move/schedule.go
+++ b/internal/decide/move/schedule.go
@@ -35,14 +35,21 @@
 // ln(1/s) to the log e-value, so at small shares few clients are affected before
 // a fault is detected. Evidence per unit of time is proportional to s ln(1/s)
 // and highest between 0.2 and 0.5.
-var stepShares = [...]float64{0.02, 0.05, 0.1, 0.15, 0.25, 0.35, 0.5, 0.7}
+var stepShares = [...]float64{0.02, 0.05, 0.1, evidenceShare, 0.25, 0.35, 0.5, 0.7}
 
 // stepTimes are the fractions of the ramp at which a version takes the steps after
 // the first one. Most of the time goes to a share that yields evidence nearly as
 // fast as the higher ones, but at which a version that turns bad late has had less
 // than a tenth of the requests of the whole move. Good evidence doesn't shorten
 // it, because it says nothing about faults that appear late.
-var stepTimes = [...]float64{0.04, 0.08, 0.2, 0.8, 0.86, 0.92, 0.96, 1}
+var stepTimes = [...]float64{0.04, 0.08, 0.2, lastStepsAt, 0.86, 0.92, 0.96, 1}
+
+const (
+	// evidenceShare is the share at which most of the evidence is collected, until
+	// lastStepsAt, the fraction of the ramp at which the last steps begin.
+	evidenceShare = 0.15
+	lastStepsAt   = 0.8
+)
 
 // ShareOf returns the share of the new version in a step, and 0 for step 0 and
 // steps that don't exist.
--- a/internal/decide/move/sequential.go
+++ b/internal/decide/move/sequential.go
@@ -61,7 +61,7 @@
 	if s.Isolated {
 		d = holdShare(cells, d, s.Previous)
 	}
-	d.RouteShares = routeShares(&s, d.Share)
+	d.RouteShares = routeShares(&s, d.Share, now)
 	return d
 }
 
