Accept only the rest of a stream from the server that takes over

Cause: what a second server sent was taken for the rest of the stream by its status and type. Events without a number were passed on wherever they stood, and the end of any event stream ended the client's.

Change: nothing of a server that takes over reaches the client before the event that follows. The end of a response that continued nothing breaks the stream off. A stream whose last event had no number is not resumed.

--- a/internal/caller/forward/failover.go
+++ b/internal/caller/forward/failover.go
@@ -107,10 +107,10 @@
 
 // reserveRetry reports whether another server can take the request over now, and
 // if so withdraws the retry from the budget. It runs beside the attempt, and only
-// reads fields of e that no attempt changes.
+// reads fields of e that the attempt changes while the failover is paused, if at all.
 func (e *exchange) reserveRetry() bool {
 	e.metrics.silences.WithLabelValues("checked").Inc()
-	if r, _, reason := e.permission(e.config.View()); reason != "" || !r.Includes(e.service) || !r.Repeatable() || len(e.attempts) >= r.Attempts {
+	if r, _, reason := e.permission(e.config.View()); reason != "" || !r.Includes(e.service) || !r.Repeatable() || !e.mayResume() || len(e.attempts) >= r.Attempts {
 		return false
 	}
 	t, ok := e.chooseServer()
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -100,7 +100,7 @@
 // withdraws the retry from the budget. runs is the number of attempts in which a
 // server may have run the request.
 func (e *exchange) mayRetry(ctx context.Context, runs int) bool {
-	return e.route.Repeatable() && runs < e.route.Attempts && ctx.Err() == nil &&
+	return e.route.Repeatable() && e.mayResume() && runs < e.route.Attempts && ctx.Err() == nil &&
 		e.config.Poison.Blocked(e.suspect) == poison.NotBlocked && e.withdrawRetry(ctx)
 }
 
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -30,6 +30,7 @@
 	err             error
 	promptProcessed bool
 	isStream        bool
+	continued       bool // the response is a stream, or the rest of one, as the client needs it
 	pace            pace
 	verdict         *verdict
 	cancel          context.CancelFunc
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -26,19 +26,30 @@
 	firstEventFactor = 3
 )
 
-var errEventTooLong = errors.New("stream event exceeds the size limit")
+var (
+	errEventTooLong = errors.New("stream event exceeds the size limit")
+	errNotContinued = errors.New("backend server's response does not continue the stream that another one began")
+)
 
 // streamProgress is the position of the client in a stream.
 type streamProgress struct {
 	lastID     string // ID of the last event sent to the client
 	lastNumber int64  // the last ID that is a number; 0 if there was none
+	// unnumbered is true if an event without such an ID was sent after it, so that the
+	// position is not known.
+	unnumbered bool
+}
+
+// mayResume reports whether another server may continue the stream, if it has begun.
+func (e *exchange) mayResume() bool {
+	return !e.streamStarted || e.stream.lastNumber > 0 && !e.stream.unnumbered
 }
 
 // relay forwards the events of a stream as they arrive. Until the end of the
 // response it forwards complete events only, so that another server can resume the
 // stream after the last event.
 func (e *exchange) relay(a *attempt, r *http.Response, uncachedTokens int64) outcome {
-	a.isStream = true
+	a.isStream, a.continued = true, !e.streamStarted
 	reader := bufio.NewReaderSize(r.Body, 4<<10)
 	if e.route.Resumable && e.route.EventGap > 0 && len(e.attempts) < e.route.Attempts {
 		a.failover = startFailover(e.maxSilence(a), e.reserveRetry, a.cancel)
@@ -63,6 +74,7 @@
 			a.failover.extend(e.maxSilence(a))
 			continue
 		}
+		a.failover.pause()
 		if errors.Is(err, io.EOF) {
 			return e.finishStream(a, r, event)
 		}
@@ -83,10 +95,20 @@
 
 // forwardEvent writes one event to the client, unless an earlier server of a
 // resumed stream already sent it. It returns false if the stream cannot continue;
-// the outcome is meaningful only then.
+// the outcome is meaningful only then. Until a server that takes over has sent the event
+// that follows, nothing else of it may reach the client.
 func (e *exchange) forwardEvent(a *attempt, r *http.Response, event []byte, now time.Time) (outcome, bool) {
 	id, ok := eventID(event)
-	if n, err := strconv.ParseInt(id, 10, 64); ok && err == nil {
+	n, err := strconv.ParseInt(id, 10, 64)
+	numbered := ok && err == nil
+	if !numbered && !a.continued {
+		if isComment(event) {
+			return outcomeAnswered, true
+		}
+		a.err = errNotContinued
+		return e.recordInvalid(a), false
+	}
+	if numbered {
 		if e.stream.lastNumber > 0 && n <= e.stream.lastNumber {
 			return outcomeAnswered, true // the client already has this event
 		}
@@ -94,11 +116,14 @@
 			a.err = errors.New("backend server skipped events: got event " + id + " after event " + e.stream.lastID)
 			return outcomeLost, false
 		}
-		e.stream.lastNumber = n
+		e.stream.lastNumber, a.continued = n, true
 	}
 	if ok {
 		e.stream.lastID = id
 	}
+	if !isComment(event) {
+		e.stream.unnumbered = !numbered
+	}
 	e.writeHead(r, now)
 	if _, err := e.w.Write(event); err != nil {
 		a.err = err
@@ -127,7 +152,8 @@
 
 // finishStream ends a stream after the end of the server's response. rest is what
 // came after the last complete event. A stream that ends inside an event has been
-// broken off, and so has one without events that ends with its connection.
+// broken off, and so has one without events that ends with its connection. The end of a
+// response that continued nothing is not the end of the stream that it should continue.
 func (e *exchange) finishStream(a *attempt, r *http.Response, rest []byte) outcome {
 	now := e.config.Now()
 	endsWithConnection := r.ContentLength < 0 && len(r.TransferEncoding) == 0
@@ -135,6 +161,10 @@
 		a.err = io.ErrUnexpectedEOF
 		return e.handleTransportError(a, false)
 	}
+	if !a.continued {
+		a.err = errNotContinued
+		return e.recordInvalid(a)
+	}
 	e.writeHead(r, now)
 	a.server.Succeeded(now)
 	if a.pace.events > 0 {
@@ -164,6 +194,17 @@
 	}
 }
 
+// isComment reports whether an event consists of comments, which servers send to keep a
+// connection open.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the ID of an event, if it has one.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
