Answer the requests that are at work at the end of a planned stop

Cause: the end of the drain notice was known to the HTTP server only, which closed the connections under the handlers.

Change: 250 ms before the end, requests in progress are ended and answered, 503 as not run if they were sent to no server, else 504. Once the listener is closed, a request that was sent to no server is refused. Attempts ended by a stop are no evidence against servers and versions. Two new reasons, stopping and interrupted.

--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -138,8 +138,8 @@
 	Responding bool
 }
 
-// Config configures a Handler. All fields are required except Registerer, Log
-// and OnRequestEnd.
+// Config configures a Handler. All fields are required except Registerer, Log,
+// OnRequestEnd, Refusing and Ending.
 type Config struct {
 	Headers       Headers
 	FailureDomain string
@@ -162,6 +162,12 @@
 	MaxResponseBytes int64
 	// Draining reports whether client connections are closed after the response.
 	Draining func() bool
+	// Refusing reports whether requests that were sent to no server yet are refused,
+	// because a planned stop leaves them too little time; nil means never.
+	Refusing func() bool
+	// Ending ends when the requests in progress must be answered, shortly before a planned
+	// stop closes their connections; nil means never.
+	Ending context.Context
 }
 
 // defaultMaxBody bounds a request body, in bytes, if the table has no limit.
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -68,9 +68,20 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(e.deadline.Sub(h.config.Now())))
 	defer cancel()
+	if h.config.Ending != nil {
+		defer context.AfterFunc(h.config.Ending, cancel)()
+	}
 	e.run(ctx)
 }
 
+// refused reports whether the request comes too late in a planned stop to be sent.
+func (e *exchange) refused() bool {
+	return e.config.Refusing != nil && len(e.attempts) == 0 && e.config.Refusing()
+}
+
+// interrupted reports whether a planned stop has ended the request.
+func (e *exchange) interrupted() bool { return e.config.Ending != nil && e.config.Ending.Err() != nil }
+
 // exchange is one request of a client with its response.
 type exchange struct {
 	*Handler
@@ -111,6 +122,9 @@
 // empty Reason after adding the request to the retry budget.
 func (e *exchange) accept() Reason {
 	c := &e.config
+	if e.refused() {
+		return Stopping
+	}
 	e.view = c.View()
 	if e.view.Table == nil {
 		return NoConfiguration
@@ -180,6 +194,9 @@
 // accepted. It returns the reason to reject the request, or an empty Reason if it may
 // be sent.
 func (e *exchange) revalidate() Reason {
+	if e.refused() {
+		return Stopping
+	}
 	if reason := e.checkPoison(); reason != "" {
 		return reason
 	}
--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -55,6 +55,10 @@
 	// TimedOutUnsent means that the deadline passed before any server may have run
 	// the request.
 	TimedOutUnsent Reason = "timed-out-unsent"
+	// Stopping means that the instance stops, and had sent the request to no server.
+	Stopping Reason = "stopping"
+	// Interrupted means that the instance stops, and a server may have run the request.
+	Interrupted Reason = "interrupted"
 	// StreamBroken means that a stream ended before it was complete.
 	StreamBroken Reason = "stream-broken-off"
 )
@@ -62,7 +66,7 @@
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, MalformedBody, OverAllowance, PoisonRequest, PoisonPart,
-	NoServer, ServersFull, ServersUnreachable, ResponseLost, InvalidResponse, TimedOut, TimedOutUnsent, StreamBroken,
+	NoServer, ServersFull, ServersUnreachable, ResponseLost, InvalidResponse, TimedOut, TimedOutUnsent, Stopping, Interrupted, StreamBroken,
 }
 
 // defaultRetryAfter is the time after which a client should retry a request that
@@ -83,7 +87,7 @@
 // should retry, or 0 if the response gives no time.
 func (r Reason) status() (status int, notRun bool, retryAfter time.Duration) {
 	switch r {
-	case NoConfiguration, StaleConfiguration, NoServer, ServersFull, ServersUnreachable, TimedOutUnsent:
+	case NoConfiguration, StaleConfiguration, NoServer, ServersFull, ServersUnreachable, TimedOutUnsent, Stopping:
 		return http.StatusServiceUnavailable, true, defaultRetryAfter
 	case PoisonRequest, PoisonPart:
 		return http.StatusServiceUnavailable, true, poisonRetryAfter
@@ -97,7 +101,7 @@
 		return http.StatusRequestEntityTooLarge, true, 0
 	case OverAllowance:
 		return http.StatusTooManyRequests, true, defaultRetryAfter
-	case TimedOut:
+	case TimedOut, Interrupted:
 		return http.StatusGatewayTimeout, false, 0
 	default:
 		return http.StatusBadGateway, false, 0
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -116,6 +116,10 @@
 		// Prefer a server's error response to one of this instance.
 		e.deliver(e.failedResponse)
 		return
+	case e.interrupted() && runs > 0:
+		reason = Interrupted
+	case e.interrupted():
+		reason = Stopping
 	case ctx.Err() != nil && runs > 0:
 		reason = TimedOut
 	case ctx.Err() != nil:
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -150,19 +150,19 @@
 }
 
 // handleTransportError returns the outcome of an attempt without a complete
-// response. It marks the server as failed unless the client disconnected. If the
-// server may have run the request, it also counts the usage, and reports the loss
+// response. It marks the server as failed unless the client disconnected or a planned
+// stop ended the request. If the server may have run the request, it also counts the usage, and reports the loss
 // to Poison unless the attempt was canceled or timed out. nothingSent reports
 // whether provably no byte of the request was sent.
 func (e *exchange) handleTransportError(a *attempt, nothingSent bool) outcome {
-	clientLeft := e.r.Context().Err() != nil
-	if !clientLeft {
+	canceled := e.r.Context().Err() != nil || e.interrupted()
+	if !canceled {
 		a.server.Failed(e.config.Now())
 	}
 	if nothingSent {
 		return outcomeUnreachable
 	}
-	if !clientLeft && !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, context.DeadlineExceeded) {
+	if !canceled && !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, context.DeadlineExceeded) {
 		e.config.Poison.ReportLoss(e.loss(a))
 	}
 	e.countUsage()
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -64,6 +64,9 @@
 	// balancerDelay is how long the load balancer may still send connections to an
 	// instance that reports that it is not ready: two probes, one a second.
 	balancerDelay = 2500 * time.Millisecond
+	// answerMargin is how long before the end of the drain notice the requests in
+	// progress are answered.
+	answerMargin = 250 * time.Millisecond
 	// registrationGrace is how long servers whose entries lapsed while the store
 	// was unavailable have to register again. It is less than the two seconds
 	// after which a server that has left must receive no requests.
@@ -153,6 +156,11 @@
 	handler  *forward.Handler
 	table    atomic.Pointer[routes.Table]
 	draining atomic.Bool
+	// refusing is true once the listener for clients is closed in a planned stop, and
+	// ending ends shortly before the connections are.
+	refusing   atomic.Bool
+	ending     context.Context
+	endClients context.CancelFunc
 	// relayAvoidUntil is the time, by instance ID, until which a peer is not asked
 	// to relay the store. Only the follower's goroutine uses it.
 	relayAvoidUntil map[string]time.Time
@@ -210,6 +218,7 @@
 		relayAvoidUntil: make(map[string]time.Time), serverRevisions: make(map[string]int64), registered: make(map[string]membership.Member),
 		ownAddresses: listenAddresses(c.Clients, c.Ready, c.Peer, c.Operations),
 	}
+	f.ending, f.endClients = context.WithCancel(context.Background())
 	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay, MaxRelayAge: maxRelayAge, Now: f.now, Log: c.Log})
 	if err := f.initCluster(); err != nil {
 		return nil, err
@@ -224,6 +233,7 @@
 			Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instanceCount, Now: f.now,
 		}},
 		MaxResponseBytes: c.MaxResponseBytes, OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
+		Refusing: f.refusing.Load, Ending: f.ending,
 	})
 	return f, err
 }
@@ -304,6 +314,7 @@
 	// dutyCtx ends with ctx, so that a draining instance gives up the duty.
 	dutyCtx, stopDuty := context.WithCancel(ctx)
 	defer stopDuty()
+	defer f.endClients()
 	var wg sync.WaitGroup
 	wg.Go(func() { f.follower.Run(workCtx) })
 	wg.Go(func() { f.expireServers(workCtx) })
@@ -373,13 +384,17 @@
 
 // drain reports the instance as not ready, waits balancerDelay, or half of the
 // notice if that is shorter, so that the load balancer stops sending connections,
-// and then lets the requests in progress complete.
+// and then lets the requests in progress complete. Requests that come on open connections
+// after that are refused: there may be too little time left for them. Those that are
+// still in progress at the end of the notice get an answer.
 func (f *Instance) drain(clients *http.Server) error {
 	deadline := time.Now().Add(f.config.DrainTimeout)
 	f.draining.Store(true)
 	f.exchange.Leave()
 	f.config.Log.Info("planned shutdown started", zap.Time("deadline", deadline))
 	time.Sleep(min(balancerDelay, f.config.DrainTimeout/2))
+	f.refusing.Store(true)
+	defer time.AfterFunc(time.Until(deadline)-answerMargin, f.endClients).Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := clients.Shutdown(ctx); err != nil {
