--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -61,12 +61,17 @@
 	return len(p.workers)
 }
 
-// Put adds or updates a server. It reports whether the change may affect requests.
+// Put adds or updates a server. It reports whether the change may affect requests. An
+// update without the incarnation that the server is known to have is not the server's
+// own, and is ignored.
 func (p *Pool) Put(s Registration, now time.Time) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.removeAt, s.ID)
 	current, ok := p.workers[s.ID]
+	if ok && current.Incarnation != 0 && s.Incarnation == 0 {
+		return false
+	}
+	delete(p.removeAt, s.ID)
 	if ok && current.process() == s.process() && current.Service == s.Service && current.Version == s.Version {
 		// A process that is leaving never becomes usable again.
 		return s.Leaving && current.MarkLeaving()
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -322,3 +322,19 @@
 		t.Error("a process that said that it leaves is usable after it returned")
 	}
 }
+
+// Guards against an entry of another writer that moves a sound server to another service,
+// or takes it out of use for good (ROUTE).
+func TestUpdateWithoutIncarnationIsIgnored(t *testing.T) {
+	p := New()
+	s := Registration{ID: "a", Service: "s", Address: "127.0.0.1:1", Incarnation: 1}
+	p.Put(s, epoch)
+	odd := s
+	odd.Incarnation, odd.Service, odd.Leaving = 0, "other", true
+	if p.Put(odd, epoch) {
+		t.Error("an update without an incarnation changed the server")
+	}
+	if got := p.Service("s"); len(got) != 1 || !got[0].Usable() || len(p.Service("other")) != 0 {
+		t.Errorf("got servers %v of the service and %v of the other, want the server unchanged", got, p.Service("other"))
+	}
+}
