Pass paths that begin with two slashes on unchanged

Cause: net/url writes the scheme before an opaque part that begins with two slashes.

Change: such a target is sent as path and query, and refused with 400 if the request line would differ.

--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -133,6 +133,9 @@
 	if !strings.HasPrefix(e.requestURI, "/") {
 		e.requestURI = e.r.URL.RequestURI() // the request line has an absolute URI
 	}
+	if !isForwardable(e.requestURI) {
+		return MalformedTarget
+	}
 	var ok bool
 	if e.route, ok = e.matchRoute(e.view.Table); !ok {
 		if !e.view.Fresh {
--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -29,6 +29,8 @@
 	BodyTooLarge Reason = "body-too-large"
 	// MalformedBody means that the encoding of the request body is invalid.
 	MalformedBody Reason = "malformed-body"
+	// MalformedTarget means that the path cannot be sent to a server unchanged.
+	MalformedTarget Reason = "malformed-target"
 	// OverAllowance means that the workspace's allowance is used up.
 	OverAllowance Reason = "over-allowance"
 	// PoisonRequest means that the request has crashed several servers.
@@ -65,7 +67,7 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, MalformedBody, OverAllowance, PoisonRequest, PoisonPart,
+	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, MalformedBody, MalformedTarget, OverAllowance, PoisonRequest, PoisonPart,
 	NoServer, ServersFull, ServersUnreachable, ResponseLost, InvalidResponse, TimedOut, TimedOutUnsent, Stopping, Interrupted, StreamBroken,
 }
 
@@ -95,7 +97,7 @@
 		return http.StatusNotFound, true, 0
 	case UnknownKey:
 		return http.StatusUnauthorized, true, 0
-	case MalformedBody:
+	case MalformedBody, MalformedTarget:
 		return http.StatusBadRequest, true, 0
 	case BodyTooLarge:
 		return http.StatusRequestEntityTooLarge, true, 0
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -129,8 +128,9 @@
 	if e.stream.lastID != "" {
 		header.Set(lastEventIDHeader, e.stream.lastID)
 	}
+	target, _ := targetURL(t.server.Address, e.requestURI) // checked in accept
 	request := &http.Request{
-		Method: e.r.Method, URL: &url.URL{Scheme: "http", Host: t.server.Address, Opaque: e.requestURI}, Host: e.r.Host,
+		Method: e.r.Method, URL: target, Host: e.r.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
 		Body: nonRewindableBody{bytes.NewReader(e.body)}, ContentLength: int64(len(e.body)),
 	}
