Block crashing parts that stand behind many others in a prompt

Cause: the parts were read up to the bound that the choice of a server has.

Change: up to 1,024 parts of a prompt may be found to crash servers. The number of reports is lowered to keep the bound on memory.

--- a/internal/caller/forward/fuzz_test.go
+++ b/internal/caller/forward/fuzz_test.go
@@ -38,7 +38,7 @@
 	f.Add("1460,80", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
 	f.Add("-1,99999999999999999999", ",:,a:b,:1")
 	f.Fuzz(func(t *testing.T, tokens, prefix string) {
-		p := parsePrompt(tokens, prefix)
+		p, _ := parsePrompt(tokens, prefix)
 		shared, _ := p.Shared()
 		if p.Tokens < 0 || p.MaxTotalTokens < p.Tokens || shared < 0 || len(p.Parts) > maxParts {
 			t.Errorf("%q, %q: got %+v with %d shared tokens", tokens, prefix, p, shared)
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -151,9 +151,10 @@
 		return reason
 	}
 	e.deadline = e.computeDeadline()
-	e.prompt = parsePrompt(e.r.Header.Get(c.Headers.Tokens), e.r.Header.Get(c.Headers.Prefix))
+	var shared []uint64
+	e.prompt, shared = parsePrompt(e.r.Header.Get(c.Headers.Tokens), e.r.Header.Get(c.Headers.Prefix))
 	e.suspect = poison.Request{
-		Fingerprint: fingerprint(e.r.Method, e.requestURI, e.r.Header.Get(c.Headers.Key), e.body), Parts: sharedParts(e.prompt.Parts),
+		Fingerprint: fingerprint(e.r.Method, e.requestURI, e.r.Header.Get(c.Headers.Key), e.body), Parts: shared,
 	}
 	e.pickService()
 	if reason := e.checkPoison(); reason != "" {
--- a/internal/caller/forward/parts.go
+++ b/internal/caller/forward/parts.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
-	"wasabiworks.example/wasabiworks/internal/decide/route"
 )
 
 // crashWindow is the time after the first event of a stream in which a server counts
@@ -12,19 +11,6 @@
 // respond to it does so within this time.
 const crashWindow = 250 * time.Millisecond
 
-// sharedParts returns the IDs of the parts that requests may share: all but the
-// last one, which belongs to the request or its session.
-func sharedParts(parts []route.Part) []uint64 {
-	if len(parts) < 2 {
-		return nil
-	}
-	ids := make([]uint64, len(parts)-1)
-	for i := range ids {
-		ids[i] = parts[i].ID
-	}
-	return ids
-}
-
 // checkPoison returns the reason to reject the request if it crashes servers, or an
 // empty Reason if it may be sent. A request on trial is sent to one server only.
 func (e *exchange) checkPoison() Reason {
--- a/internal/decide/poison/causes.go
+++ b/internal/decide/poison/causes.go
@@ -34,9 +34,10 @@
 	// CrashRetention is the time between a crash and the deadline of its report.
 	CrashRetention = time.Hour
 	// maxCrashes and maxCausesPerCrash limit the memory that peers can make a set
-	// use to about 100 MB. The latter limits requests and parts separately.
-	maxCrashes        = 512
-	maxCausesPerCrash = 256
+	// use to about 100 MB. The latter limits requests and parts separately; one prompt
+	// may have as many parts.
+	maxCrashes        = 128
+	maxCausesPerCrash = 1024
 )
 
 // Request is what may crash a server that runs a request.
