Keep rejected versions out of the moves that follow

Cause: each version but the ordered one counted as the old one, and what was learned about a version ended with its move.

Change: the record of a move holds the versions whose moves were rolled back or replaced before they were done. They get no requests.

--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,6 +74,8 @@
 	// NoFallback excludes the other version, even if no server of the chosen
 	// version is usable.
 	NoFallback bool
+	// Rejected are versions that were rolled back before. They get no requests.
+	Rejected []string
 	// Step is the step of the move when the choice was made.
 	Step uint8
 }
@@ -80,6 +83,9 @@
 // accepts reports whether the request may be sent to a server of a version, and
 // whether that version is the preferred one.
 func (c VersionChoice) accepts(version string) (eligible, preferred bool) {
+	if slices.Contains(c.Rejected, version) {
+		return false, false
+	}
 	preferred = c.Move == "" || (version == c.NewVersion) == c.UseNewVersion
 	// A request for the new version may fall back to the old one, but a request
 	// for the old version is never sent to the new one.
--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -70,6 +71,40 @@
 	// Finish is when the move is reported to the operator as complete.
 	Finish time.Time `json:"finish"`
 	State  MoveState `json:"state"`
+	// Rejected are the versions whose moves were rolled back or replaced by another order
+	// before they were done, the latest first. Their servers may still be there.
+	Rejected rejectedVersions `json:"rejected"`
+}
+
+// rejectedVersions holds versions; those that are not used are empty.
+type rejectedVersions [maxRejected]string
+
+// list returns the versions without the empty ones.
+func (v *rejectedVersions) list() []string {
+	if i := slices.Index(v[:], ""); i >= 0 {
+		return v[:i]
+	}
+	return v[:]
+}
+
+// maxRejected bounds the rejected versions that a record holds.
+const maxRejected = 4
+
+// rejectedBy returns the versions that are rejected once a move to version to follows the
+// move of r.
+func (r *moveRecord) rejectedBy(to string) (rejected rejectedVersions) {
+	known := r.Rejected.list()
+	if r.State == MoveRunning || r.State == MoveRolledBack {
+		known = append([]string{r.To}, known...)
+	}
+	n := 0
+	for _, version := range known {
+		if version != to && n < maxRejected && !slices.Contains(rejected[:n], version) {
+			rejected[n] = version
+			n++
+		}
+	}
+	return rejected
 }
 
 // valid reports whether r is the record of a move of a service.
@@ -203,10 +238,15 @@
 	last := *m.active.Load()
 	next := make(map[string]activeMove)
 	for service, o := range m.orders {
-		newAbsent, oldAbsent := m.absentVersions(service, o.To, now)
 		r, ok := m.records[service]
-		if !ok || r.ID != moveID(o) {
-			a := activeMove{moveRecord: moveRecord{ID: moveID(o), Service: service, To: o.To, State: MoveRunning}, newAbsent: newAbsent}
+		isNew := !ok || r.ID != moveID(o)
+		rejected := r.Rejected
+		if isNew {
+			rejected = r.rejectedBy(o.To)
+		}
+		newAbsent, oldAbsent := m.absentVersions(service, o.To, rejected.list(), now)
+		if isNew {
+			a := activeMove{moveRecord: moveRecord{ID: moveID(o), Service: service, To: o.To, State: MoveRunning, Rejected: rejected}, newAbsent: newAbsent}
 			if oldAbsent && !newAbsent {
 				a.decision.Share = 1
 			}
@@ -243,13 +283,13 @@
 
 // absentVersions reports whether no server of a service has the new version, and whether
 // there is no other version to move from. The caller holds m.mu.
-func (m *mover) absentVersions(service, newVersion string, now time.Time) (newAbsent, oldAbsent bool) {
+func (m *mover) absentVersions(service, newVersion string, rejected []string, now time.Time) (newAbsent, oldAbsent bool) {
 	var hasOld, hasNew bool
 	for _, w := range m.instance.pool.Service(service) {
-		hasOld = hasOld || w.Version != newVersion
+		hasOld = hasOld || w.Version != newVersion && !slices.Contains(rejected, w.Version)
 		hasNew = hasNew || w.Version == newVersion && w.Usable()
 	}
-	return m.presence.Observe(service, hasOld, hasNew, now)
+	return m.presence.Observe(service+"/"+newVersion, hasOld, hasNew, now)
 }
 
 // oldVersion represents, in the evidence, every version but the new one.
@@ -272,6 +312,7 @@
 		switch {
 		case stored.ID != a.ID:
 			r = newMoveRecord(a.ID, o)
+			r.Rejected = a.Rejected
 		case r.State == MoveRunning && a.decision.Phase == move.RolledBack:
 			r.State = MoveRolledBack
 		case r.State == MoveRunning && a.decision.Phase == move.Done && a.decision.Share == 1 && !now.Before(r.Deadline) && !a.newAbsent:
@@ -353,6 +394,7 @@
 		return forward.VersionChoice{}
 	}
 	c := forward.VersionChoice{Move: a.ID, NewVersion: a.To, Step: a.decision.Step, NoFallback: a.decision.Phase != move.Running || a.decision.Share == 0 || a.decision.Share == 1}
+	c.Rejected = a.Rejected.list()
 	c.UseNewVersion = move.UsesNewVersion(a.decision.ShareOn(route), random)
 	return c
 }
