--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
@@ -372,68 +371,3 @@
 	}
 	e.config.OnRequestEnd(result)
 }
-
-type metrics struct {
-	requests, attempts  *prometheus.CounterVec
-	omitted, silences   *prometheus.CounterVec
-	firstByte, duration *prometheus.HistogramVec
-}
-
-func newMetrics(r prometheus.Registerer) (*metrics, error) {
-	buckets := prometheus.ExponentialBuckets(0.002, 2, 14)
-	m := &metrics{
-		requests:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_requests_total", Help: "Requests by kind of route and reason of their end."}, []string{"kind", "reason"}),
-		attempts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_sends_total", Help: "Requests sent to backend servers by outcome."}, []string{"outcome"}),
-		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "forward_first_byte_seconds", Help: "Time to the first byte of a server's answer.", Buckets: buckets}, []string{"kind"}),
-		duration:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "forward_duration_seconds", Help: "Time to the end of a request.", Buckets: buckets}, []string{"kind"}),
-		silences:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_silences_total", Help: "Checks of attempts at silent servers, and those that were ended for another server."}, []string{"outcome"}),
-		omitted:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_log_lines_omitted_total", Help: "Lines for requests left out beyond the budget of lines."}, []string{"kind"}),
-	}
-	if r == nil {
-		return m, nil
-	}
-	for _, c := range []prometheus.Collector{m.requests, m.attempts, m.omitted, m.silences, m.firstByte, m.duration} {
-		if err := r.Register(c); err != nil {
-			return nil, err
-		}
-	}
-	return m, nil
-}
-
-// log writes one line with the request's result and the reasons for it, unless
-// the rate limit for such lines is exceeded.
-func (e *exchange) log(now time.Time) {
-	limiter, kind := &e.failureLogLimit, "failed"
-	if e.reason == Served || e.reason == ClientLeft {
-		limiter, kind = &e.routineLogLimit, "routine"
-	}
-	if limiter.Wait(1, now) > 0 {
-		e.metrics.omitted.WithLabelValues(kind).Inc()
-		return
-	}
-	limiter.Spend(1, now)
-	fields := make([]zap.Field, 0, 16)
-	fields = append(fields, zap.String("request", e.id), zap.String("reason", string(e.reason)), zap.Int("status", e.status),
-		zap.Duration("took", now.Sub(e.start)))
-	if e.view.Table != nil {
-		fields = append(fields, zap.Int64("configuration", e.view.Table.Version), zap.Duration("confirmed-before", e.start.Sub(e.view.Confirmed)))
-	}
-	if e.route != nil {
-		fields = append(fields, zap.String("route", e.route.Name), zap.String("service", e.service), zap.String("workspace", e.workspace),
-			zap.Duration("time-limit", e.deadline.Sub(e.start)))
-	}
-	if e.versionChoice.Move != "" {
-		fields = append(fields, zap.String("move", e.versionChoice.Move), zap.Bool("new-version", e.versionChoice.UseNewVersion), zap.Uint8("step", e.versionChoice.Step))
-	}
-	if e.reason == OverAllowance {
-		fields = append(fields, zap.Float64("units", e.allowanceUnits), zap.Duration("retry-after", e.admission.RetryAfter),
-			zap.String("decided-by", e.admission.DecidedBy), zap.String("used-up", e.admission.ExhaustedLimit))
-	}
-	if !e.firstByte.IsZero() {
-		fields = append(fields, zap.Duration("first-byte", e.firstByte.Sub(e.start)), zap.String("last-event", e.stream.lastID))
-	}
-	if len(e.attempts) > 0 {
-		fields = append(fields, zap.Objects("sends", e.attempts))
-	}
-	e.config.Log.Info("request ended", fields...)
-}
--- /dev/null
+++ b/internal/caller/forward/log.go
@@ -0,0 +1,45 @@
+package forward
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// log writes one line with the request's result and the reasons for it, unless
+// the rate limit for such lines is exceeded.
+func (e *exchange) log(now time.Time) {
+	limiter, kind := &e.failureLogLimit, "failed"
+	if e.reason == Served || e.reason == ClientLeft {
+		limiter, kind = &e.routineLogLimit, "routine"
+	}
+	if limiter.Wait(1, now) > 0 {
+		e.metrics.omitted.WithLabelValues(kind).Inc()
+		return
+	}
+	limiter.Spend(1, now)
+	fields := make([]zap.Field, 0, 16)
+	fields = append(fields, zap.String("request", e.id), zap.String("reason", string(e.reason)), zap.Int("status", e.status),
+		zap.Duration("took", now.Sub(e.start)))
+	if e.view.Table != nil {
+		fields = append(fields, zap.Int64("configuration", e.view.Table.Version), zap.Duration("confirmed-before", e.start.Sub(e.view.Confirmed)))
+	}
+	if e.route != nil {
+		fields = append(fields, zap.String("route", e.route.Name), zap.String("service", e.service), zap.String("workspace", e.workspace),
+			zap.Duration("time-limit", e.deadline.Sub(e.start)))
+	}
+	if e.versionChoice.Move != "" {
+		fields = append(fields, zap.String("move", e.versionChoice.Move), zap.Bool("new-version", e.versionChoice.UseNewVersion), zap.Uint8("step", e.versionChoice.Step))
+	}
+	if e.reason == OverAllowance {
+		fields = append(fields, zap.Float64("units", e.allowanceUnits), zap.Duration("retry-after", e.admission.RetryAfter),
+			zap.String("decided-by", e.admission.DecidedBy), zap.String("used-up", e.admission.ExhaustedLimit))
+	}
+	if !e.firstByte.IsZero() {
+		fields = append(fields, zap.Duration("first-byte", e.firstByte.Sub(e.start)), zap.String("last-event", e.stream.lastID))
+	}
+	if len(e.attempts) > 0 {
+		fields = append(fields, zap.Objects("sends", e.attempts))
+	}
+	e.config.Log.Info("request ended", fields...)
+}
--- a/internal/decide/poison/causes_test.go
+++ b/internal/decide/poison/causes_test.go
@@ -198,6 +198,16 @@
 	})
 }
 
+// crashesAfter returns how many crashes came later than d after the nth.
+func crashesAfter(crashedAt []time.Time, n int, d time.Duration) (late int) {
+	for i, at := range crashedAt {
+		if i >= n && at.Sub(crashedAt[n-1]) > d {
+			late++
+		}
+	}
+	return late
+}
+
 // promptRun is a prompt on a simulated server.
 type promptRun struct {
 	request Request
@@ -267,13 +277,7 @@
 				running[server] = append(running[server], promptRun{request, now.Add(200 * time.Millisecond)})
 			}
 		}
-		late := 0
-		for n, at := range crashedAt {
-			if n >= 5 && at.Sub(crashedAt[4]) > contactTime {
-				late++
-			}
-		}
-		if late > allowedCrashes {
+		if late := crashesAfter(crashedAt, 5, contactTime); late > allowedCrashes {
 			t.Fatalf("%d crashes later than %v after the fifth, want at most %d; all: %v", late, contactTime, allowedCrashes, crashedAt)
 		}
 		if refused > 20 {
--- a/internal/decide/poison/requests_test.go
+++ b/internal/decide/poison/requests_test.go
@@ -183,13 +183,7 @@
 				crashedAt = append(crashedAt, now)
 			}
 		}
-		late := 0
-		for n, at := range crashedAt {
-			if n >= 3 && at.Sub(crashedAt[2]) > contactTime {
-				late++
-			}
-		}
-		if late > allowedCrashes {
+		if late := crashesAfter(crashedAt, 3, contactTime); late > allowedCrashes {
 			t.Fatalf("%d crashes later than %v after the third, want at most %d; all: %v", late, contactTime, allowedCrashes, crashedAt)
 		}
 	})
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -161,33 +161,45 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.failing.Store(err != nil)
 		if err != nil {
-			f.lastFailure.Store(now.UnixNano())
-			f.changes.wakeWaiting() // the peers must look for another instance
-			if failures == 0 {
-				f.config.Log.Warn("follower's call to the store failed", zap.Error(err), zap.Int64("revision", from), zap.Duration("confirmed-before", now.Sub(f.Confirmed())))
-			}
+			f.recordFailure(err, from, failures, now)
 			bound := min(maxBackoff, initialBackoff<<min(failures, 10))
 			wait.For(ctx, bound/2+rand.N(bound/2))
 			failures++
 			continue
 		}
-		if failures > 0 {
-			failures = 0
-			f.config.Log.Info("follower's calls to the store succeed again", zap.Int64("revision", next), zap.Duration("confirmed-before", now.Sub(f.Confirmed())))
-		}
-		if next != 0 {
-			f.confirmed.Store(sent.UnixNano())
-			f.changes.wakeWaiting()
-		}
-		from, watching = next, true
+		f.recordSuccess(next, failures, sent, now)
+		from, failures, watching = next, 0, true
 		if count > 0 || now.Sub(sent) < batchDelay {
 			wait.For(ctx, batchDelay)
 		}
 	}
 }
 
+// recordFailure records that a call to the store failed at now, after the given number of
+// consecutive failures.
+func (f *Follower) recordFailure(err error, from int64, failures int, now time.Time) {
+	f.failing.Store(true)
+	f.lastFailure.Store(now.UnixNano())
+	f.changes.wakeWaiting() // the peers must look for another instance
+	if failures == 0 {
+		f.config.Log.Warn("follower's call to the store failed", zap.Error(err), zap.Int64("revision", from), zap.Duration("confirmed-before", now.Sub(f.Confirmed())))
+	}
+}
+
+// recordSuccess records that a call to the store, made at sent, succeeded. The copy is
+// confirmed as of then unless next is 0.
+func (f *Follower) recordSuccess(next int64, failures int, sent, now time.Time) {
+	f.failing.Store(false)
+	if failures > 0 {
+		f.config.Log.Info("follower's calls to the store succeed again", zap.Int64("revision", next), zap.Duration("confirmed-before", now.Sub(f.Confirmed())))
+	}
+	if next != 0 {
+		f.confirmed.Store(sent.UnixNano())
+		f.changes.wakeWaiting()
+	}
+}
+
 // listStale applies a listing that may be some seconds old and returns the revision
 // to continue from, or 0 if the listing failed. The first changes after it confirm
 // the copy. A large fleet that starts at once then costs the store little.
