Never reject the version that served before the moves in progress

Cause: found in reading the change of rejected versions: after the operator had ordered the old version back and then another one, the old version counted as one whose move was replaced, and an unproved one would have got all requests.

Change: the record of a move holds the version that served before the first move that is not done, and it is never rejected. A completed response allocates nothing while no crash is known.

Measured: TestRejectedVersionsOfTheNextMove passes; its last two cases are the fault, by reading of the code before, not by a run of it.

--- a/internal/decide/poison/causes.go
+++ b/internal/decide/poison/causes.go
@@ -117,13 +117,12 @@
 // Completed records that a server completed a response to r, which clears the request
 // and its parts of all crashes known so far. It reports whether that changed the set.
 func (s *CauseSet) Completed(r Request) (changed bool) {
-	cs := r.causes()
-	if !s.anySuspect(cs) {
+	if !s.hasSuspect(r) {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range cs {
+	for _, c := range r.causes() {
 		known, ok := s.suspects[c]
 		if !ok {
 			continue
@@ -196,13 +195,15 @@
 	return parts
 }
 
-func (s *CauseSet) anySuspect(cs []cause) bool {
+// hasSuspect reports whether r or a part of its prompt was in flight at a crash and not
+// cleared since.
+func (s *CauseSet) hasSuspect(r Request) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	if len(s.suspects) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(cs, func(c cause) bool { return s.suspects[c] != nil })
+	return slices.ContainsFunc(r.causes(), func(c cause) bool { return s.suspects[c] != nil })
 }
 
 // blocked reports whether c, one of the causes cs of a request, blocks it. Another
--- a/internal/entry/gateway/moverecord.go
+++ b/internal/entry/gateway/moverecord.go
@@ -47,6 +47,9 @@
 	// Rejected are the versions whose moves were rolled back or replaced by another order
 	// before they were done, the latest first. Their servers may still be there.
 	Rejected rejectedVersions `json:"rejected"`
+	// Baseline is the version that served before the first move that is not done. It is
+	// never rejected, also if it was ordered back and another order followed.
+	Baseline string `json:"baseline"`
 }
 
 // rejectedVersions holds versions; those that are not used are empty.
@@ -63,21 +66,30 @@
 // maxRejected bounds the rejected versions that a record holds.
 const maxRejected = 4
 
-// rejectedBy returns the versions that are rejected once a move to version to follows the
-// move of r.
-func (r *moveRecord) rejectedBy(to string) (rejected rejectedVersions) {
+// following returns the baseline and the rejected versions of a move to version to that
+// follows the move of r. r is the zero value if there was none. serving is the version of
+// most servers but those of version to.
+func (r *moveRecord) following(to, serving string) (baseline string, rejected rejectedVersions) {
+	switch {
+	case r.State == MoveDone:
+		baseline = r.To
+	case r.Baseline != "":
+		baseline = r.Baseline
+	default:
+		baseline = serving
+	}
 	known := r.Rejected.list()
 	if r.State == MoveRunning || r.State == MoveRolledBack {
 		known = append([]string{r.To}, known...)
 	}
 	n := 0
 	for _, version := range known {
-		if version != to && n < maxRejected && !slices.Contains(rejected[:n], version) {
+		if version != to && version != baseline && n < maxRejected && !slices.Contains(rejected[:n], version) {
 			rejected[n] = version
 			n++
 		}
 	}
-	return rejected
+	return baseline, rejected
 }
 
 // valid reports whether r is the record of a move of a service.
@@ -98,7 +110,7 @@
 		switch {
 		case stored.ID != a.ID:
 			r = newMoveRecord(a.ID, o)
-			r.Rejected = a.Rejected
+			r.Baseline, r.Rejected = a.Baseline, a.Rejected
 		case r.State == MoveRunning && a.decision.Phase == move.RolledBack:
 			r.State = MoveRolledBack
 		case r.State == MoveRunning && a.decision.Phase == move.Done && a.decision.Share == 1 && !now.Before(r.Deadline) && !a.newAbsent:
--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -167,13 +167,13 @@
 	for service, o := range m.orders {
 		r, ok := m.records[service]
 		isNew := !ok || r.ID != moveID(o)
-		rejected := r.Rejected
+		baseline, rejected := r.Baseline, r.Rejected
 		if isNew {
-			rejected = r.rejectedBy(o.To)
+			baseline, rejected = r.following(o.To, m.servingVersion(service, o.To))
 		}
 		newAbsent, oldAbsent := m.absentVersions(service, o.To, rejected.list(), now)
 		if isNew {
-			a := activeMove{moveRecord: moveRecord{ID: moveID(o), Service: service, To: o.To, State: MoveRunning, Rejected: rejected}, newAbsent: newAbsent}
+			a := activeMove{moveRecord: moveRecord{ID: moveID(o), Service: service, To: o.To, State: MoveRunning, Rejected: rejected, Baseline: baseline}, newAbsent: newAbsent}
 			if oldAbsent && !newAbsent {
 				a.decision.Share = 1
 			}
@@ -208,6 +208,22 @@
 	m.active.Store(&next)
 }
 
+// servingVersion returns the version that most servers of a service have, other than the
+// given one, or "" if there is none.
+func (m *mover) servingVersion(service, other string) (version string) {
+	servers := make(map[string]int)
+	for _, w := range m.instance.pool.Service(service) {
+		if w.Version == other {
+			continue
+		}
+		servers[w.Version]++
+		if n := servers[w.Version]; n > servers[version] || n == servers[version] && w.Version < version {
+			version = w.Version
+		}
+	}
+	return version
+}
+
 // absentVersions reports whether no server of a service has the new version, and whether
 // there is no other version to move from. The caller holds m.mu.
 func (m *mover) absentVersions(service, newVersion string, rejected []string, now time.Time) (newAbsent, oldAbsent bool) {
--- a/internal/entry/gateway/moves_test.go
+++ b/internal/entry/gateway/moves_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -60,3 +61,29 @@
 		}
 	}
 }
+
+// Guards against a version that served all along and is rejected, so that an unproved one
+// gets all requests, because it was ordered back and another order followed.
+func TestRejectedVersionsOfTheNextMove(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		previous moveRecord
+		to       string
+		baseline string
+		rejected []string
+	}{
+		{"first move", moveRecord{}, "v2", "v1", nil},
+		{"after one that is done", moveRecord{ID: "m", To: "v2", State: MoveDone, Baseline: "v1"}, "v3", "v2", nil},
+		{"after a rollback", moveRecord{ID: "m", To: "v2", State: MoveRolledBack, Baseline: "v1"}, "v3", "v1", []string{"v2"}},
+		{"rolled back and ordered again", moveRecord{ID: "m", To: "v2", State: MoveRolledBack, Baseline: "v1"}, "v2", "v1", nil},
+		{"replaced while in progress", moveRecord{ID: "m", To: "v2", State: MoveRunning, Baseline: "v1"}, "v3", "v1", []string{"v2"}},
+		{"ordered back", moveRecord{ID: "m", To: "v2", State: MoveRunning, Baseline: "v1"}, "v1", "v1", []string{"v2"}},
+		{"after it was ordered back", moveRecord{ID: "m", To: "v1", State: MoveRunning, Baseline: "v1", Rejected: rejectedVersions{"v2"}}, "v3", "v1", []string{"v2"}},
+		{"record without a baseline", moveRecord{ID: "m", To: "v1", State: MoveRunning}, "v3", "v1", nil},
+	} {
+		baseline, rejected := tt.previous.following(tt.to, "v1")
+		if baseline != tt.baseline || !slices.Equal(rejected.list(), tt.rejected) {
+			t.Errorf("%s: got baseline %q and rejected versions %v, want %q and %v", tt.name, baseline, rejected.list(), tt.baseline, tt.rejected)
+		}
+	}
+}
