--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -150,10 +150,11 @@
 }
 
 // handleTransportError returns the outcome of an attempt without a complete
-// response. It marks the server as failed unless the client disconnected or a planned
-// stop ended the request. If the server may have run the request, it also counts the usage, and reports the loss
-// to Poison unless the attempt was canceled or timed out. nothingSent reports
-// whether provably no byte of the request was sent.
+// response. It marks the server as failed unless the client disconnected or a
+// planned stop ended the request. If the server may have run the request, it also
+// counts the usage, and reports the loss to Poison unless the attempt was canceled
+// or timed out. nothingSent reports whether provably no byte of the request was
+// sent.
 func (e *exchange) handleTransportError(a *attempt, nothingSent bool) outcome {
 	canceled := e.r.Context().Err() != nil || e.interrupted()
 	if !canceled {
