Count only a test's own connections in the cut calls of services

The test counts all connections to a port of 127.0.0.1.

Change: the servers listen on a loopback address of the process. The counts and what they must be are unchanged.

Measured: the tests of the package pass three times with the race detector.

--- a/internal/caller/services/boundary_test.go
+++ b/internal/caller/services/boundary_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,13 @@
 	"github.com/matryer/is"
 )
 
+// ownAddress returns a loopback address that no other process listens on. Clients of other
+// tests connect again to ports of 127.0.0.1 that were theirs, and would be counted.
+func ownAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", pid/254/256%254+1, pid/254%256, pid%254+1)
+}
+
 // cutServer is a backend server on raw TCP that closes each connection at one
 // point of the HTTP exchange and records the bytes that arrived.
 type cutServer struct {
@@ -24,7 +32,7 @@
 }
 
 func newCutServer(t *testing.T, cutAt string) *cutServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ownAddress()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -237,7 +245,7 @@
 // request with an Idempotency-Key header if a reused connection breaks.
 func TestTransportDoesNotRepeat(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ownAddress()+":0")
 	is.NoErr(err)
 	var mu sync.Mutex
 	runs := make(map[string]int)
