Decide on a move until it is reported, and log the evidence

Once a move was recorded as done, nothing was counted or decided for the three seconds until the report, while the new version failed before the eyes of all instances. The holder of the duty now still rolls back in that time; the others follow its record, so that none uses servers that stop at the report.

--- a/internal/entry/gateway/moverecord.go
+++ b/internal/entry/gateway/moverecord.go
@@ -116,7 +116,7 @@
 		case r.State == MoveRunning && a.decision.Phase == move.Done && a.decision.Share == 1 && !now.Before(r.Deadline) && !a.newAbsent:
 			r.State = MoveDone
 			r.Finish = now.Add(min(settleTime, r.Finish.Sub(r.Deadline)))
-		case r.State == MoveDone && a.newAbsent && now.Before(r.Finish):
+		case r.State == MoveDone && (a.newAbsent || a.decision.Phase == move.RolledBack) && now.Before(r.Finish):
 			r.State = MoveRolledBack // the old servers stop only at the report
 		}
 		if r != stored.moveRecord || stored.overwritten {
--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -181,33 +181,54 @@
 			continue
 		}
 		a := activeMove{moveRecord: r.moveRecord, newAbsent: newAbsent}
-		switch {
-		case r.State == MoveDone && newAbsent && now.Before(r.Finish):
-			a.decision = move.Decision{Reason: "no server of the new version"}
-		case r.State == MoveDone:
-			a.decision = move.Decision{Share: 1, Phase: move.Done}
-		case r.State == MoveRolledBack:
-			a.decision = move.Decision{Phase: move.RolledBack, Veto: true}
-		default:
-			state := move.State{
-				Plan:     move.Plan{ID: r.ID, From: oldVersion, To: r.To, Start: r.Start, Deadline: r.Deadline, KeepUntil: r.Finish, Retained: true},
-				Evidence: m.instance.counters.Totals(r.ID), Isolated: m.instance.members.Isolated(now),
-				NewAbsent: newAbsent, OldAbsent: oldAbsent,
-			}
-			if previous, ok := last[service]; ok && previous.ID == r.ID {
-				state.Previous = previous.decision
-			}
-			a.decision = move.Sequential{}.Decide(state, now)
-			if previous, ok := last[service]; ok && previous.decision.Reason != a.decision.Reason {
-				m.instance.config.Log.Info("reason for move decision changed", zap.String("service", service), zap.String("to", r.To), zap.Float64("share", a.decision.Share),
-					zap.String("reason", a.decision.Reason), zap.Float64("log-e", a.decision.LogE))
-			}
+		state := move.State{
+			Plan:      move.Plan{ID: r.ID, From: oldVersion, To: r.To, Start: r.Start, Deadline: r.Deadline, KeepUntil: r.Finish, Retained: true},
+			NewAbsent: newAbsent, OldAbsent: oldAbsent,
+		}
+		previous, ok := last[service]
+		if ok && previous.ID == r.ID {
+			state.Previous = previous.decision
+		}
+		_, isHolder := m.instance.duty.Fence()
+		a.decision = m.decideRecorded(r.State, state, isHolder, now)
+		if ok && previous.decision.Reason != a.decision.Reason {
+			m.logDecision(&a)
 		}
 		next[service] = a
 	}
 	m.active.Store(&next)
 }
 
+// decideRecorded decides on a move that has a record in a state. Until the report that a
+// move is done, its new version can still be rolled back, since the old servers are there.
+// Only the holder of the duty does so: the other instances follow its record, so that
+// none sends requests to servers that stop at the report.
+func (m *mover) decideRecorded(recorded MoveState, s move.State, isHolder bool, now time.Time) move.Decision {
+	switch {
+	case recorded == MoveRolledBack:
+		return move.Decision{Phase: move.RolledBack, Veto: true}
+	case recorded == MoveDone && !now.Before(s.Plan.KeepUntil):
+		return move.Decision{Share: 1, Phase: move.Done}
+	case recorded == MoveDone && s.NewAbsent:
+		return move.Decision{Reason: "no server of the new version"}
+	}
+	s.Evidence = m.instance.counters.Totals(s.Plan.ID)
+	if recorded == MoveDone {
+		return move.Sequential{}.Review(s, isHolder, now)
+	}
+	s.Isolated = m.instance.members.Isolated(now)
+	return move.Sequential{}.Decide(s, now)
+}
+
+// logDecision logs a decision with the evidence for it.
+func (m *mover) logDecision(a *activeMove) {
+	d := &a.decision
+	m.instance.config.Log.Info("reason for move decision changed", zap.String("service", a.Service), zap.String("to", a.To), zap.Float64("share", d.Share),
+		zap.String("reason", d.Reason), zap.Float64("log-e", d.LogE), zap.String("doubt-route", d.Doubt.Route), zap.Float64("doubt-ratio", d.Doubt.Ratio),
+		zap.Bool("slow", d.Doubt.Slow), zap.Float64("requests", d.Doubt.Requests), zap.Float64("bad", d.Doubt.Bad),
+		zap.Float64("old-requests", d.Doubt.OldRequests), zap.Float64("old-bad", d.Doubt.OldBad))
+}
+
 // servingVersion returns the version that most servers of a service have, other than the
 // given one, or "" if there is none.
 func (m *mover) servingVersion(service, other string) (version string) {
