--- a/internal/decide/move/doubt.go
+++ b/internal/decide/move/doubt.go
@@ -77,27 +77,31 @@
 	return failures
 }
 
-// routeCounts are the requests and bad outcomes on a route by version: 0 is the old one,
-// 1 the new one.
-type routeCounts struct {
-	requests [2]float64
-	bad      [numKinds][2]float64
-}
-
-func (n *routeCounts) add(version int, c evidence.Count) {
-	n.requests[version] += float64(c.Answered) + float64(c.Failed)
+// routeCounts are, for each kind of bad outcome, the requests and bad outcomes on a route
+// by version: 0 is the old one, 1 the new one.
+type routeCounts struct{ requests, bad [numKinds][2]float64 }
+
+// add adds the outcomes of a version in a step. Slow answers at share 1 are left out: the
+// load differs from that before, and both versions may be slow under it.
+func (n *routeCounts) add(version int, step uint8, c evidence.Count) {
+	requests := float64(c.Answered) + float64(c.Failed)
+	n.requests[failures][version] += requests
 	n.bad[failures][version] += float64(c.Failed)
-	n.bad[slowness][version] += float64(c.Slow)
+	if ShareOf(step) < 1 {
+		n.requests[slowness][version] += requests
+		n.bad[slowness][version] += float64(c.Slow)
+	}
 }
 
 // exceeds reports whether the new version has had more than a share of all requests and
 // a number of requests beyond that.
 func (n *routeCounts) exceeds(share, requests float64) bool {
-	return n.requests[1] > share*(n.requests[0]+n.requests[1])+requests
+	all := n.requests[failures]
+	return all[1] > share*(all[0]+all[1])+requests
 }
 
 // countRoutes sums the evidence of all known steps, by route and over all routes. The
-// counts of the old version from before the move is complete are what the outcomes of
+// counts of the old version from before the move is complete are what the failures of
 // the new one at share 1 are compared with.
 func countRoutes(s *State) (byRoute map[string]*routeCounts, all routeCounts) {
 	byRoute = make(map[string]*routeCounts)
@@ -118,8 +122,8 @@
 			n = new(routeCounts)
 			byRoute[k.Route] = n
 		}
-		n.add(version, c)
-		all.add(version, c)
+		n.add(version, k.Step, c)
+		all.add(version, k.Step, c)
 	}
 	return byRoute, all
 }
@@ -129,7 +133,7 @@
 // ones on a rare one.
 func strongestDoubt(byRoute map[string]*routeCounts, all *routeCounts) (strongest Doubt) {
 	for kind := range numKinds {
-		overall := all.bad[kind][0] / max(all.requests[0], 1)
+		overall := all.bad[kind][0] / max(all.requests[kind][0], 1)
 		if d := all.doubt(kind, overall); d.Ratio > strongest.Ratio {
 			strongest = d
 		}
@@ -147,7 +151,8 @@
 // doubt returns the doubt on a route for a kind of outcome, given the old version's rate
 // of bad ones on all routes.
 func (n *routeCounts) doubt(kind int, overall float64) Doubt {
-	d := Doubt{Slow: kind == slowness, Requests: n.requests[1], Bad: n.bad[kind][1], OldRequests: n.requests[0], OldBad: n.bad[kind][0]}
+	requests, bad := n.requests[kind], n.bad[kind]
+	d := Doubt{Slow: kind == slowness, Requests: requests[1], Bad: bad[1], OldRequests: requests[0], OldBad: bad[0]}
 	if d.Bad == 0 {
 		return d
 	}
