Limit what the bodies of all requests hold together

When the sum of whole answers was used up, the next server's answer was taken for one without end. Padding counted as progress.

limit.Memory now bounds request bodies and answers, in allocated bytes. If it is full, the largest body still on its way makes room for smaller ones. An answer that doesn't fit says nothing about its server. Padding does not extend the time for silence, and 1 MiB of it ends an attempt.

--- a/cmd/wasabiworks/forward.go
+++ b/cmd/wasabiworks/forward.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,11 +26,19 @@
 	app *app
 }
 
+// maxHeapFraction is the fraction of the instance's memory from which the garbage
+// collector runs more often. The rest is for what it doesn't count, such as the buffers of
+// the kernel.
+const maxHeapFraction = 0.7
+
 // Execute implements flags.Commander.
 func (c *forwardCommand) Execute([]string) error {
 	if err := c.Check(); err != nil {
 		return err
 	}
+	if memory := c.MemoryBytes(); memory > 0 {
+		debug.SetMemoryLimit(int64(maxHeapFraction * float64(memory)))
+	}
 	registry := prometheus.NewRegistry()
 	log, logWriter, err := c.logger(c.app.stdout, registry)
 	if err != nil {
@@ -76,7 +85,7 @@
 		Store: platform.NewStore(c.Store), Cloud: platform.NewCloud(c.Cloud, c.Instance), Format: platform.Format(),
 		UsageWindow: window, Scale: c.HasDuty("autoscale"), AllowanceSlack: c.AllowanceSlack,
 		Retry:        gateway.RetryLimit{Ratio: c.RetryRatio, Slack: c.RetrySlack, Window: c.RetryWindow},
-		RevokeWithin: c.RevokeWithin, DrainTimeout: c.DrainNotice, MaxResponseBytes: c.MaxResponseBytes, Log: log, Registry: registry,
+		RevokeWithin: c.RevokeWithin, DrainTimeout: c.DrainNotice, MaxResponseBytes: c.MaxResponseBytes, MemoryBytes: c.MemoryBytes(), Log: log, Registry: registry,
 	})
 }
 
--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -2,11 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 )
 
@@ -14,7 +14,8 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   body
+	held   *limit.Holding
 }
 
 // minStatus and maxStatus bound the status of a final response. net/http panics if
@@ -54,14 +55,16 @@
 		}
 		return e.relay(a, r, uncachedTokens)
 	}
-	body, err := e.readResponse(r)
-	if errors.Is(err, errResponseTooLong) {
+	body, err := e.readResponse(a, r)
+	switch {
+	case errors.Is(err, errMemoryFull):
+		return e.drop(a)
+	case errors.Is(err, errTooLong):
 		// Bytes that are no response may come without end.
 		a.err = err
 		a.cancel()
 		return e.recordInvalid(a)
-	}
-	if err != nil {
+	case err != nil:
 		a.err = err
 		return e.handleTransportError(a, false)
 	}
@@ -72,7 +75,7 @@
 		a.err = errNoServerSeal
 		return e.recordInvalid(a)
 	}
-	res := &bufferedResponse{status: r.StatusCode, header: r.Header, body: body}
+	res := &bufferedResponse{status: r.StatusCode, header: r.Header, body: body, held: a.held}
 	if e.streamStarted {
 		// The client already has the headers of a stream, which this response
 		// cannot continue.
@@ -80,7 +83,8 @@
 		return outcomeLost
 	}
 	if r.StatusCode >= 500 && e.route.Repeatable() {
-		e.failedResponse = res
+		e.releaseFailedResponse()
+		e.failedResponse, a.held = res, nil
 		return outcomeFailed
 	}
 	if !e.route.Repeatable() && guaranteesNotRun(r.StatusCode) {
@@ -151,28 +155,27 @@
 }
 
 // readResponse reads the body of a response that is not a stream.
-func (e *exchange) readResponse(r *http.Response) (body []byte, err error) {
-	limit := e.config.MaxResponseBytes
-	if r.ContentLength > limit && e.r.Method != http.MethodHead {
-		return nil, errResponseTooLong
-	}
-	body = make([]byte, 0, min(maxInitialBuffer, max(minInitialBuffer, r.ContentLength+1)))
-	for {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := r.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		e.bufferedBytes += n
-		fits := e.buffered.take(n)
-		switch {
-		case int64(len(body)) > limit || !fits:
-			return body, errResponseTooLong
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return body, err
-		}
+func (e *exchange) readResponse(a *attempt, r *http.Response) (body, error) {
+	maxBytes := e.config.MaxResponseBytes
+	if r.ContentLength > maxBytes && e.r.Method != http.MethodHead {
+		return body{}, errTooLong
+	}
+	return readBody(r.Body, r.ContentLength, maxBytes, a.held)
+}
+
+// drop ends an attempt whose response does not fit into the memory of the instance, and
+// returns the outcome. That says nothing about the server.
+func (e *exchange) drop(a *attempt) outcome {
+	a.err = errMemoryFull
+	a.cancel()
+	e.countUsage()
+	return outcomeDropped
+}
+
+// releaseFailedResponse gives the memory of the failed response back.
+func (e *exchange) releaseFailedResponse() {
+	if e.failedResponse != nil {
+		e.failedResponse.held.Release()
 	}
 }
 
@@ -189,11 +192,11 @@
 			header["Content-Length"] = length
 		}
 	case res.status != http.StatusNoContent && res.status != http.StatusNotModified:
-		header.Set("Content-Length", strconv.Itoa(len(res.body)))
+		header.Set("Content-Length", strconv.FormatInt(res.body.size, 10))
 	}
 	e.firstByte = e.config.Now()
 	e.w.WriteHeader(res.status)
-	if _, err := e.w.Write(res.body); err != nil && e.r.Context().Err() != nil {
+	if err := res.body.writeTo(e.w); err != nil && e.r.Context().Err() != nil {
 		e.reason = ClientLeft
 	}
 }
--- a/internal/caller/forward/buffer.go
+++ b/internal/caller/forward/buffer.go
@@ -1,31 +1,90 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
-	"sync/atomic"
+	"io"
+
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
 )
 
 const (
-	// minInitialBuffer and maxInitialBuffer bound the size of the first buffer for
-	// a response, in bytes, whatever length the server announces.
-	minInitialBuffer = 512
-	maxInitialBuffer = 32 << 10
-	// maxBufferedResponses is the number of responses of the maximum size that may
-	// be buffered at once.
-	maxBufferedResponses = 16
+	// minPieceBytes and maxPieceBytes bound the size of one piece of a body. The first
+	// piece is no larger than the body's announced length, and each further one has twice
+	// the size of the one before.
+	minPieceBytes = 512
+	maxPieceBytes = 32 << 10
+	// defaultMemoryBytes is the default of Config.MemoryBytes. It is raised to one response
+	// of the maximum size.
+	defaultMemoryBytes = 64 << 20
+)
+
+var (
+	errTooLong    = errors.New("body exceeds the size limit")
+	errMemoryFull = errors.New("body does not fit into the memory of the instance")
 )
 
-var errResponseTooLong = errors.New("response exceeds the size limit")
+// body is a complete body of a request or response, in pieces: a single slice would be
+// copied as it grows, and the garbage counts until it is collected.
+type body struct {
+	pieces [][]byte
+	size   int64
+}
 
-// byteBudget limits the bytes that all requests buffer together. It is safe for
-// concurrent use.
-type byteBudget struct {
-	limit int64
-	used  atomic.Int64
+// readBody reads a body of at most maxBytes bytes, of which expected are announced, or
+// -1. The error is errTooLong, errMemoryFull or one of r.
+func readBody(r io.Reader, expected, maxBytes int64, held *limit.Holding) (b body, err error) {
+	next := int64(minPieceBytes)
+	if expected >= minPieceBytes {
+		next = min(maxPieceBytes, expected+1)
+	}
+	var allocated int64
+	var piece []byte
+	for {
+		if len(piece) == cap(piece) {
+			allocated += next
+			if !held.Resize(allocated) {
+				return b, errMemoryFull
+			}
+			piece = make([]byte, 0, next)
+			b.pieces = append(b.pieces, piece)
+			next = min(maxPieceBytes, 2*next)
+		}
+		n, err := r.Read(piece[len(piece):cap(piece)])
+		piece = piece[:len(piece)+n]
+		b.pieces[len(b.pieces)-1] = piece
+		b.size += int64(n)
+		switch {
+		case b.size > maxBytes:
+			return b, errTooLong
+		case errors.Is(err, io.EOF) && held.Keep():
+			return b, nil
+		case held.Evicted():
+			return b, errMemoryFull
+		case err != nil:
+			return b, err
+		}
+	}
 }
 
-// take adds n bytes and reports whether all bytes are within the limit. The bytes
-// must be released even if they are not.
-func (b *byteBudget) take(n int) bool { return b.used.Add(int64(n)) <= b.limit }
+// reader returns a reader of the body.
+func (b *body) reader() io.Reader {
+	if len(b.pieces) == 1 {
+		return bytes.NewReader(b.pieces[0])
+	}
+	readers := make([]io.Reader, len(b.pieces))
+	for i, p := range b.pieces {
+		readers[i] = bytes.NewReader(p)
+	}
+	return io.MultiReader(readers...)
+}
 
-func (b *byteBudget) release(n int) { b.used.Add(-int64(n)) }
+// writeTo writes the body to w.
+func (b *body) writeTo(w io.Writer) error {
+	for _, p := range b.pieces {
+		if _, err := w.Write(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -166,6 +166,10 @@
 	// MaxResponseBytes is the maximum size of a response that is not a stream; the
 	// default is 4 MiB. All of it is buffered before the client gets any of it.
 	MaxResponseBytes int64
+	// MemoryBytes is the memory for the bodies of all requests and responses together, in
+	// bytes, half for each; the default is 64 MiB, and the least one body of the maximum
+	// size of each.
+	MemoryBytes int64
 	// Draining reports whether client connections are closed after the response.
 	Draining func() bool
 	// Refusing reports whether requests that were sent to no server yet are refused,
@@ -184,12 +188,14 @@
 
 // fingerprint identifies a request by its content, so that it is recognized if
 // the client sends it again with another request ID.
-func fingerprint(method, requestURI, key string, body []byte) uint64 {
+func fingerprint(method, requestURI, key string, body ...[]byte) uint64 {
 	d := xxhash.New()
 	// Write on a Digest never fails.
 	for _, s := range []string{method, "\x00", requestURI, "\x00", key, "\x00"} {
 		_, _ = d.WriteString(s)
 	}
-	_, _ = d.Write(body)
+	for _, piece := range body {
+		_, _ = d.Write(piece)
+	}
 	return d.Sum64()
 }
--- a/internal/caller/forward/failover.go
+++ b/internal/caller/forward/failover.go
@@ -39,6 +39,7 @@
 	// deadline is when the silence is too long. It is zero while the server is not
 	// waited for.
 	deadline time.Time
+	left     time.Duration // until the deadline when the checks were suspended
 	inGrace  bool
 }
 
@@ -62,17 +63,28 @@
 	f.timer.Reset(silence)
 }
 
-// pause suspends the checks until extend is called.
+// pause suspends the checks until extend or resume is called.
 func (f *failover) pause() {
 	if f == nil {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.deadline = time.Time{}
+	f.left, f.deadline = time.Until(f.deadline), time.Time{}
 	f.timer.Stop()
 }
 
+// resume continues the checks, with the time for silence that was left.
+func (f *failover) resume() {
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deadline = time.Now().Add(f.left)
+	f.timer.Reset(f.left)
+}
+
 // stop ends the checks. It reports whether the attempt was ended and the next one
 // is reserved.
 func (f *failover) stop() (reserved bool) {
--- a/internal/caller/forward/fuzz_test.go
+++ b/internal/caller/forward/fuzz_test.go
@@ -14,10 +14,10 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nrest"))
 	f.Add([]byte("\n\n\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		r := bufio.NewReaderSize(bytes.NewReader(data), 16)
+		r := eventReader{reader: bufio.NewReaderSize(bytes.NewReader(data), 16)}
 		var got []byte
 		for {
-			event, err := readEvent(r)
+			event, err := r.next()
 			got = append(got, event...)
 			if errors.Is(err, io.EOF) {
 				break
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -20,9 +20,10 @@
 
 // Handler forwards requests. It is safe for concurrent use.
 type Handler struct {
-	config   Config
-	metrics  *metrics
-	buffered byteBudget
+	config  Config
+	metrics *metrics
+	// requests and responses are the memory for bodies.
+	requests, responses *limit.Memory
 	// routineLogLimit limits the log lines for requests that were served or that
 	// the client abandoned, and failureLogLimit those for other requests.
 	routineLogLimit, failureLogLimit limit.Allowance
@@ -41,14 +42,20 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
-	m, err := newMetrics(c.Registerer)
-	if err != nil {
-		return nil, err
-	}
 	if c.MaxResponseBytes == 0 {
 		c.MaxResponseBytes = defaultMaxResponse
 	}
-	h := &Handler{config: c, metrics: m, buffered: byteBudget{limit: maxBufferedResponses * c.MaxResponseBytes}}
+	if c.MemoryBytes == 0 {
+		c.MemoryBytes = defaultMemoryBytes
+	}
+	c.MemoryBytes = max(c.MemoryBytes, 2*c.MaxResponseBytes, 2*defaultMaxBody)
+	memory := limit.MemoryConfig{Bytes: c.MemoryBytes / 2}
+	requests, responses := limit.NewMemory(memory), limit.NewMemory(memory)
+	m, err := newMetrics(c.Registerer, func() float64 { return float64(requests.Used()) }, func() float64 { return float64(responses.Used()) })
+	if err != nil {
+		return nil, err
+	}
+	h := &Handler{config: c, metrics: m, requests: requests, responses: responses}
 	h.routineLogLimit.Set(routineLinesPerSecond, routineLinesPerSecond, c.Now())
 	h.failureLogLimit.Set(failureLinesPerSecond, failureLinesPerSecond, c.Now())
 	return h, nil
@@ -94,7 +101,8 @@
 	service       string
 	versionChoice VersionChoice
 	workspace     string
-	body          []byte
+	body          body
+	held          *limit.Holding // of the request body
 	requestURI    string
 	prompt        route.Prompt
 	suspect       poison.Request // what of the request may crash a server
@@ -113,7 +121,6 @@
 	stream         streamProgress
 	usageCounted   bool              // the request was counted in the workspace's usage
 	failedResponse *bufferedResponse // the last server error of an attempt
-	bufferedBytes  int               // taken from Handler.buffered
 }
 
 // accept reads and checks the request, picks its service and takes its units from
@@ -153,7 +160,7 @@
 	var shared []uint64
 	e.prompt, shared = parsePrompt(e.r.Header.Get(c.Headers.Tokens), e.r.Header.Get(c.Headers.Prefix))
 	e.suspect = poison.Request{
-		Fingerprint: fingerprint(e.r.Method, e.requestURI, e.r.Header.Get(c.Headers.Key), e.body), Parts: shared,
+		Fingerprint: fingerprint(e.r.Method, e.requestURI, e.r.Header.Get(c.Headers.Key), e.body.pieces...), Parts: shared,
 	}
 	e.pickService()
 	if reason := e.checkPoison(); reason != "" {
@@ -246,13 +253,17 @@
 	if e.r.ContentLength > maxBytes {
 		return BodyTooLarge
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, maxBytes))
+	controller := http.NewResponseController(e.w)
+	e.held = e.requests.Hold(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }) // ends the read
+	var err error
+	e.body, err = readBody(http.MaxBytesReader(e.w, e.r.Body, maxBytes), e.r.ContentLength, maxBytes, e.held)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
-		e.body = body
 		return ""
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, errMemoryFull):
+		return MemoryFull
+	case errors.Is(err, errTooLong) || errors.As(err, &tooLarge):
 		return BodyTooLarge
 	case e.r.Context().Err() != nil || errors.Is(err, io.ErrUnexpectedEOF):
 		return ClientLeft
@@ -339,7 +350,8 @@
 // Config.OnRequestEnd. It panics with http.ErrAbortHandler if a stream is incomplete
 // or nothing was written, since net/http would then send an empty success.
 func (e *exchange) finish() {
-	e.buffered.release(e.bufferedBytes)
+	e.held.Release()
+	e.releaseFailedResponse()
 	now := e.config.Now()
 	kind := "none"
 	if e.route != nil {
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -279,18 +279,6 @@
 	}
 }
 
-// Guards against many endless responses at once that together fill the memory.
-func TestBufferedBytesAreBoundedTogether(t *testing.T) {
-	b := byteBudget{limit: 100}
-	if !b.take(60) || b.take(60) {
-		t.Error("60 bytes twice: want only the first within 100")
-	}
-	b.release(120)
-	if !b.take(100) {
-		t.Error("100 bytes after the release: want them within 100")
-	}
-}
-
 // Guards against a response that is cut at the size limit and passed on as
 // complete, and against an idempotent request that is not retried then.
 func TestTooLongResponseIsNotCut(t *testing.T) {
--- a/internal/caller/forward/metrics.go
+++ b/internal/caller/forward/metrics.go
@@ -8,7 +8,9 @@
 	firstByte, duration *prometheus.HistogramVec
 }
 
-func newMetrics(r prometheus.Registerer) (*metrics, error) {
+// newMetrics registers the metrics. requestsHeld and responsesHeld return the bytes that
+// bodies hold.
+func newMetrics(r prometheus.Registerer, requestsHeld, responsesHeld func() float64) (*metrics, error) {
 	buckets := prometheus.ExponentialBuckets(0.002, 2, 14)
 	m := &metrics{
 		requests:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_requests_total", Help: "Requests by kind of route and reason of their end."}, []string{"kind", "reason"}),
@@ -21,7 +23,10 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.attempts, m.omitted, m.silences, m.firstByte, m.duration} {
+	held := func(kind string, bytes func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "forward_held_bytes", Help: "Bytes that large bodies hold.", ConstLabels: prometheus.Labels{"kind": kind}}, bytes)
+	}
+	for _, c := range []prometheus.Collector{m.requests, m.attempts, m.omitted, m.silences, m.firstByte, m.duration, held("requests", requestsHeld), held("responses", responsesHeld)} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -51,6 +51,11 @@
 	// InvalidResponse means that the server's response was invalid; the request may have
 	// run.
 	InvalidResponse Reason = "invalid-answer"
+	// ResponseDropped means that the instance had no memory left for the server's response;
+	// the request may have run.
+	ResponseDropped Reason = "answer-dropped"
+	// MemoryFull means that the instance had no memory left for the request's body.
+	MemoryFull Reason = "memory-full"
 	// TimedOut means that the deadline passed after a server may have run the
 	// request.
 	TimedOut Reason = "timed-out"
@@ -68,7 +73,7 @@
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, MalformedBody, MalformedTarget, OverAllowance, PoisonRequest, PoisonPart,
-	NoServer, ServersFull, ServersUnreachable, ResponseLost, InvalidResponse, TimedOut, TimedOutUnsent, Stopping, Interrupted, StreamBroken,
+	NoServer, ServersFull, ServersUnreachable, ResponseLost, InvalidResponse, ResponseDropped, MemoryFull, TimedOut, TimedOutUnsent, Stopping, Interrupted, StreamBroken,
 }
 
 // defaultRetryAfter is the time after which a client should retry a request that
@@ -89,7 +94,7 @@
 // should retry, or 0 if the response gives no time.
 func (r Reason) status() (status int, notRun bool, retryAfter time.Duration) {
 	switch r {
-	case NoConfiguration, StaleConfiguration, NoServer, ServersFull, ServersUnreachable, TimedOutUnsent, Stopping:
+	case NoConfiguration, StaleConfiguration, NoServer, ServersFull, ServersUnreachable, MemoryFull, TimedOutUnsent, Stopping:
 		return http.StatusServiceUnavailable, true, defaultRetryAfter
 	case PoisonRequest, PoisonPart:
 		return http.StatusServiceUnavailable, true, poisonRetryAfter
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -18,10 +18,11 @@
 	outcomeUnreachable                // no byte of the request was sent
 	outcomeLost                       // the request may have run; there is no complete response
 	outcomeInvalid                    // the request may have run; the response was invalid
+	outcomeDropped                    // the request may have run; the response did not fit into the instance's memory
 	outcomeFailed                     // a complete response with status 500 or above, to a request that may be repeated
 )
 
-var outcomeNames = [...]string{"answered", "not-run", "unreachable", "lost", "invalid", "failing"}
+var outcomeNames = [...]string{"answered", "not-run", "unreachable", "lost", "invalid", "dropped", "failing"}
 
 // String returns the name in logs and metrics.
 func (o outcome) String() string { return outcomeNames[o] }
@@ -84,8 +85,11 @@
 		default:
 			runs++
 			lastReason = ResponseLost
-			if result == outcomeInvalid {
+			switch result {
+			case outcomeInvalid:
 				lastReason = InvalidResponse
+			case outcomeDropped:
+				lastReason = ResponseDropped
 			}
 			retry = e.mayRetry(ctx, runs)
 		}
@@ -124,7 +128,7 @@
 		reason = TimedOut
 	case ctx.Err() != nil:
 		reason = TimedOutUnsent
-	case runs > 0 && reason != ResponseLost && reason != InvalidResponse:
+	case runs > 0 && reason != ResponseLost && reason != InvalidResponse && reason != ResponseDropped:
 		// A server may have run the request in an earlier attempt, so the
 		// response must not guarantee that the request did not run.
 		reason = ResponseLost
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -13,6 +12,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
 	"wasabiworks.example/wasabiworks/internal/backend/tcp"
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 )
 
@@ -34,6 +34,8 @@
 	verdict         *verdict
 	cancel          context.CancelFunc
 	failover        *failover // nil if no other server may take over
+	held            *limit.Holding
+	padding         int // bytes of the stream that brought the client nothing
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
@@ -80,13 +82,14 @@
 	defer cancel()
 	e.attempts = append(e.attempts, attempt{server: server, cacheSource: t.cacheSource, sentAt: now, sinceStart: now.Sub(e.start), cancel: cancel})
 	a := &e.attempts[len(e.attempts)-1]
-	a.verdict = e.newVerdict(a)
+	a.verdict, a.held = e.newVerdict(a), e.responses.Hold(cancel)
 	server.Begin(uncachedTokens, now)
 	defer func() {
 		if !a.promptProcessed {
 			server.PromptRead(uncachedTokens)
 		}
 		server.End()
+		a.held.Release()
 		e.endFailover(a)
 		a.took, a.outcome = e.config.Now().Sub(now), result
 		e.recordEnd(a)
@@ -132,7 +135,7 @@
 	request := &http.Request{
 		Method: e.r.Method, URL: target, Host: e.r.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
-		Body: nonRewindableBody{bytes.NewReader(e.body)}, ContentLength: int64(len(e.body)),
+		Body: nonRewindableBody{e.body.reader()}, ContentLength: e.body.size,
 	}
 	return request.WithContext(ctx)
 }
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -8,11 +8,19 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
 )
 
 const (
 	// maxEventSize bounds one event of a stream in bytes.
 	maxEventSize = 1 << 20
+	// maxPadding bounds the comments, and the events that the client already has, in the
+	// stream of an attempt, in bytes.
+	maxPadding = 1 << 20
+	// maxKeptEvent is the size of an event, in bytes, beyond which its memory is not used
+	// again for the next one.
+	maxKeptEvent = 16 << 10
 	// resumeSilenceFactor is the multiple of the route's EventGap, the longest
 	// time between two events that is on time, after which a resumable stream is moved
 	// to another server if its server sends nothing.
@@ -27,6 +35,7 @@
 )
 
 var (
+	errOnlyPadding  = errors.New("stream of the backend server brings too little but comments and repeated events")
 	errEventTooLong = errors.New("stream event exceeds the size limit")
 	errNotContinued = errors.New("backend server's response does not continue the stream that another one began")
 )
@@ -50,31 +59,37 @@
 // stream after the last event.
 func (e *exchange) relay(a *attempt, r *http.Response, uncachedTokens int64) outcome {
 	a.isStream, a.continued = true, !e.streamStarted
-	reader := bufio.NewReaderSize(r.Body, 4<<10)
+	reader := eventReader{reader: bufio.NewReaderSize(r.Body, 4<<10), held: a.held}
 	if e.route.Resumable && e.route.EventGap > 0 && len(e.attempts) < e.route.Attempts {
 		a.failover = startFailover(e.maxSilence(a), e.reserveRetry, a.cancel)
 	}
 	for {
-		event, err := readEvent(reader)
+		event, err := reader.next()
 		now := e.config.Now()
 		if len(event) > 0 && err == nil {
 			a.server.Received(now)
-			a.observe(now)
-			if !a.promptProcessed {
-				a.promptProcessed = true
-				a.server.PromptRead(uncachedTokens)
-				e.config.Usage.AddFirst(e.service, now.Sub(e.start) > e.route.Objective)
-				a.server.Prompts.Add(e.prompt.Parts, now)
-				e.countUsage()
+			if !isComment(event) {
+				e.recordEvent(a, uncachedTokens, now)
 			}
 			a.failover.pause() // the time that the client takes is no silence of the server
+			isPadding := e.isPadding(event)
+			if isPadding && !a.addPadding(len(event)) {
+				return e.recordInvalid(a)
+			}
 			if result, ok := e.forwardEvent(a, r, event, now); !ok {
 				return result
 			}
-			a.failover.extend(e.maxSilence(a))
+			if isPadding {
+				a.failover.resume()
+			} else {
+				a.failover.extend(e.maxSilence(a))
+			}
 			continue
 		}
 		a.failover.pause()
+		if errors.Is(err, errMemoryFull) {
+			return e.drop(a)
+		}
 		if errors.Is(err, io.EOF) {
 			return e.finishStream(a, r, event)
 		}
@@ -83,6 +98,40 @@
 	}
 }
 
+// recordEvent records an event of the server of an attempt. With the first one, it has
+// read the prompt.
+func (e *exchange) recordEvent(a *attempt, uncachedTokens int64, now time.Time) {
+	a.observe(now)
+	if a.promptProcessed {
+		return
+	}
+	a.promptProcessed = true
+	a.server.PromptRead(uncachedTokens)
+	e.config.Usage.AddFirst(e.service, now.Sub(e.start) > e.route.Objective)
+	a.server.Prompts.Add(e.prompt.Parts, now)
+	e.countUsage()
+}
+
+// isPadding reports whether an event brings the client nothing: it consists of comments,
+// or the client already has it.
+func (e *exchange) isPadding(event []byte) bool {
+	if isComment(event) {
+		return true
+	}
+	id, _ := eventID(event)
+	n, err := strconv.ParseInt(id, 10, 64)
+	return err == nil && e.stream.lastNumber > 0 && n <= e.stream.lastNumber
+}
+
+// addPadding adds bytes of padding, and reports whether the attempt may go on.
+func (a *attempt) addPadding(bytes int) bool {
+	if a.padding += bytes; a.padding > maxPadding {
+		a.err = errOnlyPadding
+		return false
+	}
+	return true
+}
+
 // maxSilence returns how long the server of a resumable stream may send nothing
 // before another one takes over.
 func (e *exchange) maxSilence(a *attempt) time.Duration {
@@ -174,22 +223,36 @@
 	return outcomeAnswered
 }
 
-// readEvent returns the next event with the blank line that ends it. Together
-// with io.EOF it returns the bytes after the last complete event.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
+// eventReader reads the events of a stream.
+type eventReader struct {
+	reader *bufio.Reader
+	held   *limit.Holding
+	event  []byte // the memory of the last event, which the next one uses again
+}
+
+// next returns the next event with the blank line that ends it. Together with io.EOF it
+// returns the bytes after the last complete event. The event is valid until the next
+// call.
+func (s *eventReader) next() ([]byte, error) {
+	if cap(s.event) > maxKeptEvent {
+		s.event = nil
+		s.held.Resize(0)
+	}
+	s.event = s.event[:0]
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		line, err := s.reader.ReadSlice('\n')
+		s.event = append(s.event, line...)
 		switch {
-		case len(event) > maxEventSize:
+		case len(s.event) > maxEventSize:
 			return nil, errEventTooLong
+		case !s.held.Resize(int64(cap(s.event))), err != nil && s.held.Evicted():
+			return nil, errMemoryFull
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err != nil:
-			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line):
-			return event, nil
+			return s.event, err
+		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(s.event) > len(line):
+			return s.event, nil
 		}
 	}
 }
--- a/internal/entry/gateway/burn.go
+++ b/internal/entry/gateway/burn.go
@@ -45,7 +45,7 @@
 		return burn.Good, false
 	case forward.OverAllowance:
 		return burn.Limited, true
-	case forward.NoConfiguration, forward.StaleConfiguration, forward.NoServer, forward.ServersFull, forward.ServersUnreachable, forward.TimedOutUnsent, forward.Stopping:
+	case forward.NoConfiguration, forward.StaleConfiguration, forward.NoServer, forward.ServersFull, forward.ServersUnreachable, forward.TimedOutUnsent, forward.Stopping, forward.MemoryFull:
 		return burn.Rejected, true
 	}
 	return burn.Failed, true
--- a/internal/entry/gateway/burn_test.go
+++ b/internal/entry/gateway/burn_test.go
@@ -13,8 +13,8 @@
 	want := map[forward.Reason]burn.Result{
 		forward.OverAllowance:   burn.Limited,
 		forward.NoConfiguration: burn.Rejected, forward.StaleConfiguration: burn.Rejected, forward.NoServer: burn.Rejected,
-		forward.ServersFull: burn.Rejected, forward.ServersUnreachable: burn.Rejected, forward.TimedOutUnsent: burn.Rejected, forward.Stopping: burn.Rejected,
-		forward.ResponseLost: burn.Failed, forward.InvalidResponse: burn.Failed, forward.TimedOut: burn.Failed, forward.Interrupted: burn.Failed, forward.StreamBroken: burn.Failed,
+		forward.ServersFull: burn.Rejected, forward.ServersUnreachable: burn.Rejected, forward.TimedOutUnsent: burn.Rejected, forward.Stopping: burn.Rejected, forward.MemoryFull: burn.Rejected,
+		forward.ResponseLost: burn.Failed, forward.InvalidResponse: burn.Failed, forward.ResponseDropped: burn.Failed, forward.TimedOut: burn.Failed, forward.Interrupted: burn.Failed, forward.StreamBroken: burn.Failed,
 		forward.Served: burn.Good,
 	}
 	for _, reason := range forward.Reasons {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -38,6 +38,10 @@
 	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
+// bodyMemoryDivisor is the part of the instance's memory that bodies may hold: up to twice
+// as much is in use until the garbage is collected.
+const bodyMemoryDivisor = 3
+
 const (
 	// headerTimeout bounds the wait for a request's headers.
 	headerTimeout = 10 * time.Second
@@ -138,6 +142,9 @@
 	// MaxResponseBytes is the maximum size of a server's response that is not a
 	// stream; 0 selects a default.
 	MaxResponseBytes int64
+	// MemoryBytes is the memory that the instance may use, in bytes, or 0 if it is
+	// unknown.
+	MemoryBytes int64
 	// DrainTimeout bounds the time that a planned shutdown gives to requests in
 	// progress.
 	DrainTimeout time.Duration
@@ -232,7 +239,7 @@
 		Budget: &retryBudgets{config: retry.SharedConfig{
 			Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instanceCount, Now: f.now,
 		}},
-		MaxResponseBytes: c.MaxResponseBytes, OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
+		MaxResponseBytes: c.MaxResponseBytes, MemoryBytes: c.MemoryBytes / bodyMemoryDivisor, OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
 		Refusing: f.refusing.Load, Ending: f.ending,
 	})
 	return f, err
