Limit bodies and texts in serve together, and the tokens of an answer

An engine that sent tokens without end had all of them kept: 96,953 in five seconds of a test that asked for 64. Request bodies were limited one by one: 60 of 1 MiB held 68 MiB. An attempt with more tokens than were asked for is now lost, and limit.Memory bounds the request bodies and the texts that are being generated. A response that does not fit is no failure of its engine.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -179,6 +180,10 @@
 	heldBack []Frame
 }
 
+// errTooManyTokens is the error of a response with more tokens than were asked for. It
+// might go on without end.
+var errTooManyTokens = errors.New("more tokens than the attempt allows")
+
 // readerPool reuses readers, because a buffer of maxFrameBytes for each attempt
 // would be most of what a request allocates.
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxFrameBytes) }}
@@ -230,6 +235,9 @@
 		r.client.misplaced.Add(1)
 		return false, nil
 	}
+	if isLast := f.Finish != "" && f.Token == ""; r.attempt.MaxTokens > 0 && f.Index >= r.attempt.MaxTokens && !isLast {
+		return false, errTooManyTokens
+	}
 	if f.Index > r.next {
 		return false, r.holdBack(f)
 	}
--- a/internal/caller/openai/attempt.go
+++ b/internal/caller/openai/attempt.go
@@ -52,6 +52,9 @@
 		d.tokens++
 		d.record.GeneratedTokens++
 		d.generation.appendToken(f.Token)
+		if d.textBytes += tokenBytes(f.Token); !d.held.Resize(d.textBytes) {
+			return errDropped
+		}
 		if err := d.out.writeToken(f.Token, f.More || f.Finish != ""); err != nil {
 			return err
 		}
--- a/internal/caller/openai/config.go
+++ b/internal/caller/openai/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/backend/engine"
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 )
@@ -146,6 +147,9 @@
 	Recorder            Recorder
 	Now                 func() time.Time // time.Now by default
 	Random              func() uint64
+	// Requests is the memory for request bodies, and Responses that for the texts of
+	// responses that are being generated; nil means no limit.
+	Requests, Responses *limit.Memory
 	// MaxTokens is the maximum number of tokens of a response, 8192 by default.
 	// DefaultMaxTokens is the limit for requests without one: by default 4096 or
 	// MaxTokens, whichever is less.
--- a/internal/caller/openai/drive.go
+++ b/internal/caller/openai/drive.go
@@ -5,9 +5,11 @@
 	"errors"
 	"net/http"
 	"time"
+	"unsafe"
 
 	"wasabiworks.example/wasabiworks/internal/backend/engine"
 	"wasabiworks.example/wasabiworks/internal/caller/reply"
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 )
 
@@ -45,6 +47,10 @@
 	// before its last frame.
 	interrupted bool
 
+	// held is the memory of the response so far, which has textBytes bytes.
+	held      *limit.Holding
+	textBytes int64
+
 	// State of the current attempt.
 	backend       route.Backend
 	attemptID     string
@@ -59,6 +65,7 @@
 
 var (
 	errMigrated = errors.New("attempt migrated to another server")
+	errDropped  = errors.New("the response does not fit into the memory of the instance")
 	errNoServer = errors.New("no server available for the attempt")
 )
 
@@ -67,6 +74,13 @@
 // generation can then be continued by another handler.
 func (s *Server) drive(ctx context.Context, a *admittedRequest, out sink, record *RequestRecord) error {
 	d := &driver{server: s, generation: a.generation, admitted: a, out: out, record: record}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.held = s.config.Responses.Hold(cancel)
+	defer d.held.Release()
+	for _, t := range d.generation.generatedTokens() {
+		d.textBytes += tokenBytes(t)
+	}
 	var lastErr error
 	for n := 0; n < s.config.MaxAttempts; n++ {
 		switch s.config.Poison.Verdict(d.generation.fingerprint) {
@@ -77,6 +91,10 @@
 			d.suspect = true
 		}
 		if err := d.chooseServer(ctx, n > 0); err != nil {
+			if d.held.Evicted() {
+				d.generation.fail(droppedError())
+				return nil
+			}
 			if ctx.Err() != nil {
 				return errClientDisconnected
 			}
@@ -84,6 +102,10 @@
 			return nil
 		}
 		err := d.runAttempt(ctx)
+		if d.isDropped(err) {
+			d.generation.fail(droppedError())
+			return nil
+		}
 		if ctx.Err() != nil || errors.Is(err, errClientDisconnected) {
 			return errClientDisconnected
 		}
@@ -100,6 +122,19 @@
 	return nil
 }
 
+// isDropped reports whether an attempt ended with err because the instance has no memory
+// left for the response.
+func (d *driver) isDropped(err error) bool {
+	return err != nil && (errors.Is(err, errDropped) || d.held.Evicted())
+}
+
+func droppedError() *reply.Error {
+	return reply.Failed(http.StatusBadGateway, "memory_full", "the instance has no memory left for the response")
+}
+
+// tokenBytes returns the bytes that a token holds.
+func tokenBytes(token string) int64 { return int64(len(token)) + int64(unsafe.Sizeof(token)) }
+
 func (d *driver) outcome() string {
 	if d.generation.mayHaveRun() {
 		return reply.OutcomeUnknown
--- a/internal/caller/openai/outcome.go
+++ b/internal/caller/openai/outcome.go
@@ -22,7 +22,7 @@
 		d.uncharged = true
 		d.exclude = append(d.exclude, d.backend.ID)
 		d.recordAttempt(false, ExcusedReclaim)
-	case ctx.Err() != nil || errors.Is(err, errClientDisconnected):
+	case d.isDropped(err), ctx.Err() != nil, errors.Is(err, errClientDisconnected):
 		s.cancelAttempt(a)
 	case engine.IsNotRun(err):
 		d.handleRejection(engine.Reason(err))
--- a/internal/caller/openai/server.go
+++ b/internal/caller/openai/server.go
@@ -54,10 +54,10 @@
 	s.byKey.MaxEntries, s.byKey.MaxWeight, s.byKey.TTL = maxKeptGenerations, maxKeptBytes, c.ResponseTTL
 	s.byID.MaxEntries, s.byID.MaxWeight, s.byID.TTL = maxKeptGenerations, maxKeptBytes, c.ResponseTTL
 	mux := http.NewServeMux()
-	mux.Handle("POST /v1/chat/completions", reply.Handler(s.admit, s.decode(RouteChat), s.encode))
-	mux.Handle("POST /v1/completions", reply.Handler(s.admit, s.decode(RouteCompletions), s.encode))
-	mux.Handle("GET /v1/models", reply.Handler(s.listModels, passRequest, reply.EncodeJSON[modelList]))
-	mux.Handle("GET /v1/models/{model}", reply.Handler(s.getModel, passRequest, reply.EncodeJSON[model]))
+	mux.Handle("POST /v1/chat/completions", reply.Handler(c.Requests, s.admit, s.decode(RouteChat), s.encode))
+	mux.Handle("POST /v1/completions", reply.Handler(c.Requests, s.admit, s.decode(RouteCompletions), s.encode))
+	mux.Handle("GET /v1/models", reply.Handler(nil, s.listModels, passRequest, reply.EncodeJSON[modelList]))
+	mux.Handle("GET /v1/models/{model}", reply.Handler(nil, s.getModel, passRequest, reply.EncodeJSON[model]))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		reply.EncodeError(r.Context(), reply.Rejected(http.StatusNotFound, "unknown_url", "no such method and path"), w)
 	})
--- a/internal/caller/reply/request.go
+++ b/internal/caller/reply/request.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/google/uuid"
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 )
 
@@ -45,6 +46,28 @@
 	return w, nil
 }
 
+// errMemoryFull is the error of reading a body that does not fit into the memory of the
+// instance.
+var errMemoryFull = errors.New("request body does not fit into the memory of the instance")
+
+// heldBody counts the bytes that are read from a body in a Holding.
+type heldBody struct {
+	io.ReadCloser
+	held *limit.Holding
+	size int64
+}
+
+func (b *heldBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.size += int64(n)
+	switch {
+	case !b.held.Resize(b.size), err != nil && !b.held.Keep():
+		return n, errMemoryFull
+	default:
+		return n, err
+	}
+}
+
 // ReadBody reads a request body of at most MaxBodyBytes. The error is an *Error.
 func ReadBody(r *http.Request) ([]byte, error) {
 	if r.ContentLength > MaxBodyBytes {
@@ -55,6 +78,11 @@
 	if errors.As(err, &tooLargeErr) {
 		return nil, bodyTooLarge()
 	}
+	if errors.Is(err, errMemoryFull) {
+		e := Rejected(http.StatusServiceUnavailable, "memory_full", "the instance has no memory left for the request")
+		e.RetryAfter = time.Second
+		return nil, e
+	}
 	if err != nil {
 		return nil, Invalid("", "incomplete_body", "the request body is incomplete")
 	}
@@ -91,8 +119,9 @@
 }
 
 // Handler returns a handler that serves an endpoint with go-kit's HTTP
-// transport. Every response carries the request ID.
-func Handler[Q, P any](e func(context.Context, Q) (P, error), decode func(*http.Request) (Q, error), encode func(context.Context, http.ResponseWriter, P) error) http.Handler {
+// transport. Every response carries the request ID. Request bodies are held in m until the
+// end of the response; m may be nil.
+func Handler[Q, P any](m *limit.Memory, e func(context.Context, Q) (P, error), decode func(*http.Request) (Q, error), encode func(context.Context, http.ResponseWriter, P) error) http.Handler {
 	var ep endpoint.Endpoint = func(ctx context.Context, q any) (any, error) { return e(ctx, q.(Q)) }
 	server := kithttp.NewServer(ep,
 		func(_ context.Context, r *http.Request) (any, error) { return decode(r) },
@@ -103,7 +132,10 @@
 		r.Header.Set(RequestIDHeader, id)
 		w.Header().Set(RequestIDHeader, id)
 		if r.Body != nil && r.Body != http.NoBody {
-			r.Body = &deadlineBody{r.Body, http.NewResponseController(w), false}
+			controller := http.NewResponseController(w)
+			held := m.Hold(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }) // ends the read
+			defer held.Release()
+			r.Body = &heldBody{ReadCloser: &deadlineBody{r.Body, controller, false}, held: held}
 		}
 		server.ServeHTTP(w, r)
 	})
--- a/internal/caller/services/config.go
+++ b/internal/caller/services/config.go
@@ -8,6 +8,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/backend/service"
 	"wasabiworks.example/wasabiworks/internal/decide/journal"
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 )
@@ -120,6 +121,8 @@
 	Recorder            Recorder
 	Now                 func() time.Time
 	Random              func() uint64
+	// Requests is the memory for request bodies; nil means no limit.
+	Requests *limit.Memory
 	// MaxAttempts bounds the attempts of a call, 4 by default.
 	MaxAttempts int
 	// MaxResponse bounds a response body, 64 MiB by default.
--- a/internal/caller/services/server.go
+++ b/internal/caller/services/server.go
@@ -47,7 +47,7 @@
 	c.setDefaults()
 	s := &Server{config: c}
 	s.recent.MaxEntries, s.recent.MaxWeight, s.recent.TTL = maxSharedResponses, maxSharedBytes, c.Retention
-	s.handler = reply.Handler(s.admit, decode, s.respond)
+	s.handler = reply.Handler(c.Requests, s.admit, decode, s.respond)
 	return s
 }
 
--- a/internal/decide/limit/memory.go
+++ b/internal/decide/limit/memory.go
@@ -50,8 +50,13 @@
 }
 
 // Hold returns an empty Holding. evict is called once if the holding is evicted; it must
-// not block, and must make the owner release the holding.
-func (m *Memory) Hold(evict func()) *Holding { return &Holding{memory: m, evict: evict} }
+// not block, and must make the owner release the holding. A nil Memory has no limit.
+func (m *Memory) Hold(evict func()) *Holding {
+	if m == nil {
+		return nil
+	}
+	return &Holding{memory: m, evict: evict}
+}
 
 // Resize sets the size of the holding and reports whether its owner may hold that much.
 // If not, the owner must release the holding.
