Ask for the fleet before the first refresh of the allowances

Until its first refresh, up to 200 ms after it can serve, an instance took itself for the only one: after a kill of all instances each admitted a part of the whole allowance.

--- a/internal/peer/allowance/limiter.go
+++ b/internal/peer/allowance/limiter.go
@@ -130,7 +130,6 @@
 			Name: "allowance_decisions_total", Help: "Uses of allowances by who decided and the outcome.",
 		}, []string{"by", "outcome"}),
 	}
-	l.fleet.Store(&Fleet{Instances: 1, Local: []string{c.Instance}})
 	if c.Registerer == nil {
 		return l, nil
 	}
@@ -181,9 +180,20 @@
 	return l.decideLocally(w, units, false), nil
 }
 
+// knownFleet returns the fleet as of the last Refresh. Before the first one it asks: an
+// instance that takes itself for the only one admits the whole allowance alone.
+func (l *Limiter) knownFleet() *Fleet {
+	if f := l.fleet.Load(); f != nil {
+		return f
+	}
+	f := l.config.Fleet()
+	l.fleet.CompareAndSwap(nil, &f)
+	return l.fleet.Load()
+}
+
 // owners returns the instances to ask, starting with the owner.
 func (l *Limiter) owners(workspace string) []string {
-	local, now := l.fleet.Load().Local, l.config.Now()
+	local, now := l.knownFleet().Local, l.config.Now()
 	l.mu.Lock()
 	if len(l.avoidUntil) > 0 {
 		local = slices.DeleteFunc(slices.Clone(local), func(id string) bool { return now.Before(l.avoidUntil[id]) })
@@ -242,7 +252,7 @@
 	if !ok {
 		s = &workspaceState{counted: make(map[string]uint64), isJoining: l.isJoining(now)}
 		l.states[w.Name] = s
-		s.setLimits(w, l.fleet.Load(), l.config.Slack, now)
+		s.setLimits(w, l.knownFleet(), l.config.Slack, now)
 		if s.isJoining {
 			s.capBursts(now)
 		}
--- a/internal/peer/allowance/limiter_test.go
+++ b/internal/peer/allowance/limiter_test.go
@@ -254,3 +254,20 @@
 		}
 	}
 }
+
+// Guards against instances that take themselves for the only one until their first
+// refresh: after a kill of all, each of them admitted a part of the whole allowance.
+func TestAllowanceHoldsBeforeTheFirstRefresh(t *testing.T) {
+	const limitRate = 327_000
+	for seed := range uint64(100) {
+		s := newSimulation(t, limitRate)
+		r := rand.New(rand.NewPCG(seed, 1))
+		s.run(joinPeriod+4*time.Second+time.Duration(r.IntN(400))*step, 5*limitRate, 17_000, r)
+		s.start()
+		s.run(12*time.Second, 5*limitRate, 17_000, r)
+		bound := (limitRate*window.Seconds()+limitRate)*(1+tolerance) + slack
+		if got := s.maxAdmitted(); got > bound {
+			t.Errorf("seed %d: %.0f units admitted in %v, want at most %.0f", seed, got, window, bound)
+		}
+	}
+}
