Use one index of versions, and store when a failover was paused

The evidence was assigned to the versions of a move by the same switch in two places. A failover kept the time that was left; it keeps its deadline and the time of the pause now.

--- a/internal/caller/forward/failover.go
+++ b/internal/caller/forward/failover.go
@@ -36,11 +36,10 @@
 	timer    *time.Timer
 	stopped  bool
 	reserved bool
-	// deadline is when the silence is too long. It is zero while the server is not
-	// waited for.
-	deadline time.Time
-	left     time.Duration // until the deadline when the checks were suspended
-	inGrace  bool
+	// deadline is when the silence is too long, and pausedAt when the checks were
+	// suspended, or zero.
+	deadline, pausedAt time.Time
+	inGrace            bool
 }
 
 // startFailover returns a failover whose server may be silent for the given time.
@@ -59,7 +58,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.deadline, f.inGrace = time.Now().Add(silence), false
+	f.deadline, f.pausedAt, f.inGrace = time.Now().Add(silence), time.Time{}, false
 	f.timer.Reset(silence)
 }
 
@@ -70,19 +69,21 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.left, f.deadline = time.Until(f.deadline), time.Time{}
+	if f.pausedAt.IsZero() {
+		f.pausedAt = time.Now()
+	}
 	f.timer.Stop()
 }
 
-// resume continues the checks, with the time for silence that was left.
+// resume continues the checks after pause, with the time for silence that was left.
 func (f *failover) resume() {
 	if f == nil {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.deadline = time.Now().Add(f.left)
-	f.timer.Reset(f.left)
+	f.deadline, f.pausedAt = f.deadline.Add(time.Since(f.pausedAt)), time.Time{}
+	f.timer.Reset(time.Until(f.deadline))
 }
 
 // stop ends the checks. It reports whether the attempt was ended and the next one
@@ -103,7 +104,7 @@
 	defer f.mu.Unlock()
 	early := time.Until(f.deadline)
 	switch {
-	case f.stopped || f.reserved || f.deadline.IsZero():
+	case f.stopped || f.reserved || !f.pausedAt.IsZero():
 	case early > 0:
 		f.timer.Reset(early)
 	case !f.inGrace:
--- a/internal/decide/move/doubt.go
+++ b/internal/decide/move/doubt.go
@@ -106,15 +106,8 @@
 func countRoutes(s *State) (byRoute map[string]*routeCounts, all routeCounts) {
 	byRoute = make(map[string]*routeCounts)
 	for k, c := range s.Evidence {
-		version := 0
-		switch k.Version {
-		case s.Plan.From:
-		case s.Plan.To:
-			version = 1
-		default:
-			continue
-		}
-		if k.Step == 0 || k.Step > lastStep {
+		version, ok := s.Plan.versionIndex(k.Version)
+		if !ok || k.Step == 0 || k.Step > lastStep {
 			continue
 		}
 		n := byRoute[k.Route]
--- a/internal/decide/move/move.go
+++ b/internal/decide/move/move.go
@@ -43,6 +43,18 @@
 	Retained bool
 }
 
+// versionIndex returns the index of a version in counts by version, 0 for From and 1 for
+// To, or false if it is neither.
+func (p Plan) versionIndex(version string) (int, bool) {
+	switch version {
+	case p.From:
+		return 0, true
+	case p.To:
+		return 1, true
+	}
+	return 0, false
+}
+
 // catchUpTime returns the time of each step of a move that was held back.
 func (p Plan) catchUpTime() time.Duration {
 	return time.Duration(catchUpFraction * (1 - deadlineMargin) * float64(p.Deadline.Sub(p.Start)))
--- a/internal/decide/move/sequential.go
+++ b/internal/decide/move/sequential.go
@@ -29,9 +29,9 @@
 	// send it few enough requests there until the time limit, and it can still dispel the
 	// doubt by then.
 	doubtMaxStep = 3
-	// unexplainedMaxStep is the highest step that a version with unexplained failures takes, and
-	// the one from which a move that was held back returns to its plan: the step of
-	// evidenceShare.
+	// unexplainedMaxStep is the highest step that a version with unexplained failures or
+	// slow responses takes, and the one from which a move that was held back returns to
+	// its plan: the step of evidenceShare.
 	unexplainedMaxStep = 4
 	// catchUpFraction is the time of each step with which a move that was held back
 	// returns to its plan, as a fraction of the ramp.
@@ -48,9 +48,9 @@
 // suspicion or doubt remains at the end of the time. The zero value is ready to use.
 type Sequential struct{}
 
-// Decide returns the share of the new version. Unless a veto is known or the
-// instance is isolated, the share depends only on the evidence, the plan and the
-// time, so instances with the same evidence agree.
+// Decide returns the share of the new version. Unless a veto is known, the instance is
+// isolated or the move was held back, the share depends only on the evidence, the plan
+// and the time, so instances with the same evidence agree.
 func (Sequential) Decide(s State, now time.Time) Decision {
 	if s.Vetoed || s.Previous.Veto {
 		return Decision{Phase: RolledBack, Veto: true, Reason: "vetoed"}
@@ -137,6 +137,7 @@
 	overBudget bool
 }
 
+// decide returns the decision at a time at which the given part of the ramp has elapsed.
 func (e *evaluation) decide(cells []cell, elapsed, logE float64, now time.Time) Decision {
 	_, observing := stepReached(cells)
 	slot, suspected, doubtful := observationSlot(e.plan, now), logE >= suspicionThreshold, e.doubt.isDoubtful(observing) || isUnproved(cells)
@@ -153,7 +154,7 @@
 	case suspected && !observing:
 		return e.hold(probeStep, "under suspicion", now)
 	case unexplained:
-		return e.hold(min(stepAt(elapsed), unexplainedMaxStep), "unexplained failures", now)
+		return e.hold(min(stepAt(elapsed), unexplainedMaxStep), "unexplained failures or slow responses", now)
 	}
 	planned := stepDecision(stepAt(elapsed), "as planned")
 	if observing || planned.Step >= observationStep {
--- a/internal/decide/move/table.go
+++ b/internal/decide/move/table.go
@@ -42,15 +42,8 @@
 	var index [(lastStep + 1) * numStrata]uint16
 	cells := make([]cell, 0, min(len(s.Evidence), len(index)))
 	for k, c := range s.Evidence {
-		version := 0
-		switch k.Version {
-		case s.Plan.From:
-		case s.Plan.To:
-			version = 1
-		default:
-			continue
-		}
-		if k.Step > lastStep || k.Load >= numLoads {
+		version, ok := s.Plan.versionIndex(k.Version)
+		if !ok || k.Step > lastStep || k.Load >= numLoads {
 			continue
 		}
 		st := stratum(xxhash.Sum64String(k.Route)%numBuckets*numLoads + uint64(k.Load))
