--- a/internal/operator/routes/routes.go
+++ b/internal/operator/routes/routes.go
@@ -45,6 +45,8 @@
 	Split []Target
 	// Attempts is the maximum number of backend servers that may run one request.
 	Attempts int
+	// Priority is the rank of the requests; 0 is the most urgent.
+	Priority int
 	// Public reports whether requests need no access key.
 	Public bool
 	// Resumable reports whether another backend server can continue a stream
@@ -69,6 +71,11 @@
 	Name string
 	// Scaling is nil if the number of servers is not scaled automatically.
 	Scaling *Scaling
+	// ColdRate is the number of requests that a server bears per second, over all
+	// instances, while it is cold; 0 means no limit.
+	ColdRate float64
+	// ColdTime is how long a server stays cold after its start.
+	ColdTime time.Duration
 }
 
 // Scaling holds the bounds and the prices by which the number of servers of a
@@ -89,6 +96,9 @@
 	Name      string
 	Keys      []string
 	Allowance Allowance
+	// Priority takes precedence over that of the route if HasPriority is true.
+	Priority    int
+	HasPriority bool
 }
 
 // Allowance limits the usage of a workspace, summed over all instances. Usage is
@@ -110,4 +120,11 @@
 	// BodyBytes is the maximum size of a request body; 0 means the built-in
 	// default.
 	BodyBytes int64
+	// HeaderBytes is the maximum size of a request's header; 0 means the built-in
+	// default.
+	HeaderBytes int64
+	// HeaderTimeout is the time that a client may take to send the header, and
+	// IdleTimeout the time for which it may keep a connection idle; 0 means the
+	// built-in defaults.
+	HeaderTimeout, IdleTimeout time.Duration
 }
