--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -27,8 +27,8 @@
 
 // Allowances enforces the allowances of workspaces.
 type Allowances interface {
-	// Take deducts units from a workspace's allowance if enough are left.
-	Take(ctx context.Context, w *routes.Workspace, units float64) limit.Admission
+	// Take deducts a use from a workspace's allowance if enough is left.
+	Take(ctx context.Context, w *routes.Workspace, u limit.Use) limit.Admission
 }
 
 // Budget limits the retries at a service.
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -169,7 +169,7 @@
 	if workspace != nil {
 		e.workspace = workspace.Name
 		e.allowanceUnits = allowanceUnits(workspace, e.prompt)
-		if e.admission = c.Allowances.Take(e.r.Context(), workspace, e.allowanceUnits); !e.admission.Admitted {
+		if e.admission = c.Allowances.Take(e.r.Context(), workspace, limit.Use{Units: e.allowanceUnits, Urgency: routes.Urgency(e.route, workspace)}); !e.admission.Admitted {
 			return OverAllowance
 		}
 	}
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -103,7 +103,7 @@
 // permissive admits everything and records nothing.
 type permissive struct{}
 
-func (permissive) Take(context.Context, *routes.Workspace, float64) limit.Admission {
+func (permissive) Take(context.Context, *routes.Workspace, limit.Use) limit.Admission {
 	return limit.Admission{Admitted: true}
 }
 func (permissive) Deposit(string)                              {}
--- a/internal/decide/limit/allowance.go
+++ b/internal/decide/limit/allowance.go
@@ -6,6 +6,13 @@
 	"time"
 )
 
+// Use is a use of an allowance.
+type Use struct {
+	Units float64
+	// Urgency is the rank of the request: 0 is the most urgent, 9 the least.
+	Urgency int
+}
+
 // Admission is the decision whether to admit one use of an allowance.
 type Admission struct {
 	Admitted bool
--- a/internal/operator/routes/table.go
+++ b/internal/operator/routes/table.go
@@ -111,3 +111,15 @@
 func (r *Route) Includes(service string) bool {
 	return slices.ContainsFunc(r.Split, func(t Target) bool { return t.Service == service && t.Weight > 0 })
 }
+
+// maxUrgency is the urgency of the least urgent requests.
+const maxUrgency = 9
+
+// Urgency returns the rank of a request on route r of workspace w, which is nil if the
+// route needs no key: 0 is the most urgent, 9 the least.
+func Urgency(r *Route, w *Workspace) int {
+	if w != nil && w.HasPriority {
+		return min(w.Priority, maxUrgency)
+	}
+	return min(r.Priority, maxUrgency)
+}
--- a/internal/peer/allowance/limiter.go
+++ b/internal/peer/allowance/limiter.go
@@ -138,11 +138,11 @@
 
 // Take uses units of a workspace's allowance if they are available, and
 // otherwise returns when to retry.
-func (l *Limiter) Take(ctx context.Context, w *routes.Workspace, units float64) limit.Admission {
+func (l *Limiter) Take(ctx context.Context, w *routes.Workspace, u limit.Use) limit.Admission {
 	if w.Allowance.Rate <= 0 {
 		return limit.Admission{Admitted: true}
 	}
-	a := l.decide(ctx, w, units)
+	a := l.decide(ctx, w, u.Units)
 	outcome := "admitted"
 	if !a.Admitted {
 		outcome = "refused"
--- a/internal/peer/allowance/limiter_test.go
+++ b/internal/peer/allowance/limiter_test.go
@@ -122,7 +122,7 @@
 		for remaining := demand * step.Seconds(); remaining > 0 && r.Float64() < remaining/size; remaining -= size {
 			requested += size
 			name := s.names[r.IntN(len(s.names))]
-			if s.limiters[name].Take(s.t.Context(), &s.table.Workspaces[0], size).Admitted {
+			if s.limiters[name].Take(s.t.Context(), &s.table.Workspaces[0], limit.Use{Units: size}).Admitted {
 				s.admitted = append(s.admitted, use{s.now, size})
 			} else {
 				refused += size
