Send the urgency of a request to its server

Servers treated all requests alike, because the header for their priority was only removed. It is now set from the priority of the workspace or the route, if the priorities of the table differ; otherwise servers get no such header, as before. A client's own value is still removed.

--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -101,6 +101,7 @@
 	service       string
 	versionChoice VersionChoice
 	workspace     string
+	urgency       int // as of routes.Urgency
 	body          body
 	held          *limit.Holding // of the request body
 	requestURI    string
@@ -153,6 +154,7 @@
 	if reason != "" {
 		return reason
 	}
+	e.urgency = routes.Urgency(e.route, workspace)
 	if reason := e.readBody(); reason != "" {
 		return reason
 	}
@@ -169,7 +171,7 @@
 	if workspace != nil {
 		e.workspace = workspace.Name
 		e.allowanceUnits = allowanceUnits(workspace, e.prompt)
-		if e.admission = c.Allowances.Take(e.r.Context(), workspace, limit.Use{Units: e.allowanceUnits, Urgency: routes.Urgency(e.route, workspace)}); !e.admission.Admitted {
+		if e.admission = c.Allowances.Take(e.r.Context(), workspace, limit.Use{Units: e.allowanceUnits, Urgency: e.urgency}); !e.admission.Admitted {
 			return OverAllowance
 		}
 	}
@@ -219,7 +221,7 @@
 		e.workspace = workspace.Name // the route has needed a key since the request was accepted
 	}
 	if v.Table != e.view.Table {
-		e.view, e.route = v, r
+		e.view, e.route, e.urgency = v, r, routes.Urgency(r, workspace)
 		if !r.Includes(e.service) {
 			e.pickService()
 		}
--- a/internal/caller/forward/handler_test.go
+++ b/internal/caller/forward/handler_test.go
@@ -141,7 +141,7 @@
 		workers.Put(pool.Registration{ID: "server-" + strconv.Itoa(i), Service: "service", Address: s.address, Slots: 8}, time.Now())
 	}
 	c := Config{
-		Headers: Headers{Request: "Request-Id", Remaining: "Remaining", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect-Server", NotRun: "Not-Run", ServerSeal: "Seal", Leaving: "Leaving", Tokens: "Tokens", Prefix: "Prefix", FetchFrom: "Fetch-From"},
+		Headers: Headers{Request: "Request-Id", Remaining: "Remaining", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect-Server", NotRun: "Not-Run", ServerSeal: "Seal", Leaving: "Leaving", Tokens: "Tokens", Prefix: "Prefix", FetchFrom: "Fetch-From", Priority: "Priority"},
 		View:    func() View { return View{Table: table, Confirmed: time.Now(), Fresh: true} }, Pool: workers,
 		Allowances: permissive{}, Budget: permissive{}, Usage: permissive{}, Poison: permissive{}, Versions: permissive{},
 		MaxResponseBytes: maxResponse, Now: time.Now, Random: func() uint64 { return 1 }, Registerer: prometheus.NewRegistry(), Draining: func() bool { return false },
--- a/internal/caller/forward/headers.go
+++ b/internal/caller/forward/headers.go
@@ -35,6 +35,9 @@
 	// FetchFrom is the address of a server from which the receiving server should
 	// fetch the cache of a part of the prompt.
 	FetchFrom string
+	// Priority gives the server the urgency of the request: 0 is the most urgent, 9 the
+	// least. It is sent only if the priorities of the table differ.
+	Priority string
 	// Reserved lists further headers that a client must not set; they are
 	// removed from its requests.
 	Reserved []string
@@ -74,7 +77,7 @@
 // the key, which authenticates the client to this system only; the headers that
 // newBackendRequest sets; and the reserved headers.
 func (h *Headers) removeReserved(header http.Header) {
-	for _, name := range []string{h.Key, h.Workspace, h.ExpectServer, h.FetchFrom, h.Remaining} {
+	for _, name := range []string{h.Key, h.Workspace, h.ExpectServer, h.FetchFrom, h.Remaining, h.Priority} {
 		header.Del(name)
 	}
 	for _, name := range h.Reserved {
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -125,6 +125,9 @@
 	if e.workspace != "" {
 		header.Set(names.Workspace, e.workspace)
 	}
+	if e.view.Table.Prioritized() {
+		header.Set(names.Priority, strconv.Itoa(e.urgency))
+	}
 	if t.cacheSource != nil {
 		header.Set(names.FetchFrom, t.cacheSource.Address)
 	}
--- a/internal/operator/routes/table.go
+++ b/internal/operator/routes/table.go
@@ -18,6 +18,7 @@
 	KeysRequired bool
 	Limits       Limits
 
+	prioritized      bool
 	routesByHost     map[string][]*Route // longest prefix first
 	servicesByName   map[string]*Service
 	workspacesByKey  map[string]*Workspace
@@ -49,6 +50,7 @@
 		}
 	}
 	delete(t.workspacesByKey, "") // a request without a key has no workspace
+	t.prioritized = t.urgenciesDiffer()
 	return &t
 }
 
@@ -123,3 +125,20 @@
 	}
 	return min(r.Priority, maxUrgency)
 }
+
+// Prioritized reports whether the priorities of the routes and workspaces of t differ, so
+// that some requests are more urgent than others.
+func (t *Table) Prioritized() bool { return t.prioritized }
+
+func (t *Table) urgenciesDiffer() bool {
+	first := -1
+	differs := func(priority int) bool {
+		urgency := min(priority, maxUrgency)
+		if first < 0 {
+			first = urgency
+		}
+		return urgency != first
+	}
+	return slices.ContainsFunc(t.Routes, func(r Route) bool { return differs(r.Priority) }) ||
+		slices.ContainsFunc(t.Workspaces, func(w Workspace) bool { return w.HasPriority && differs(w.Priority) })
+}
