Hold requests without a server in a queue, and spread Retry-After

Each request without a usable server polled every 20 ms for an eighth of its objective, in competition with all others, and was refused even if a server was due to return in time. One that full servers had rejected three times was refused at once. All refused clients were told the same time, so that they returned together.

Requests now wait in one queue for each service, in the order of internal/decide/admission. The queue examines one request after another when a server becomes usable, an attempt ends or the store reports a change, and every 20 ms while requests wait. A request that full servers rejected waits for the end of their pause, if its objective can still be met and the retry budget allows one more attempt. A request that is sent to the same server again gets a connection of its own, so that no copy of its first refusal can be taken for the second one's.

Retry-After comes from the same package, also for exceeded allowances: the time at which the request can be served, with jitter that grows with the number of refusals, shorter for urgent requests and at most a third of the time that the client has left.

--- a/internal/caller/forward/answer.go
+++ b/internal/caller/forward/answer.go
@@ -138,6 +138,7 @@
 func (e *exchange) recordRefusal(a *attempt, r *http.Response) outcome {
 	now := e.config.Now()
 	if r.StatusCode != http.StatusMisdirectedRequest {
+		a.rejectedAt = now
 		a.server.Rejected(now, fullServerPause)
 		return outcomeNotRun
 	}
--- a/internal/caller/forward/availability.go
+++ b/internal/caller/forward/availability.go
@@ -59,6 +59,20 @@
 	return earliest
 }
 
+// usableAt returns now if one of servers accepts requests, and otherwise the time at which
+// the first of them does, or the zero time if that is unknown.
+func usableAt(servers []*pool.Worker, now time.Time) (earliest time.Time) {
+	for _, s := range servers {
+		if s.Accepts(now) {
+			return now
+		}
+		if at := s.RetryAt(); s.Usable() && at.After(now) && (earliest.IsZero() || at.Before(earliest)) {
+			earliest = at
+		}
+	}
+	return earliest
+}
+
 // reasonForNoServer returns the reason to refuse a request for which no server can
 // be chosen and that no server has refused.
 func (e *exchange) reasonForNoServer() Reason {
@@ -67,20 +81,3 @@
 	}
 	return ServersFull
 }
-
-// maxRetryAfterFraction is the largest fraction of the time until a request's
-// deadline that its client is told to wait for a server. A later retry would leave
-// no time for others, and another instance or a new server may run the request
-// sooner.
-const maxRetryAfterFraction = 1. / 3
-
-// untilRetry returns how long the client of a refused request should wait if all
-// servers want no requests at now, and 0 otherwise.
-func (e *exchange) untilRetry(now time.Time) time.Duration {
-	at := e.earliestRetryAt(now)
-	if at.IsZero() {
-		return 0
-	}
-	limit := time.Duration(maxRetryAfterFraction * float64(e.deadline.Sub(now)))
-	return min(at.Sub(now), limit)
-}
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -12,6 +12,8 @@
 
 	"go.uber.org/zap"
 
+	"wasabiworks.example/wasabiworks/internal/backend/tcp"
+	"wasabiworks.example/wasabiworks/internal/decide/admission"
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
@@ -27,6 +29,12 @@
 	// routineLogLimit limits the log lines for requests that were served or that
 	// the client abandoned, and failureLogLimit those for other requests.
 	routineLogLimit, failureLogLimit limit.Allowance
+	waiters                          *waiters
+	refusals                         refusals
+	serviceTimes                     serviceTimes
+	// resendTransport sends requests again to a server that rejected them. Each of them
+	// gets a new connection, on which no copy of the rejection can be left.
+	resendTransport *http.Transport
 }
 
 const (
@@ -51,16 +59,39 @@
 	c.MemoryBytes = max(c.MemoryBytes, 2*c.MaxResponseBytes, 2*defaultMaxBody)
 	memory := limit.MemoryConfig{Bytes: c.MemoryBytes / 2}
 	requests, responses := limit.NewMemory(memory), limit.NewMemory(memory)
-	m, err := newMetrics(c.Registerer, func() float64 { return float64(requests.Used()) }, func() float64 { return float64(responses.Used()) })
-	if err != nil {
+	h := &Handler{config: c, requests: requests, responses: responses}
+	h.waiters = newWaiters(h.waitersConfig())
+	h.resendTransport = tcp.NewTransport(tcp.Config{DialTimeout: resendDialTimeout, NewConnPerRequest: true})
+	var err error
+	if h.metrics, err = h.newMetrics(); err != nil {
 		return nil, err
 	}
-	h := &Handler{config: c, metrics: m, requests: requests, responses: responses}
 	h.routineLogLimit.Set(routineLinesPerSecond, routineLinesPerSecond, c.Now())
 	h.failureLogLimit.Set(failureLinesPerSecond, failureLinesPerSecond, c.Now())
 	return h, nil
 }
 
+// waitersConfig returns the configuration of the queues for servers.
+func (h *Handler) waitersConfig() waitersConfig {
+	c := &h.config
+	bytes := c.MemoryBytes / 2
+	return waitersConfig{
+		Limits:   admission.Config{MaxRequests: max(minWaiting, int(bytes/waitingRequestBytes)), MaxBytes: bytes},
+		UsableAt: func(service string, now time.Time) time.Time { return usableAt(c.Pool.Service(service), now) },
+		Table:    func() *routes.Table { return c.View().Table },
+		Stopping: func() bool { return c.Refusing != nil && c.Refusing() },
+		Now:      c.Now,
+	}
+}
+
+// StateChanged lets waiting requests be examined after a change of the servers or of the
+// table. It has no effect on a nil Handler.
+func (h *Handler) StateChanged() {
+	if h != nil {
+		h.waiters.checkAll()
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := &exchange{Handler: h, w: w, r: r, start: h.config.Now(), id: r.Header.Get(h.config.Headers.Request)}
@@ -117,11 +148,16 @@
 	firstByte      time.Time // when the first byte of a server's response was written to the client
 	attempts       []attempt
 	streamStarted  bool // the response headers of a stream were sent
-	retryReserved  bool // the next attempt was withdrawn from the retry budget
-	failedOver     bool // an attempt at a silent server was ended for another server
-	stream         streamProgress
-	usageCounted   bool              // the request was counted in the workspace's usage
-	failedResponse *bufferedResponse // the last server error of an attempt
+	queueing       queueing
+	isRetry        bool // its client retried the request as it was told
+	// toldToRetryAfter is the time after which the client of a refused request should
+	// retry; 0 if it was told none.
+	toldToRetryAfter time.Duration
+	retryReserved    bool // the next attempt was withdrawn from the retry budget
+	failedOver       bool // an attempt at a silent server was ended for another server
+	stream           streamProgress
+	usageCounted     bool              // the request was counted in the workspace's usage
+	failedResponse   *bufferedResponse // the last server error of an attempt
 }
 
 // accept reads and checks the request, picks its service and takes its units from
@@ -164,6 +200,7 @@
 	e.suspect = poison.Request{
 		Fingerprint: fingerprint(e.r.Method, e.requestURI, e.r.Header.Get(c.Headers.Key), e.body.pieces...), Parts: shared,
 	}
+	e.isRetry = e.refusals.retried(e.suspect.Fingerprint, e.start)
 	e.pickService()
 	if reason := e.checkPoison(); reason != "" {
 		return reason
@@ -276,7 +313,10 @@
 
 // computeDeadline returns the time by which the client must have a response.
 func (e *exchange) computeDeadline() time.Time {
-	timeout := e.route.Timeout
+	timeout := time.Duration(0)
+	if e.route != nil {
+		timeout = e.route.Timeout
+	}
 	if ms, err := strconv.ParseInt(e.r.Header.Get(e.config.Headers.Remaining), 10, 64); err == nil && ms >= 0 {
 		if requested := time.Duration(min(ms, maxTimeoutMillis)) * time.Millisecond; timeout <= 0 || requested < timeout {
 			timeout = requested
@@ -320,19 +360,15 @@
 	if reason == ClientLeft || e.streamStarted {
 		return
 	}
-	status, notRun, retryAfter := reason.status()
-	if reason == OverAllowance {
-		retryAfter = max(e.admission.RetryAfter, minRetryAfter)
-	}
-	if reason == ServersFull {
-		retryAfter = max(retryAfter, e.untilRetry(e.config.Now()))
-	}
+	status, notRun, retry := reason.status()
 	header := e.w.Header()
 	if e.id != "" {
 		header.Set(e.config.Headers.Request, e.id)
 	}
-	if notRun && retryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	if retry {
+		e.toldToRetryAfter = e.retryAfter(reason)
+		header.Set("Retry-After", strconv.FormatFloat(e.toldToRetryAfter.Seconds(), 'f', 3, 64))
+		e.metrics.refusals.WithLabelValues(string(reason), strconv.Itoa(e.urgency)).Inc()
 	}
 	header.Set("Content-Type", "application/json")
 	body, err := json.Marshal(struct {
@@ -352,6 +388,7 @@
 // Config.OnRequestEnd. It panics with http.ErrAbortHandler if a stream is incomplete
 // or nothing was written, since net/http would then send an empty success.
 func (e *exchange) finish() {
+	e.leaveQueue(waitRefused)
 	e.held.Release()
 	e.releaseFailedResponse()
 	now := e.config.Now()
--- a/internal/caller/forward/log.go
+++ b/internal/caller/forward/log.go
@@ -32,9 +32,16 @@
 		fields = append(fields, zap.String("move", e.versionChoice.Move), zap.Bool("new-version", e.versionChoice.UseNewVersion), zap.Uint8("step", e.versionChoice.Step))
 	}
 	if e.reason == OverAllowance {
-		fields = append(fields, zap.Float64("units", e.allowanceUnits), zap.Duration("retry-after", e.admission.RetryAfter),
+		fields = append(fields, zap.Float64("units", e.allowanceUnits), zap.Duration("admitted-after", e.admission.RetryAfter),
 			zap.String("decided-by", e.admission.DecidedBy), zap.String("used-up", e.admission.ExhaustedLimit))
 	}
+	if e.toldToRetryAfter > 0 {
+		request := e.admissionRequest()
+		fields = append(fields, zap.Int("urgency", e.urgency), zap.Duration("slack", request.Slack(now)), zap.Duration("retry-after", e.toldToRetryAfter))
+	}
+	if e.queueing.begun {
+		fields = append(fields, zap.Duration("queued-for", e.queueing.total), zap.Int("queue-position", e.queueing.position))
+	}
 	if !e.firstByte.IsZero() {
 		fields = append(fields, zap.Duration("first-byte", e.firstByte.Sub(e.start)), zap.String("last-event", e.stream.lastID))
 	}
--- a/internal/caller/forward/metrics.go
+++ b/internal/caller/forward/metrics.go
@@ -1,16 +1,25 @@
 package forward
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"wasabiworks.example/wasabiworks/internal/decide/admission"
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
+)
 
 type metrics struct {
 	requests, attempts  *prometheus.CounterVec
 	omitted, silences   *prometheus.CounterVec
+	refusals            *prometheus.CounterVec
 	firstByte, duration *prometheus.HistogramVec
+	queueWait           *prometheus.HistogramVec
 }
 
-// newMetrics registers the metrics. requestsHeld and responsesHeld return the bytes that
-// bodies hold.
-func newMetrics(r prometheus.Registerer, requestsHeld, responsesHeld func() float64) (*metrics, error) {
+// newMetrics returns the metrics of h after registering them.
+func (h *Handler) newMetrics() (*metrics, error) {
+	r := h.config.Registerer
 	buckets := prometheus.ExponentialBuckets(0.002, 2, 14)
 	m := &metrics{
 		requests:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_requests_total", Help: "Requests by kind of route and reason of their end."}, []string{"kind", "reason"}),
@@ -18,15 +27,28 @@
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "forward_first_byte_seconds", Help: "Time to the first byte of a server's answer.", Buckets: buckets}, []string{"kind"}),
 		duration:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "forward_duration_seconds", Help: "Time to the end of a request.", Buckets: buckets}, []string{"kind"}),
 		silences:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_silences_total", Help: "Checks of attempts at silent servers, and those that were ended for another server."}, []string{"outcome"}),
+		refusals:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_refusals_total", Help: "Refused requests that the client may retry, by reason and urgency."}, []string{"reason", "urgency"}),
+		queueWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "forward_queue_wait_seconds", Help: "Time that requests waited for a server, by the end of the wait.", Buckets: buckets}, []string{"outcome"}),
 		omitted:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "forward_log_lines_omitted_total", Help: "Lines for requests left out beyond the budget of lines."}, []string{"kind"}),
 	}
 	if r == nil {
 		return m, nil
 	}
-	held := func(kind string, bytes func() float64) prometheus.Collector {
+	held := func(kind string, memory *limit.Memory) prometheus.Collector {
+		bytes := func() float64 { return float64(memory.Used()) }
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "forward_held_bytes", Help: "Bytes that large bodies hold.", ConstLabels: prometheus.Labels{"kind": kind}}, bytes)
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.attempts, m.omitted, m.silences, m.firstByte, m.duration, held("requests", requestsHeld), held("responses", responsesHeld)} {
+	collectors := []prometheus.Collector{
+		m.requests, m.attempts, m.omitted, m.silences, m.refusals, m.firstByte, m.duration, m.queueWait,
+		held("requests", h.requests), held("responses", h.responses),
+	}
+	for u := range admission.Urgencies {
+		length := func() float64 { return float64(h.waiters.length(u)) }
+		collectors = append(collectors, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "forward_queue_length", Help: "Requests that wait for a server, by urgency.", ConstLabels: prometheus.Labels{"urgency": strconv.Itoa(u)},
+		}, length))
+	}
+	for _, c := range collectors {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -1,9 +1,6 @@
 package forward
 
-import (
-	"net/http"
-	"time"
-)
+import "net/http"
 
 // Reason is the cause of a request's end. It is a label of the counters, a field
 // of the log lines, and part of the instance's own error responses.
@@ -76,41 +73,26 @@
 	NoServer, ServersFull, ServersUnreachable, ResponseLost, InvalidResponse, ResponseDropped, MemoryFull, TimedOut, TimedOutUnsent, Stopping, Interrupted, StreamBroken,
 }
 
-// defaultRetryAfter is the time after which a client should retry a request that
-// was rejected for a temporary reason.
-const defaultRetryAfter = 300 * time.Millisecond
-
-// poisonRetryAfter is the time after which a client should retry a request that crashes
-// servers. Only the operator or a change of the servers can make such a request
-// succeed, but one that was blocked wrongly is cleared within seconds.
-const poisonRetryAfter = 3 * time.Second
-
-// minRetryAfter is the minimum of the Retry-After time for a workspace that is
-// over its allowance; 0 would invite an immediate retry.
-const minRetryAfter = time.Millisecond
-
 // status returns the HTTP status of the instance's own response, whether the
-// response guarantees that the request did not run, and after how long the client
-// should retry, or 0 if the response gives no time.
-func (r Reason) status() (status int, notRun bool, retryAfter time.Duration) {
+// response guarantees that the request did not run, and whether it says when the client
+// should retry.
+func (r Reason) status() (status int, notRun, retry bool) {
 	switch r {
-	case NoConfiguration, StaleConfiguration, NoServer, ServersFull, ServersUnreachable, MemoryFull, TimedOutUnsent, Stopping:
-		return http.StatusServiceUnavailable, true, defaultRetryAfter
-	case PoisonRequest, PoisonPart:
-		return http.StatusServiceUnavailable, true, poisonRetryAfter
+	case NoConfiguration, StaleConfiguration, NoServer, ServersFull, ServersUnreachable, MemoryFull, TimedOutUnsent, Stopping, PoisonRequest, PoisonPart:
+		return http.StatusServiceUnavailable, true, true
 	case NoRoute:
-		return http.StatusNotFound, true, 0
+		return http.StatusNotFound, true, false
 	case UnknownKey:
-		return http.StatusUnauthorized, true, 0
+		return http.StatusUnauthorized, true, false
 	case MalformedBody, MalformedTarget:
-		return http.StatusBadRequest, true, 0
+		return http.StatusBadRequest, true, false
 	case BodyTooLarge:
-		return http.StatusRequestEntityTooLarge, true, 0
+		return http.StatusRequestEntityTooLarge, true, false
 	case OverAllowance:
-		return http.StatusTooManyRequests, true, defaultRetryAfter
+		return http.StatusTooManyRequests, true, true
 	case TimedOut, Interrupted:
-		return http.StatusGatewayTimeout, false, 0
+		return http.StatusGatewayTimeout, false, false
 	default:
-		return http.StatusBadGateway, false, 0
+		return http.StatusBadGateway, false, false
 	}
 }
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -6,7 +6,6 @@
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
-	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 // outcome is the result of one attempt.
@@ -28,22 +27,16 @@
 func (o outcome) String() string { return outcomeNames[o] }
 
 const (
-	// serverPollInterval is the interval at which a waiting request checks for a
-	// usable server.
-	serverPollInterval = 20 * time.Millisecond
-	// maxRejections bounds the attempts of one request that servers reject.
-	maxRejections = 3
+	// maxRejections bounds the attempts of one request that servers reject before it
+	// waits, and maxQueuedRejections those altogether.
+	maxRejections       = 3
+	maxQueuedRejections = 4
 	// maxUnreachable bounds the attempts of one request that fail before a byte
 	// is sent.
 	maxUnreachable = 4
 	// fullServerPause is how long a server is avoided after it rejected a
 	// request.
 	fullServerPause = 100 * time.Millisecond
-	// serverWaitFraction is the fraction of the route's objective, counted from
-	// the arrival of the request, during which the request may wait for a usable
-	// server. A request that finds none is rejected early enough for the client to
-	// retry within the objective.
-	serverWaitFraction = 0.125
 )
 
 // run makes attempts until one succeeds or no further one is allowed.
@@ -52,7 +45,7 @@
 	var lastReason Reason
 	for {
 		reason := e.revalidate()
-		if reason == StaleConfiguration && e.mustContinue() && e.waitForServer(ctx) {
+		if reason == StaleConfiguration && e.mustContinue() && waitForConfiguration(ctx) {
 			continue
 		}
 		if reason != "" {
@@ -70,6 +63,15 @@
 			}
 			continue
 		}
+		if e.yields(t) {
+			if e.waitForServer(ctx) {
+				continue
+			}
+			if ctx.Err() != nil {
+				e.giveUp(ctx, NoServer, runs)
+				return
+			}
+		}
 		retry := false
 		switch result := e.send(ctx, t); result {
 		case outcomeAnswered:
@@ -81,7 +83,7 @@
 		case outcomeNotRun:
 			rejections++
 			lastReason = ServersFull
-			retry = (rejections < maxRejections || e.mustContinue()) && ctx.Err() == nil && e.withdrawRetry(ctx)
+			retry = ctx.Err() == nil && e.mayRetryRejected(ctx, rejections)
 		default:
 			runs++
 			lastReason = ResponseLost
@@ -100,6 +102,15 @@
 	}
 }
 
+// mayRetryRejected reports whether a request that servers rejected is sent again. If so, it
+// withdraws the retry from the budget.
+func (e *exchange) mayRetryRejected(ctx context.Context, rejections int) bool {
+	if rejections < maxRejections || e.mustContinue() {
+		return e.withdrawRetry(ctx)
+	}
+	return e.requeue(ctx, rejections)
+}
+
 // mayRetry reports whether a request that may have run is sent again. If so, it
 // withdraws the retry from the budget. runs is the number of attempts in which a
 // server may have run the request.
@@ -111,6 +122,7 @@
 // giveUp ends a request without a further attempt. runs is the number of attempts
 // in which a server may have run the request.
 func (e *exchange) giveUp(ctx context.Context, reason Reason, runs int) {
+	e.leaveQueue(waitRefused)
 	switch {
 	case e.r.Context().Err() != nil:
 		reason = ClientLeft
@@ -136,28 +148,26 @@
 	e.fail(reason)
 }
 
-// waitForServer waits for one poll interval and reports whether to check again
-// for a usable server. It doesn't wait if all servers want no requests for longer
-// than the request may wait.
-func (e *exchange) waitForServer(ctx context.Context) bool {
-	maxWait := min(time.Duration(serverWaitFraction*float64(e.route.Objective)), e.deadline.Sub(e.start))
-	now, end := e.config.Now(), e.start.Add(maxWait)
-	if !e.mustContinue() && (now.After(end) || e.earliestRetryAt(now).After(end)) {
-		return false
-	}
-	wait.For(ctx, serverPollInterval)
-	return ctx.Err() == nil
-}
-
-// tried reports whether there was an attempt at server s before. Once this instance
-// has ended an attempt, servers that did not run the request may be tried again.
+// tried reports whether there was an attempt at server s before that rules out another one.
+// Servers that did not run the request may be tried again once this instance has ended
+// an attempt, and those that rejected it once it has waited.
 func (e *exchange) tried(s *pool.Worker) bool {
 	for i := range e.attempts {
 		a := &e.attempts[i]
-		notSent := a.outcome == outcomeNotRun || a.outcome == outcomeUnreachable
-		if a.server == s && !(notSent && e.failedOver && !s.Suspect(e.config.Now())) {
+		if a.server == s && !(e.mayTryAgain(a) && !s.Suspect(e.config.Now())) {
 			return true
 		}
 	}
 	return false
 }
+
+// mayTryAgain reports whether the server of an attempt may be tried again.
+func (e *exchange) mayTryAgain(a *attempt) bool {
+	switch a.outcome {
+	case outcomeNotRun:
+		return e.failedOver || e.queueing.begun
+	case outcomeUnreachable:
+		return e.failedOver
+	}
+	return false
+}
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -24,6 +24,7 @@
 	sinceStart      time.Duration // from the arrival of the request to sentAt
 	took            time.Duration
 	outcome         outcome
+	rejectedAt      time.Time // when the server rejected the request as full; zero if it did not
 	status          int
 	newConn         bool // no earlier request was sent on the connection
 	err             error
@@ -80,10 +81,12 @@
 	now := e.config.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	transport := e.transportFor(server)
 	e.attempts = append(e.attempts, attempt{server: server, cacheSource: t.cacheSource, sentAt: now, sinceStart: now.Sub(e.start), cancel: cancel})
 	a := &e.attempts[len(e.attempts)-1]
 	a.verdict, a.held = e.newVerdict(a), e.responses.Hold(cancel)
 	server.Begin(uncachedTokens, now)
+	e.leaveQueue(waitSent)
 	defer func() {
 		if !a.promptProcessed {
 			server.PromptRead(uncachedTokens)
@@ -93,12 +96,16 @@
 		e.endFailover(a)
 		a.took, a.outcome = e.config.Now().Sub(now), result
 		e.recordEnd(a)
+		if a.pace.events > 0 {
+			e.serviceTimes.observe(e.route, a.pace.first.Sub(a.sentAt))
+		}
+		e.waiters.check(e.service)
 		e.metrics.attempts.WithLabelValues(result.String()).Inc()
 	}()
 	var sent tcp.SendTrace
 	request := e.newBackendRequest(sent.Context(ctx), t, now)
 	e.startSlowAttemptFailover(a)
-	response, err := server.Transport.RoundTrip(request)
+	response, err := transport.RoundTrip(request)
 	a.failover.stop()
 	if err != nil {
 		a.err = err
@@ -111,6 +118,20 @@
 	return e.handleResponse(a, response, uncachedTokens)
 }
 
+// resendDialTimeout is the timeout for connecting to a server again, which responded to the
+// request before.
+const resendDialTimeout = 400 * time.Millisecond
+
+// transportFor returns the transport for the next attempt at a server.
+func (e *exchange) transportFor(server *pool.Worker) *http.Transport {
+	for i := range e.attempts {
+		if e.attempts[i].server == server {
+			return e.resendTransport
+		}
+	}
+	return server.Transport
+}
+
 // newBackendRequest returns the request to send to the server of t.
 func (e *exchange) newBackendRequest(ctx context.Context, t target, now time.Time) *http.Request {
 	names := &e.config.Headers
--- a/internal/decide/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -141,6 +141,15 @@
 	return expired
 }
 
+// Drain removes and returns all requests.
+func (q *Queue[T]) Drain() []*Entry[T] {
+	all := slices.Collect(q.entries)
+	for _, e := range all {
+		q.Remove(e)
+	}
+	return all
+}
+
 // Wake returns the earliest time after now at which a request expires or becomes ready,
 // or the zero time if the queue is empty.
 func (q *Queue[T]) Wake(now time.Time) (at time.Time) {
--- a/internal/decide/admission/request.go
+++ b/internal/decide/admission/request.go
@@ -48,10 +48,11 @@
 	end := r.Arrival.Add(freeHold)
 	latestStart := r.Objective.Add(-r.ServiceTime)
 	switch {
+	case servable.IsZero():
 	case servable.After(end) && servable.After(latestStart):
 		return r.Arrival
-	case servable.After(end):
-		end = earlier(latestStart, servable.Add(freeHold))
+	default:
+		end = later(end, earlier(latestStart, servable.Add(freeHold)))
 	}
 	return earlier(end, r.lastStart())
 }
@@ -85,3 +86,10 @@
 	}
 	return b
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -16,6 +16,7 @@
 // apply applies a change of the store. Only the follower's goroutine calls it.
 func (f *Instance) apply(c follow.Change) {
 	f.pool.Batch(func() { f.applyItems(c) })
+	f.handler.StateChanged()
 }
 
 func (f *Instance) applyItems(c follow.Change) {
