--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// StateChanged lets waiting requests be examined after a change of the servers or of the
-// table. It has no effect on a nil Handler.
+// StateChanged lets waiting requests be examined after a change of the servers, of the
+// table or of Config.Refusing. It has no effect on a nil Handler.
 func (h *Handler) StateChanged() {
 	if h != nil {
 		h.waiters.checkAll()
--- a/internal/caller/forward/retryafter.go
+++ b/internal/caller/forward/retryafter.go
@@ -44,7 +44,11 @@
 	if e.deadline.IsZero() {
 		e.deadline = e.computeDeadline()
 	}
-	refusal := admission.Refusal{Request: e.admissionRequest(), Servable: e.servableAfter(reason, now), Random: uniform(e.config.Random())}
+	request := e.admissionRequest()
+	if e.view.Table == nil || !e.view.Table.Prioritized() {
+		request.Urgency = admission.Urgencies - 1 // no client is to be preferred
+	}
+	refusal := admission.Refusal{Request: request, Servable: e.servableAfter(reason, now), Random: uniform(e.config.Random())}
 	return e.refusals.add(refusal, e.suspect.Fingerprint, now)
 }
 
--- a/internal/caller/forward/waiters_test.go
+++ b/internal/caller/forward/waiters_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -235,6 +236,75 @@
 	}
 }
 
+// Guards against a request that is refused although a server is due in time for its
+// objective, and against one that is held although none is.
+func TestRequestWaitsWhileItsObjectiveCanBeMet(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		pause  time.Duration // of the only server, when the request arrives
+		status int
+		held   bool
+	}{
+		{"server is due in time", 1500 * time.Millisecond, http.StatusOK, true},
+		{"server is due too late", 3500 * time.Millisecond, http.StatusServiceUnavailable, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := serveRaw(t, func(c *rawConn) {
+				for id := c.readRequest(); id != ""; id = c.readRequest() {
+					c.send(answer(id, "answer"))
+				}
+			})
+			table, servers := urgencyTable(4*time.Second, 0), pool.New()
+			var elapsed atomic.Int64 // since the start, in nanoseconds
+			start := time.Now()
+			f := newForwarderWith(t, func(c *Config) {
+				c.View = func() View { return View{Table: table, Confirmed: start, Fresh: true} }
+				c.Now = func() time.Time { return start.Add(time.Duration(elapsed.Load())) }
+				c.Pool = servers
+			}, 1000, 10*time.Second)
+			servers.Put(pool.Registration{ID: "server-0", Service: "service", Address: s.address, Slots: 8}, start)
+			servers.Service("service")[0].SetRetryAt(start.Add(tt.pause))
+			done := make(chan result, 1)
+			go func() { done <- call(t, f, http.MethodPost, "/0/", "r1") }()
+			if tt.held {
+				awaitWaiting(t, f, 1)
+				elapsed.Store(int64(tt.pause))
+			}
+			if r := <-done; r.status != tt.status {
+				t.Errorf("got status %d, want %d", r.status, tt.status)
+			}
+		})
+	}
+}
+
+// Guards against requests that wait for a server, and take a turn, after their clients
+// have left.
+func TestRequestLeavesTheQueueWithItsClient(t *testing.T) {
+	table := urgencyTable(20*time.Second, 0)
+	f := newForwarderWith(t, func(c *Config) {
+		c.View = func() View { return View{Table: table, Confirmed: time.Now(), Fresh: true} }
+	}, 1000, 10*time.Second)
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.URL+"/0/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "app.example"
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			t.Errorf("got status %d, want no response", response.StatusCode)
+			response.Body.Close()
+		}
+	}()
+	awaitWaiting(t, f, 1)
+	cancel()
+	<-done
+	awaitWaiting(t, f, 0)
+}
+
 // BenchmarkCheck measures a check of a queue of 64 requests behind 90 servers that want no
 // requests, which takes place every 20 ms while requests wait, and at each end of an attempt.
 func BenchmarkCheck(b *testing.B) {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -401,6 +401,7 @@
 	f.config.Log.Info("planned shutdown started", zap.Time("deadline", deadline))
 	time.Sleep(min(balancerDelay, f.config.DrainTimeout/2))
 	f.refusing.Store(true)
+	f.handler.StateChanged()
 	defer time.AfterFunc(time.Until(deadline)-answerMargin, f.endClients).Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
