Examine waiting requests once when a planned stop begins

A waiting request that a server had rejected before a planned stop was examined again and again without a pause, because each check during the stop examined all requests. They are now examined when the stop begins, as they are when the table changes. Refusals before the route is known are no longer counted as those of the most urgent requests.

The new test failed before: the request was examined a second time at once.

--- a/internal/caller/forward/doc.go
+++ b/internal/caller/forward/doc.go
@@ -6,6 +6,9 @@
 // body unchanged. Event streams are relayed, and resumed at another server if the
 // route allows that.
 //
+// Requests without a usable server wait in a queue (waiters), by the rules of package
+// admission.
+//
 // Handler.ServeHTTP receives a request, exchange.send makes one attempt at a
 // server, and exchange.run decides whether to retry.
 //
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -186,6 +186,7 @@
 		}
 		return NoRoute
 	}
+	e.urgency = routes.Urgency(e.route, nil)
 	workspace, reason := e.authenticate(e.view, e.route)
 	if reason != "" {
 		return reason
@@ -368,7 +369,7 @@
 	if retry {
 		e.toldToRetryAfter = e.retryAfter(reason)
 		header.Set("Retry-After", strconv.FormatFloat(e.toldToRetryAfter.Seconds(), 'f', 3, 64))
-		e.metrics.refusals.WithLabelValues(string(reason), strconv.Itoa(e.urgency)).Inc()
+		e.metrics.refusals.WithLabelValues(string(reason), e.urgencyLabel()).Inc()
 	}
 	header.Set("Content-Type", "application/json")
 	body, err := json.Marshal(struct {
--- a/internal/caller/forward/metrics.go
+++ b/internal/caller/forward/metrics.go
@@ -17,6 +17,14 @@
 	queueWait           *prometheus.HistogramVec
 }
 
+// urgencyLabel returns the urgency as a label of the metrics.
+func (e *exchange) urgencyLabel() string {
+	if e.route == nil {
+		return "unknown"
+	}
+	return strconv.Itoa(e.urgency)
+}
+
 // newMetrics returns the metrics of h after registering them.
 func (h *Handler) newMetrics() (*metrics, error) {
 	r := h.config.Registerer
--- a/internal/caller/forward/waiters.go
+++ b/internal/caller/forward/waiters.go
@@ -65,10 +65,19 @@
 	// is none.
 	current      *waiting
 	examineUntil time.Time
-	table        *routes.Table // as of the last check
+	conditions   conditions // as of the last check
 	timer        *time.Timer
 }
 
+// conditions are what requests are checked against before they are sent. All that wait are
+// examined when it has changed.
+type conditions struct {
+	table    *routes.Table
+	stopping bool
+}
+
+func (c *waitersConfig) conditions() conditions { return conditions{c.Table(), c.Stopping()} }
+
 func newWaiters(c waitersConfig) *waiters {
 	return &waiters{config: c, queues: make(map[string]*serviceQueue)}
 }
@@ -87,11 +96,11 @@
 
 // offer adds a request to the queue of a service, and returns its entry and its position.
 func (w *waiters) offer(service string, r admission.Request, holdUntil time.Time) (e *waiting, position int) {
-	now, table := w.config.Now(), w.config.Table()
+	now, current := w.config.Now(), w.config.conditions()
 	w.mu.Lock()
 	q := w.queue(service)
 	if q.requests.Len() == 0 {
-		q.table = table
+		q.conditions = current
 	}
 	position = q.requests.Position(&r, now)
 	e, shed := q.requests.Offer(r, make(chan signal, 1), holdUntil, now)
@@ -178,20 +187,20 @@
 }
 
 // check refuses the requests of a service that may wait no longer, and lets the next one
-// be examined if a server may take it. All of them are examined if the table has changed
-// or the instance stops.
+// be examined if a server may take it. All of them are examined if the conditions have
+// changed.
 func (w *waiters) check(service string) {
 	if w.count.Load() == 0 {
 		return
 	}
 	now := w.config.Now()
-	usableAt, table, stopping := w.config.UsableAt(service, now), w.config.Table(), w.config.Stopping()
+	usableAt, current := w.config.UsableAt(service, now), w.config.conditions()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	q := w.queue(service)
 	before := q.requests.Len()
-	if stopping || table != q.table {
-		q.table = table
+	if current != q.conditions {
+		q.conditions = current
 		q.examineAll()
 	}
 	for _, e := range q.requests.Expire(now) {
--- a/internal/caller/forward/waiters_test.go
+++ b/internal/caller/forward/waiters_test.go
@@ -113,10 +113,10 @@
 // testWaiters returns waiters for which a server is usable from the time in usableAt on.
 func testWaiters(limits admission.Config) (w *waiters, usableAt *time.Time) {
 	usableAt = new(time.Time)
-	return newWaiters(waitersConfig{
-		Limits: limits, UsableAt: func(string, time.Time) time.Time { return *usableAt }, Table: func() *routes.Table { return nil },
-		Stopping: func() bool { return false }, Now: time.Now,
-	}), usableAt
+	c := waitersConfig{Limits: limits, Now: time.Now}
+	c.UsableAt = func(string, time.Time) time.Time { return *usableAt }
+	c.Table, c.Stopping = func() *routes.Table { return nil }, func() bool { return false }
+	return newWaiters(c), usableAt
 }
 
 // Guards against requests that are examined together, although each choice of a server
@@ -195,6 +195,25 @@
 	})
 }
 
+// Guards against waiting requests that do not learn of a planned stop, and against ones that
+// are examined without pause because they may go on in spite of it.
+func TestPlannedStopExaminesWaitersOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, _ := testWaiters(admission.Config{MaxRequests: 2, MaxBytes: 100})
+		now := time.Now()
+		e, _ := w.offer("service", admission.Request{Arrival: now, Deadline: now.Add(time.Hour)}, now.Add(time.Second))
+		w.config.Stopping = func() bool { return true }
+		w.checkAll()
+		if s := <-e.Value; s != examine || time.Since(now) > 0 {
+			t.Errorf("got signal %d after %v, want an examination at once", s, time.Since(now))
+		}
+		w.resume("service", e, now.Add(time.Second))
+		if s := <-e.Value; s != refuse || time.Since(now) != time.Second {
+			t.Errorf("got signal %d after %v, want a refusal after 1s", s, time.Since(now))
+		}
+	})
+}
+
 // Guards against a less urgent new request that takes the slot of a full server before a
 // more urgent one that waits for it.
 func TestLessUrgentRequestsYield(t *testing.T) {
