--- a/internal/caller/forward/wait.go
+++ b/internal/caller/forward/wait.go
@@ -14,8 +14,8 @@
 	service string   // of the queue
 	since   time.Time
 	// begun reports whether the request has waited. total is the time of the waits that
-	// have ended, and position the number of requests that were ahead at the begin of the
-	// last one.
+	// have ended, and position the number of requests that were ahead when the
+	// last one began.
 	begun    bool
 	total    time.Duration
 	position int
@@ -87,8 +87,8 @@
 	e.metrics.queueWait.WithLabelValues(outcome).Observe(waited.Seconds())
 }
 
-// yields reports whether the request should wait although server could take it: the
-// server is in doubt, or was until just now, as are all others then, and more urgent
+// yields reports whether the request should wait although a server could take it: the
+// server of t is in doubt, or was until just now, as are all others then, and more urgent
 // requests wait.
 func (e *exchange) yields(t target) bool {
 	return len(e.attempts) == 0 && e.view.Table.Prioritized() && t.server.Suspect(e.config.Now().Add(-recheckInterval)) && e.waiters.ahead(e.service, e.urgency)
