Send nothing to the servers of an evacuated failure domain

The operator had no way to empty a failure domain: an instance used each server that is registered and says that it accepts requests. The key op/evacuate/DOMAIN now takes the servers of the domain out of use, also for requests that wait or are sent again, until the key is removed or missing from a full listing. Nothing is ordered there meanwhile, and the other domains carry the need. Running streams finish.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -21,6 +21,7 @@
 	// at its end.
 	batching, changed bool
 	view              atomic.Pointer[map[string][]*Worker]
+	conditions        conditions
 }
 
 // New returns an empty pool.
@@ -72,14 +73,14 @@
 		return false
 	}
 	delete(p.removeAt, s.ID)
-	if ok && current.process() == s.process() && current.Service == s.Service && current.Version == s.Version {
+	if ok && current.process() == s.process() && current.Service == s.Service && current.Version == s.Version && current.FailureDomain == s.FailureDomain {
 		// A process that is leaving never becomes usable again.
 		return s.Leaving && current.MarkLeaving()
 	}
 	if ok {
 		current.retire()
 	}
-	w := newWorker(s, p.states.get(&s), now)
+	w := newWorker(s, p.states.get(&s), &p.conditions, now)
 	p.workers[s.ID] = w
 	if ok && current.process() != s.process() {
 		p.forget(current)
--- a/internal/backend/pool/process.go
+++ b/internal/backend/pool/process.go
@@ -52,6 +52,11 @@
 	return w.Usable() && now.UnixNano() >= w.state.retryAt.Load()
 }
 
+// Acquire reports whether a request may be sent to the server at now. It is called
+// directly before each request, since a server that was chosen may accept none by
+// then.
+func (w *Worker) Acquire(now time.Time) bool { return w.Accepts(now) }
+
 // processStates holds the states of the registered processes and of those that
 // were removed last. The caller synchronizes the calls of its methods.
 type processStates struct {
--- a/internal/backend/pool/worker.go
+++ b/internal/backend/pool/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/backend/tcp"
+	"wasabiworks.example/wasabiworks/internal/decide/evacuation"
 )
 
 // Registration is the registration of one process of a backend server.
@@ -51,6 +52,7 @@
 
 	joined        time.Time
 	state         *processState
+	conditions    *conditions
 	retired       atomic.Bool  // no longer in the pool
 	running       atomic.Int64 // requests sent and not yet ended
 	pendingTokens atomic.Int64 // prompt tokens of requests whose first response event has not arrived
@@ -61,8 +63,8 @@
 	fullUntil     atomic.Int64 // set by a rejection
 }
 
-func newWorker(s Registration, state *processState, now time.Time) *Worker {
-	w := &Worker{Registration: s, joined: now, state: state}
+func newWorker(s Registration, state *processState, c *conditions, now time.Time) *Worker {
+	w := &Worker{Registration: s, joined: now, state: state, conditions: c}
 	w.Transport = tcp.NewTransport(tcp.Config{DialTimeout: dialTimeout, IdleTimeout: idleTimeout})
 	return w
 }
@@ -71,15 +73,21 @@
 // connections, so that a request is rarely sent on one that is being closed.
 const idleTimeout = 4 * time.Second
 
-// Usable reports whether the server is registered and not leaving.
-func (w *Worker) Usable() bool { return !w.retired.Load() && !w.state.leaving.Load() }
+// Usable reports whether the server is registered, not leaving, and not in an
+// evacuated failure domain.
+func (w *Worker) Usable() bool {
+	return !w.retired.Load() && !w.state.leaving.Load() && !w.Evacuated()
+}
 
 // newServerPeriod is how long a server counts as new. By then it is assumed to
 // have read or fetched the prefixes that are in use.
 const newServerPeriod = 10 * time.Second
 
-// RecentlyJoined reports whether the server joined less than newServerPeriod ago.
-func (w *Worker) RecentlyJoined(now time.Time) bool { return now.Sub(w.joined) < newServerPeriod }
+// RecentlyJoined reports whether the server joined less than newServerPeriod ago, or
+// its failure domain has just been returned to service.
+func (w *Worker) RecentlyJoined(now time.Time) bool {
+	return now.Sub(w.joined) < newServerPeriod || w.conditions.domains.Load().Use(w.FailureDomain, now) == evacuation.Returning
+}
 
 // Begin records that a request is sent at now, and the number of its prompt
 // tokens that the server still has to read.
--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -27,7 +27,7 @@
 	servers := make([]*pool.Worker, 0, len(all))
 	for _, s := range all {
 		eligible, preferred := e.versionChoice.accepts(s.Version)
-		if !eligible {
+		if !eligible || s.Evacuated() {
 			continue
 		}
 		servers = append(servers, s)
--- a/internal/caller/forward/log.go
+++ b/internal/caller/forward/log.go
@@ -31,6 +31,9 @@
 	if e.versionChoice.Move != "" {
 		fields = append(fields, zap.String("move", e.versionChoice.Move), zap.Bool("new-version", e.versionChoice.UseNewVersion), zap.Uint8("step", e.versionChoice.Step))
 	}
+	if domains := e.config.Pool.EvacuatedDomains().Domains(); len(domains) > 0 && e.reason != Served {
+		fields = append(fields, zap.Strings("evacuated", domains))
+	}
 	if e.reason == OverAllowance {
 		fields = append(fields, zap.Float64("units", e.allowanceUnits), zap.Duration("retry-after", e.admission.RetryAfter),
 			zap.String("decided-by", e.admission.DecidedBy), zap.String("used-up", e.admission.ExhaustedLimit))
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -59,7 +59,7 @@
 			e.giveUp(ctx, reason, runs)
 			return
 		}
-		t, ok := e.chooseServer()
+		t, ok := e.acquireServer()
 		if !ok {
 			if lastReason == "" {
 				lastReason = e.reasonForNoServer()
--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -32,6 +32,7 @@
 		dutyHeld = dutyHeld || item.Key == dutyKey
 		f.applyItem(item)
 	}
+	f.publishEvacuations(c)
 	if instancesChanged {
 		f.publishInstances()
 	}
@@ -65,6 +66,8 @@
 		f.applyServer(strings.TrimPrefix(item.Key, format.ServersPrefix), item)
 	case strings.HasPrefix(item.Key, instancesPrefix):
 		f.applyInstance(item)
+	case format.EvacuationPrefix != "" && strings.HasPrefix(item.Key, format.EvacuationPrefix):
+		f.applyEvacuation(item)
 	case strings.HasPrefix(item.Key, format.MovesPrefix):
 		f.mover.applyOrder(item)
 	case strings.HasPrefix(item.Key, movesPrefix):
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
 	"wasabiworks.example/wasabiworks/internal/caller/forward"
+	"wasabiworks.example/wasabiworks/internal/decide/evacuation"
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
@@ -107,6 +108,11 @@
 	ConfigKey, ServersPrefix string
 	DecodeTable              func(data []byte) (*routes.Table, error)
 	DecodeServer             func(key string, data []byte) (pool.Registration, error)
+	// EvacuationPrefix is the prefix of the keys by which the operator evacuates
+	// failure domains. DecodeEvacuation returns the domain of such a key, or "" if the
+	// key names none; an error with a domain means that the value is invalid.
+	EvacuationPrefix string
+	DecodeEvacuation func(key string, value []byte) (domain string, err error)
 	// MovesPrefix is the prefix of the keys at which the operator orders moves.
 	MovesPrefix      string
 	DecodeMove       func(key string, data []byte) (MoveOrder, error)
@@ -174,6 +180,11 @@
 	// serverRevisions are the store revisions of the servers' entries, by server
 	// ID. Only apply and the methods that it calls use them.
 	serverRevisions map[string]int64
+	// evacuationUpdate collects the changes of evacuations during apply, and
+	// reportedEvacuations holds the revisions, by key, of the odd evacuation keys that
+	// were logged. Only apply and the methods that it calls use them.
+	evacuationUpdate    evacuation.Update
+	reportedEvacuations map[string]int64
 	// ownAddresses are the addresses at which the instance listens.
 	ownAddresses map[netip.AddrPort]bool
 	wasReady     atomic.Bool
@@ -222,7 +233,7 @@
 	}
 	f := &Instance{
 		config: c, now: boottime.Now, registry: c.Registry, pool: pool.New(),
-		relayAvoidUntil: make(map[string]time.Time), serverRevisions: make(map[string]int64), registered: make(map[string]membership.Member),
+		relayAvoidUntil: make(map[string]time.Time), serverRevisions: make(map[string]int64), reportedEvacuations: make(map[string]int64), registered: make(map[string]membership.Member),
 		ownAddresses: listenAddresses(c.Clients, c.Ready, c.Peer, c.Operations),
 	}
 	f.ending, f.endClients = context.WithCancel(context.Background())
@@ -230,6 +241,9 @@
 	if err := f.initCluster(); err != nil {
 		return nil, err
 	}
+	if err := f.registerEvacuationMetrics(); err != nil {
+		return nil, err
+	}
 	if f.burn, err = burn.New(burn.Config{Registry: f.registry}); err != nil {
 		return nil, err
 	}
--- a/internal/entry/gateway/scale.go
+++ b/internal/entry/gateway/scale.go
@@ -136,10 +136,7 @@
 		Min: service.Scaling.Min, Max: service.Scaling.Max, ReclaimablePrice: service.Scaling.ReclaimablePrice, Need: s.needed(service.Name, planned),
 	}
 	usable := s.usable(service.Name)
-	for domain, price := range service.Scaling.Prices {
-		c.Domains = append(c.Domains, capacity.Domain{Name: domain, Price: price, Reclaimable: usable[orderKey{service.Name, domain, true}]})
-	}
-	slices.SortFunc(c.Domains, func(a, b capacity.Domain) int { return strings.Compare(a.Name, b.Name) })
+	c.Domains = s.domains(service, usable)
 	for _, o := range capacity.Plan(c) {
 		reclaimable, ordinary := orderKey{service.Name, o.Domain, true}, orderKey{service.Name, o.Domain, false}
 		if o.Reclaimable > 0 {
@@ -149,6 +146,19 @@
 	}
 }
 
+// domains returns the failure domains of a service that are not evacuated. Nothing is
+// ordered or released in an evacuated one, and the others carry the need.
+func (s *scaler) domains(service *routes.Service, usable map[orderKey]int) (domains []capacity.Domain) {
+	evacuated := s.instance.pool.EvacuatedDomains()
+	for name, price := range service.Scaling.Prices {
+		if !evacuated.IsEvacuated(name) {
+			domains = append(domains, capacity.Domain{Name: name, Price: price, Reclaimable: usable[orderKey{service.Name, name, true}]})
+		}
+	}
+	slices.SortFunc(domains, func(a, b capacity.Domain) int { return strings.Compare(a.Name, b.Name) })
+	return domains
+}
+
 // usable returns the number of a service's servers that take requests, by group.
 func (s *scaler) usable(service string) map[orderKey]int {
 	n := make(map[orderKey]int)
