Limit the requests to cold servers by owner instances

A server that has just started or turned cold crashes under a load that it bears when warm, and each instance used it like any other. For services with a limit, only two instances may now send to a cold server, at three quarters of its rate each, evenly spaced: the first owner, and a second one in another failure domain while it takes the first for dead. A change in the list of instances counts when no instance can still use the list before it, so that there are no other senders whatever the instances believe of each other. After the cold time the server's share ramps up. Without a limit nothing changes.

--- a/internal/backend/pool/conditions.go
+++ b/internal/backend/pool/conditions.go
@@ -9,7 +9,9 @@
 // conditions hold what decides on the use of servers besides the servers themselves.
 // All Workers of a Pool share them.
 type conditions struct {
-	domains atomic.Pointer[evacuation.Set]
+	domains   atomic.Pointer[evacuation.Set]
+	cold      atomic.Pointer[ColdStart]
+	coldSends atomic.Int64
 }
 
 // EvacuatedDomains returns the evacuated failure domains. The result may be nil, which
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -73,14 +73,16 @@
 		return false
 	}
 	delete(p.removeAt, s.ID)
+	turnedCold := ok && current.process() == s.process() && current.state.cold.applyEntry(&s, now) && current.Cold(now)
 	if ok && current.process() == s.process() && current.Service == s.Service && current.Version == s.Version && current.FailureDomain == s.FailureDomain {
 		// A process that is leaving never becomes usable again.
-		return s.Leaving && current.MarkLeaving()
+		return s.Leaving && current.MarkLeaving() || turnedCold
 	}
 	if ok {
 		current.retire()
 	}
 	w := newWorker(s, p.states.get(&s), &p.conditions, now)
+	w.state.cold.applyEntry(&s, now)
 	p.workers[s.ID] = w
 	if ok && current.process() != s.process() {
 		p.forget(current)
--- a/internal/backend/pool/process.go
+++ b/internal/backend/pool/process.go
@@ -26,6 +26,7 @@
 type processState struct {
 	leaving atomic.Bool  // never reset
 	retryAt atomic.Int64 // on the clock of package boottime, in nanoseconds
+	cold    coldState
 }
 
 // MarkLeaving records that the process of the server is leaving, for good. It
@@ -34,29 +35,23 @@
 
 // SetRetryAt records that the server wants no requests of this instance before at.
 // An earlier time than the current one has no effect.
-func (w *Worker) SetRetryAt(at time.Time) {
-	for n := at.UnixNano(); ; {
-		current := w.state.retryAt.Load()
-		if n <= current || w.state.retryAt.CompareAndSwap(current, n) {
-			return
-		}
+func (w *Worker) SetRetryAt(at time.Time) { storeMax(&w.state.retryAt, at.UnixNano()) }
+
+// RetryAt returns the time before which the server gets no requests of this instance
+// as of now, which may have passed.
+func (w *Worker) RetryAt(now time.Time) time.Time {
+	at := time.Unix(0, w.state.retryAt.Load())
+	if cold := w.coldRetryAt(now); cold.After(at) {
+		return cold
 	}
+	return at
 }
 
-// RetryAt returns the time before which the server wants no requests of this
-// instance, which may have passed.
-func (w *Worker) RetryAt() time.Time { return time.Unix(0, w.state.retryAt.Load()) }
-
 // Accepts reports whether the server may get new requests at now.
 func (w *Worker) Accepts(now time.Time) bool {
-	return w.Usable() && now.UnixNano() >= w.state.retryAt.Load()
+	return w.Usable() && now.UnixNano() >= w.state.retryAt.Load() && w.admitsCold(now)
 }
 
-// Acquire reports whether a request may be sent to the server at now. It is called
-// directly before each request, since a server that was chosen may accept none by
-// then.
-func (w *Worker) Acquire(now time.Time) bool { return w.Accepts(now) }
-
 // processStates holds the states of the registered processes and of those that
 // were removed last. The caller synchronizes the calls of its methods.
 type processStates struct {
--- a/internal/backend/pool/worker.go
+++ b/internal/backend/pool/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/backend/tcp"
+	"wasabiworks.example/wasabiworks/internal/decide/coldstart"
 	"wasabiworks.example/wasabiworks/internal/decide/evacuation"
 )
 
@@ -24,6 +25,12 @@
 	Leaving bool
 	// Incarnation distinguishes the processes that run under one ID.
 	Incarnation int64
+	// ColdLeft is for how long the server stays cold, as of when it wrote this. Put
+	// reads it; Worker.Cold tells whether the server is cold.
+	ColdLeft time.Duration
+	// Revision is the revision of the server's entry in the store, or 0 if it is
+	// unknown.
+	Revision int64
 }
 
 const (
@@ -53,18 +60,20 @@
 	joined        time.Time
 	state         *processState
 	conditions    *conditions
-	retired       atomic.Bool  // no longer in the pool
-	running       atomic.Int64 // requests sent and not yet ended
-	pendingTokens atomic.Int64 // prompt tokens of requests whose first response event has not arrived
-	lastReceived  atomic.Int64 // when data last arrived from the server
-	busySince     atomic.Int64 // when running last rose from 0
-	failures      atomic.Int64 // consecutive failures
-	avoidUntil    atomic.Int64 // set by a failure
-	fullUntil     atomic.Int64 // set by a rejection
+	coldLimit     atomic.Pointer[coldstart.Limit] // that of the service
+	retired       atomic.Bool                     // no longer in the pool
+	running       atomic.Int64                    // requests sent and not yet ended
+	pendingTokens atomic.Int64                    // prompt tokens of requests whose first response event has not arrived
+	lastReceived  atomic.Int64                    // when data last arrived from the server
+	busySince     atomic.Int64                    // when running last rose from 0
+	failures      atomic.Int64                    // consecutive failures
+	avoidUntil    atomic.Int64                    // set by a failure
+	fullUntil     atomic.Int64                    // set by a rejection
 }
 
 func newWorker(s Registration, state *processState, c *conditions, now time.Time) *Worker {
 	w := &Worker{Registration: s, joined: now, state: state, conditions: c}
+	w.setColdLimit()
 	w.Transport = tcp.NewTransport(tcp.Config{DialTimeout: dialTimeout, IdleTimeout: idleTimeout})
 	return w
 }
--- a/internal/bench/worker/worker.go
+++ b/internal/bench/worker/worker.go
@@ -75,6 +75,7 @@
 	// retryAfter is the time for which each refusal asks for no requests; 0 asks
 	// for nothing.
 	retryAfter    time.Duration
+	coldUntil     time.Time
 	arrivals      []Arrival
 	runs          []Run
 	abandoned     []Abandonment
@@ -117,6 +118,13 @@
 	w.leaving = leaving
 }
 
+// SetColdUntil makes the server say in its responses until then that it is cold.
+func (w *Server) SetColdUntil(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.coldUntil = at
+}
+
 // SetRetryAfter sets the time for which each refusal of FaultFull asks for no
 // requests, with the header Retry-After; 0 leaves the header out.
 func (w *Server) SetRetryAfter(d time.Duration) {
@@ -174,7 +182,7 @@
 	w.mu.Lock()
 	f, leaving := w.fault, w.leaving
 	arrival := Arrival{AttemptID: id, At: time.Now()}
-	retryAfter := w.retryAfter
+	retryAfter, coldLeft := w.retryAfter, time.Until(w.coldUntil)
 	if f == FaultFull && retryAfter > 0 {
 		arrival.RetryAt = arrival.At.Add(retryAfter)
 	}
@@ -192,6 +200,9 @@
 	if leaving {
 		header.Set("Server-Leaving", "1")
 	}
+	if coldLeft > 0 {
+		header.Set("X-Wasabiworks-Cold-Ms", strconv.FormatInt(coldLeft.Milliseconds(), 10))
+	}
 	switch f {
 	case FaultReset:
 		resetConnection(rw)
--- a/internal/caller/forward/availability.go
+++ b/internal/caller/forward/availability.go
@@ -18,6 +18,7 @@
 		e.config.Log.Info("backend server says that it is leaving", zap.String("server", server.ID),
 			zap.String("address", server.Address), zap.Int64("incarnation", server.Incarnation))
 	}
+	e.recordColdTime(server, r)
 	if r.StatusCode != http.StatusServiceUnavailable {
 		return
 	}
@@ -26,6 +27,28 @@
 	}
 }
 
+// recordColdTime records for how long the server says that it stays cold.
+func (e *exchange) recordColdTime(server *pool.Worker, r *http.Response) {
+	value := r.Header.Get(e.config.Headers.Cold)
+	if value == "" {
+		return
+	}
+	now, left := e.config.Now(), parseMillis(value)
+	if server.SetColdLeft(left, now) && server.Cold(now) {
+		e.config.Log.Info("backend server says that it is cold", zap.String("server", server.ID), zap.Int64("incarnation", server.Incarnation), zap.Duration("left", left))
+	}
+}
+
+// parseMillis returns the time in a header that holds a number of milliseconds with or
+// without a fraction, or 0 for any other value. The result has at most one hour.
+func parseMillis(s string) time.Duration {
+	ms, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(ms > 0) { // NaN is not above 0
+		return 0
+	}
+	return time.Duration(min(ms, float64(time.Hour.Milliseconds())) * float64(time.Millisecond))
+}
+
 // maxServerRetryAfter bounds the time for which a server can refuse all requests, so
 // that a garbled number does not exclude it for good.
 const maxServerRetryAfter = 10 * time.Minute
@@ -52,7 +75,7 @@
 		if s.Accepts(now) {
 			return time.Time{}
 		}
-		if at := s.RetryAt(); earliest.IsZero() || at.Before(earliest) {
+		if at := s.RetryAt(now); earliest.IsZero() || at.Before(earliest) {
 			earliest = at
 		}
 	}
--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -17,6 +17,10 @@
 	cacheSource *pool.Worker
 }
 
+// coldLoad is the number of running requests that a cold server counts as having more
+// than it has, so that it is used when the others are busier.
+const coldLoad = 2
+
 // chooseServer returns the server for the next attempt. It returns false if no
 // server is usable or the best choice was tried before. Servers that were tried
 // count as suspect, so they are chosen only if all usable servers are suspect.
@@ -31,11 +35,15 @@
 			continue
 		}
 		servers = append(servers, s)
+		running := s.Running()
+		if s.Cold(now) {
+			running += coldLoad
+		}
 		candidates = append(candidates, route.Candidate{
-			ID: s.ID, PendingTokens: float64(s.PendingTokens()), Running: s.Running(), Slots: s.Slots,
+			ID: s.ID, PendingTokens: float64(s.PendingTokens()), Running: running, Slots: s.Slots,
 			CachedTokens: s.Prompts.CachedTokens(e.prompt.Parts, now),
 			Local:        s.FailureDomain == e.config.FailureDomain,
-			Suspect:      s.Suspect(now) || e.tried(s) || !preferred,
+			Suspect:      s.Suspect(now) || e.tried(s) || !preferred || s.Ramps(now, e.config.Random),
 			New:          s.RecentlyJoined(now), Excluded: !s.Accepts(now),
 		})
 	}
--- a/internal/caller/forward/headers.go
+++ b/internal/caller/forward/headers.go
@@ -26,6 +26,8 @@
 	ServerSeal string
 	// Leaving is "1" in the responses of a server process that is leaving.
 	Leaving string
+	// Cold is for how long the responding server stays cold, in milliseconds.
+	Cold string
 	// Tokens lists the number of prompt tokens and the maximum number of output
 	// tokens, separated by a comma.
 	Tokens string
--- a/internal/decide/membership/table.go
+++ b/internal/decide/membership/table.go
@@ -340,7 +340,7 @@
 func (t *Table) live(domain string, now time.Time) []string {
 	var ids []string
 	for id, r := range t.rows {
-		if domain != "" && r.FailureDomain != domain || r.Leaving || r.listedLeaving || t.isSuspect(r, now) {
+		if domain != "" && r.FailureDomain != domain || !t.isLive(r, now) {
 			continue
 		}
 		ids = append(ids, id)
@@ -349,6 +349,18 @@
 	return ids
 }
 
+// IsLive reports whether a member is neither a suspect nor leaving.
+func (t *Table) IsLive(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[id]
+	return ok && t.isLive(r, now)
+}
+
+func (t *Table) isLive(r *row, now time.Time) bool {
+	return !r.Leaving && !r.listedLeaving && !t.isSuspect(r, now)
+}
+
 func (t *Table) isSuspect(r *row, now time.Time) bool {
 	switch {
 	case r.ID == t.self.ID:
--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -93,6 +93,7 @@
 		return
 	}
 	f.table.Store(t)
+	f.publishColdStart()
 	f.config.Log.Info("configuration applied", zap.Int64("version", t.Version), zap.Int64("revision", item.Revision), zap.Int("routes", len(t.Routes)))
 }
 
@@ -142,9 +143,10 @@
 		f.config.Log.Warn("server entry names no usable server", zap.String("server", id), zap.Int64("revision", item.Revision), zap.Bool("removed", removed), zap.Error(err))
 		return
 	}
+	s.Revision = item.Revision
 	if f.pool.Put(s, f.now()) {
 		f.config.Log.Info("server added or changed", zap.String("server", id), zap.String("service", s.Service), zap.String("address", s.Address),
-			zap.String("domain", s.FailureDomain), zap.Bool("leaving", s.Leaving), zap.Int64("revision", item.Revision))
+			zap.String("domain", s.FailureDomain), zap.Bool("leaving", s.Leaving), zap.Duration("cold-left", s.ColdLeft), zap.Int64("revision", item.Revision))
 	}
 }
 
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
 	"wasabiworks.example/wasabiworks/internal/caller/forward"
+	"wasabiworks.example/wasabiworks/internal/decide/coldstart"
 	"wasabiworks.example/wasabiworks/internal/decide/evacuation"
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
@@ -199,10 +200,13 @@
 	registered         map[string]membership.Member
 	registeredSnapshot atomic.Pointer[[]membership.Member]
 	registeredCount    recentMax
-	exchange           *exchange.Node
-	allowances         *allowance.Limiter
-	crashes            crash.Reports
-	crashChecks        sync.WaitGroup // counts running checks of whether a server has crashed
+	// rosters are those of the last call of publishColdStart. Only apply and the methods
+	// that it calls use them.
+	rosters     *coldstart.Rosters
+	exchange    *exchange.Node
+	allowances  *allowance.Limiter
+	crashes     crash.Reports
+	crashChecks sync.WaitGroup // counts running checks of whether a server has crashed
 	// counters are shared by all instances: the units that workspaces spent, and
 	// the outcomes of requests at the old and the new version of each move.
 	counters evidence.Table
@@ -241,7 +245,7 @@
 	if err := f.initCluster(); err != nil {
 		return nil, err
 	}
-	if err := f.registerEvacuationMetrics(); err != nil {
+	if err := errors.Join(f.registerEvacuationMetrics(), f.registerColdMetrics()); err != nil {
 		return nil, err
 	}
 	if f.burn, err = burn.New(burn.Config{Registry: f.registry}); err != nil {
--- a/internal/entry/gateway/members.go
+++ b/internal/entry/gateway/members.go
@@ -159,6 +159,7 @@
 	f.members.MergeInstanceList(listed, time.Now())
 	f.registeredSnapshot.Store(&listed)
 	f.registeredCount.set(len(listed), f.now())
+	f.publishColdStart()
 }
 
 // instanceCount returns the number of instances that share the allowances and the
