--- a/internal/backend/pool/cold.go
+++ b/internal/backend/pool/cold.go
@@ -141,8 +141,8 @@
 	if n := w.state.cold.until(); n != 0 {
 		until = time.Unix(0, n)
 	}
-	if at := w.conditions.domains.Load().ReturnedAt(w.FailureDomain); !at.IsZero() && at.Add(l.RampTime).After(until) {
-		until = at.Add(l.RampTime)
+	if at := w.conditions.domains.Load().ReturnedAt(w.FailureDomain); !at.IsZero() && at.Add(l.ColdTime).After(until) {
+		until = at.Add(l.ColdTime)
 	}
 	return until
 }
--- a/internal/backend/pool/cold_test.go
+++ b/internal/backend/pool/cold_test.go
@@ -19,7 +19,7 @@
 	p = New()
 	rosters := (*coldstart.Rosters)(nil).Replace([]coldstart.Instance{{ID: "self", FailureDomain: "z"}, {ID: "peer", FailureDomain: "y"}}, epoch.Add(-time.Hour))
 	p.SetColdStart(&ColdStart{
-		Limits: map[string]coldstart.Limit{"s": {Rate: rate, RampTime: 3 * time.Second}}, Self: "self", Rosters: rosters,
+		Limits: map[string]coldstart.Limit{"s": {Rate: rate, ColdTime: 3 * time.Second}}, Self: "self", Rosters: rosters,
 		Confirmed: func() time.Time { return epoch }, IsLive: func(string) bool { return true },
 	})
 	p.Put(Registration{ID: "a", Service: "s", FailureDomain: "z", Incarnation: 1, ColdLeft: 3 * time.Second, Revision: 5}, epoch)
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -178,6 +178,7 @@
 		r.mu.Lock()
 		s.leavingSince = time.Time{}
 		s.starts = append(s.starts, time.Now())
+		s.returnCold()
 		r.mu.Unlock()
 		r.register(s, "ready")
 	})
@@ -247,6 +248,10 @@
 	executions := make(map[string]int)
 	for _, s := range r.servers {
 		r.checkRefusals(s)
+		r.checkEvacuations(s)
+		if s.service == "plain" {
+			r.checkColdReturns(s)
+		}
 		for _, execution := range s.Runs() {
 			executions[execution.AttemptID]++
 		}
--- a/internal/bench/soak/odd.go
+++ b/internal/bench/soak/odd.go
@@ -46,7 +46,9 @@
 	if n >= len(oddFields) {
 		return oddValues[n-len(oddFields)]
 	}
+	r.mu.Lock()
 	entry := s.entry("ready")
+	r.mu.Unlock()
 	entry[oddFields[n].name] = json.RawMessage(`"REPLACED"`)
 	value, err := json.Marshal(entry)
 	if err != nil {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -88,18 +88,20 @@
 	storeLastFaultAt time.Time // start or end of the last fault of the store
 	requests         map[string]request
 	leavingNotices   []leavingNotice
+	evacuations      []evacuation
 	result           Result
 }
 
 // server is a fake back end that is registered in the store. leavingSince is zero
 // unless the server is leaving. saysLeavingOnly is set if it says so in its answers
-// but not in the store. starts are the starts of its processes.
+// but not in the store. starts are the starts of its processes, and coldUntil the ends of
+// the times in which it was cold.
 type server struct {
 	*worker.Server
-	service, address string
-	leavingSince     time.Time
-	saysLeavingOnly  bool
-	starts           []time.Time
+	service, address, zone string
+	leavingSince           time.Time
+	saysLeavingOnly        bool
+	starts, coldUntil      []time.Time
 }
 
 // request is a request that a client sent and the status that it received.
@@ -131,6 +133,7 @@
 		random := rand.New(rand.NewPCG(c.Seed, uint64(n)+10))
 		wg.Go(func() { r.client(ctx, random, n) })
 	}
+	wg.Go(func() { r.injectEvacuations(ctx, rand.New(rand.NewPCG(c.Seed, 2))) })
 	r.injectFaults(ctx)
 	wg.Wait()
 	r.checkResult()
@@ -156,9 +159,9 @@
 	if r.fakeAddresses["cloud"], err = r.serve(r.cloud); err != nil {
 		return err
 	}
-	for n := range 3 {
+	for n := range serverZones {
 		for _, service := range []string{"plain", "model"} {
-			if err := r.addServer(fmt.Sprintf("%s-%d", service, n), service); err != nil {
+			if err := r.addServer(fmt.Sprintf("%s-%d", service, n), service, fmt.Sprint("zone-", n)); err != nil {
 				return err
 			}
 		}
@@ -210,25 +213,28 @@
 	return "", err
 }
 
-func (r *soakRun) addServer(id, service string) error {
+func (r *soakRun) addServer(id, service, zone string) error {
 	w := &worker.Server{ID: id, Stream: service == "model", Events: 6, EventInterval: 20 * time.Millisecond}
 	address, err := r.serve(w)
 	if err != nil {
 		return err
 	}
-	r.servers = append(r.servers, &server{Server: w, service: service, address: address, starts: []time.Time{time.Now()}})
+	r.servers = append(r.servers, &server{Server: w, service: service, address: address, zone: zone, starts: []time.Time{time.Now()}})
 	r.register(r.servers[len(r.servers)-1], "ready")
 	return nil
 }
 
 func (r *soakRun) register(s *server, state string) {
-	r.store.Put("servers/"+s.ID, s.entry(state))
+	r.mu.Lock()
+	entry := s.entry(state)
+	r.mu.Unlock()
+	r.store.Put("servers/"+s.ID, entry)
 }
 
-// entry returns the server's entry in the store.
+// entry returns the server's entry in the store. The caller must hold soakRun.mu.
 func (s *server) entry(state string) map[string]any {
 	return map[string]any{
-		"service": s.service, "address": s.address, "zone": "zone-0", "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1, "born": len(s.starts),
+		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": s.coldLeft().Milliseconds(), "seq": 1, "born": len(s.starts),
 	}
 }
 
@@ -248,7 +254,7 @@
 		"version": r.configVersion,
 		"routes":  []any{route("read", "idempotent", "plain", false), route("book", "non_idempotent", "plain", false), route("draft", "streaming", "model", false), route("reply", "streaming", "model", true)},
 		"services": []any{
-			map[string]any{"name": "plain", "health_path": "/healthz", "max_conns": 100},
+			map[string]any{"name": "plain", "health_path": "/healthz", "max_conns": 100, "cold_s": coldTime.Seconds(), "cold_per_s": coldRate},
 			map[string]any{"name": "model", "health_path": "/healthz", "max_conns": 100},
 		},
 		"tenants": []any{map[string]any{"name": "fairs", "api_keys": keys}},
--- a/internal/decide/coldstart/coldstart.go
+++ b/internal/decide/coldstart/coldstart.go
@@ -7,9 +7,9 @@
 	// Rate is the number of requests per second that a cold server can handle; 0 means
 	// that there is no limit.
 	Rate float64
-	// RampTime is the time after the end of its cold time in which the share of a
-	// server rises to that of the others.
-	RampTime time.Duration
+	// ColdTime is how long a server stays cold, and for how long after that its share
+	// rises to that of the others.
+	ColdTime time.Duration
 }
 
 // ownerShare is the part of the rate that one owner uses. A server has two owners at
@@ -59,8 +59,8 @@
 // get if it had not been cold until coldUntil.
 func (l Limit) Ramp(coldUntil, now time.Time) float64 {
 	warm := now.Sub(coldUntil)
-	if l.Rate <= 0 || coldUntil.IsZero() || warm >= l.RampTime {
+	if l.Rate <= 0 || coldUntil.IsZero() || warm >= l.ColdTime {
 		return 1
 	}
-	return max(0, warm.Seconds()/l.RampTime.Seconds())
+	return max(0, warm.Seconds()/l.ColdTime.Seconds())
 }
--- a/internal/decide/coldstart/coldstart_test.go
+++ b/internal/decide/coldstart/coldstart_test.go
@@ -10,7 +10,7 @@
 
 var (
 	epoch = time.Unix(1000, 0)
-	limit = Limit{Rate: 7.7, RampTime: 3 * time.Second}
+	limit = Limit{Rate: 7.7, ColdTime: 3 * time.Second}
 )
 
 // maxPerSecond is the number of requests that a cold server may get in one second.
--- a/internal/entry/gateway/coldstart.go
+++ b/internal/entry/gateway/coldstart.go
@@ -24,7 +24,7 @@
 	if table := f.table.Load(); table != nil {
 		for i := range table.Services {
 			if s := &table.Services[i]; s.ColdRate > 0 {
-				limits[s.Name] = coldstart.Limit{Rate: s.ColdRate, RampTime: s.ColdTime}
+				limits[s.Name] = coldstart.Limit{Rate: s.ColdRate, ColdTime: s.ColdTime}
 			}
 		}
 	}
--- a/internal/entry/gateway/scale_test.go
+++ b/internal/entry/gateway/scale_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"testing"
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
+	"wasabiworks.example/wasabiworks/internal/decide/capacity"
+	"wasabiworks.example/wasabiworks/internal/decide/evacuation"
+	"wasabiworks.example/wasabiworks/internal/operator/routes"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
 )
 
@@ -83,3 +87,35 @@
 		}
 	}
 }
+
+// Guards against orders for an evacuated failure domain, which would scale up or release
+// what runs there, and against a need that the other domains do not cover meanwhile.
+func TestEvacuatedDomainGetsNoOrders(t *testing.T) {
+	f := newApplying()
+	service := &routes.Service{Name: "s", Scaling: &routes.Scaling{Min: 1, Max: 10, Prices: map[string]float64{"a": 1, "b": 1, "c": 1}}}
+	s := &scaler{instance: f}
+	tests := []struct {
+		evacuated []string
+		want      map[string]int // ordinary servers by domain
+	}{
+		{nil, map[string]int{"a": 2, "b": 2, "c": 2}},
+		{[]string{"b"}, map[string]int{"a": 3, "c": 3}},
+		{[]string{"a", "b", "c"}, map[string]int{}},
+		{nil, map[string]int{"a": 2, "b": 2, "c": 2}},
+	}
+	for i, tt := range tests {
+		u := evacuation.Update{Complete: true, Revision: int64(i) + 1}
+		for _, domain := range tt.evacuated {
+			u.Changes = append(u.Changes, evacuation.Change{Domain: domain, Revision: u.Revision})
+		}
+		next, _ := f.pool.EvacuatedDomains().Apply(u, f.now())
+		f.pool.SetEvacuatedDomains(next)
+		got := make(map[string]int)
+		for _, o := range capacity.Plan(capacity.Service{Domains: s.domains(service, nil), Min: 1, Max: 10, Need: 6}) {
+			got[o.Domain] = o.Ordinary
+		}
+		if !maps.Equal(got, tt.want) {
+			t.Errorf("%v evacuated: got orders %v, want %v", tt.evacuated, got, tt.want)
+		}
+	}
+}
