--- a/internal/backend/pool/cold.go
+++ b/internal/backend/pool/cold.go
@@ -155,8 +155,8 @@
 // Cold reports whether the requests to the server are limited because it is cold.
 func (w *Worker) Cold(now time.Time) bool { return w.isCold(*w.coldLimit.Load(), now) }
 
-// query asks whether this instance may send to the server while it is cold.
-func (w *Worker) query(l coldstart.Limit) coldstart.Query {
+// coldQuery asks whether this instance may send to the server while it is cold.
+func (w *Worker) coldQuery(l coldstart.Limit) coldstart.Query {
 	c := w.conditions.cold.Load()
 	state := &w.state.cold
 	known := state.owners.Load()
@@ -172,7 +172,7 @@
 // admitsCold reports whether the server's cold time permits a request at now.
 func (w *Worker) admitsCold(now time.Time) bool {
 	l := *w.coldLimit.Load()
-	return !w.isCold(l, now) || w.query(l).MaySend(now)
+	return !w.isCold(l, now) || w.coldQuery(l).MaySend(now)
 }
 
 // coldRetryAt returns the time before which the server's cold time permits no request of
@@ -182,7 +182,7 @@
 	if !w.isCold(l, now) {
 		return time.Time{}
 	}
-	if at, ok := w.query(l).NextSend(now); ok {
+	if at, ok := w.coldQuery(l).NextSend(now); ok {
 		return at
 	}
 	return w.coldUntil(l)
--- a/internal/backend/pool/worker.go
+++ b/internal/backend/pool/worker.go
@@ -54,21 +54,23 @@
 	// Prompts records the parts of prompts that the server has read.
 	Prompts Prompts
 
+	// coldLimit is the limit for cold servers of the server's service.
+	coldLimit atomic.Pointer[coldstart.Limit]
+
 	// Times are read from the clock of package boottime; those stored as integers
 	// are in nanoseconds.
 
 	joined        time.Time
 	state         *processState
 	conditions    *conditions
-	coldLimit     atomic.Pointer[coldstart.Limit] // that of the service
-	retired       atomic.Bool                     // no longer in the pool
-	running       atomic.Int64                    // requests sent and not yet ended
-	pendingTokens atomic.Int64                    // prompt tokens of requests whose first response event has not arrived
-	lastReceived  atomic.Int64                    // when data last arrived from the server
-	busySince     atomic.Int64                    // when running last rose from 0
-	failures      atomic.Int64                    // consecutive failures
-	avoidUntil    atomic.Int64                    // set by a failure
-	fullUntil     atomic.Int64                    // set by a rejection
+	retired       atomic.Bool  // no longer in the pool
+	running       atomic.Int64 // requests sent and not yet ended
+	pendingTokens atomic.Int64 // prompt tokens of requests whose first response event has not arrived
+	lastReceived  atomic.Int64 // when data last arrived from the server
+	busySince     atomic.Int64 // when running last rose from 0
+	failures      atomic.Int64 // consecutive failures
+	avoidUntil    atomic.Int64 // set by a failure
+	fullUntil     atomic.Int64 // set by a rejection
 }
 
 func newWorker(s Registration, state *processState, c *conditions, now time.Time) *Worker {
