Learn the speed of servers from the responses to forwarded requests

Failed requests don't count as fast, and gaps that the client caused don't count at all. forward_server_speed gives the lowest and the highest speed by service.

--- a/internal/backend/pool/worker.go
+++ b/internal/backend/pool/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/backend/tcp"
+	"wasabiworks.example/wasabiworks/internal/decide/speed"
 )
 
 // Registration is the registration of one process of a backend server.
@@ -45,6 +46,8 @@
 	Transport *http.Transport
 	// Prompts records the parts of prompts that the server has read.
 	Prompts Prompts
+	// Speed is the speed of the process relative to the servers of its service.
+	Speed speed.Server
 
 	// Times are read from the clock of package boottime; those stored as integers
 	// are in nanoseconds.
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -15,6 +15,7 @@
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
+	"wasabiworks.example/wasabiworks/internal/decide/speed"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 )
 
@@ -22,6 +23,8 @@
 type Handler struct {
 	config  Config
 	metrics *metrics
+	// baselines are the durations with which the servers' speeds are learnt.
+	baselines speed.Baselines
 	// requests and responses are the memory for bodies.
 	requests, responses *limit.Memory
 	// routineLogLimit limits the log lines for requests that were served or that
@@ -55,6 +58,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.Registerer != nil {
+		if err := c.Registerer.Register(speedCollector{pool: c.Pool, now: c.Now}); err != nil {
+			return nil, err
+		}
+	}
 	h := &Handler{config: c, metrics: m, requests: requests, responses: responses}
 	h.routineLogLimit.Set(routineLinesPerSecond, routineLinesPerSecond, c.Now())
 	h.failureLogLimit.Set(failureLinesPerSecond, failureLinesPerSecond, c.Now())
--- a/internal/caller/forward/pace.go
+++ b/internal/caller/forward/pace.go
@@ -11,6 +11,9 @@
 type pace struct {
 	first, last time.Time // when the first and the last of the first paceEvents events came
 	events      int
+	// blocked is the time for which the client kept the instance from reading the first
+	// paceEvents events.
+	blocked time.Duration
 }
 
 // add records an event of a stream, or a whole response.
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -20,6 +20,7 @@
 type attempt struct {
 	server          *pool.Worker
 	cacheSource     *pool.Worker // as in target
+	uncachedTokens  int64        // as in target
 	sentAt          time.Time
 	sinceStart      time.Duration // from the arrival of the request to sentAt
 	took            time.Duration
@@ -80,7 +81,7 @@
 	now := e.config.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e.attempts = append(e.attempts, attempt{server: server, cacheSource: t.cacheSource, sentAt: now, sinceStart: now.Sub(e.start), cancel: cancel})
+	e.attempts = append(e.attempts, attempt{server: server, cacheSource: t.cacheSource, uncachedTokens: uncachedTokens, sentAt: now, sinceStart: now.Sub(e.start), cancel: cancel})
 	a := &e.attempts[len(e.attempts)-1]
 	a.verdict, a.held = e.newVerdict(a), e.responses.Hold(cancel)
 	server.Begin(uncachedTokens, now)
@@ -93,6 +94,7 @@
 		e.endFailover(a)
 		a.took, a.outcome = e.config.Now().Sub(now), result
 		e.recordEnd(a)
+		e.learnFromEnd(a)
 		e.metrics.attempts.WithLabelValues(result.String()).Inc()
 	}()
 	var sent tcp.SendTrace
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -79,6 +79,9 @@
 			if result, ok := e.forwardEvent(a, r, event, now); !ok {
 				return result
 			}
+			if a.pace.events < paceEvents {
+				a.pace.blocked += e.config.Now().Sub(now)
+			}
 			if isPadding {
 				a.failover.resume()
 			} else {
@@ -102,10 +105,14 @@
 // read the prompt.
 func (e *exchange) recordEvent(a *attempt, uncachedTokens int64, now time.Time) {
 	a.observe(now)
+	if a.pace.events == paceEvents {
+		e.learnFromGaps(a)
+	}
 	if a.promptProcessed {
 		return
 	}
 	a.promptProcessed = true
+	e.learnFromFirstEvent(a)
 	a.server.PromptRead(uncachedTokens)
 	e.config.Usage.AddFirst(e.service, now.Sub(e.start) > e.route.Objective)
 	a.server.Prompts.Add(e.prompt.Parts, now)
