--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -37,7 +37,7 @@
 			Local:        s.FailureDomain == e.config.FailureDomain,
 			Suspect:      s.Suspect(now) || e.tried(s) || !preferred,
 			New:          s.RecentlyJoined(now), Excluded: !s.Accepts(now),
-			Speed: s.Speed.Speed(now),
+			Speed: s.Speed.At(now),
 		})
 	}
 	if len(e.prompt.Parts) == 0 {
--- a/internal/caller/forward/speed.go
+++ b/internal/caller/forward/speed.go
@@ -18,6 +18,10 @@
 	// maxBlockedFraction is the part of the time between events that the client may
 	// have caused if they show the speed of the server.
 	maxBlockedFraction = 0.25
+	// latencyAllowance is added to the time until a response, so that servers in other
+	// failure domains don't seem slow because of the latency to them, which is a few
+	// milliseconds.
+	latencyAllowance = 10 * time.Millisecond
 )
 
 // learn adds a sample of the speed of the server of an attempt.
@@ -26,6 +30,9 @@
 	if kind == speed.FirstEvent {
 		class.Size = speed.SizeClass(a.uncachedTokens)
 	}
+	if kind != speed.EventGap {
+		d += latencyAllowance
+	}
 	e.baselines.Add(&a.server.Speed, speed.Sample{Class: class, Duration: d, Minimum: minimum}, e.config.Now())
 }
 
@@ -84,7 +91,7 @@
 	for service, servers := range c.pool.Services() {
 		lowest, highest := speed.Max, speed.Min
 		for _, s := range servers {
-			v := s.Speed.Speed(now)
+			v := s.Speed.At(now)
 			lowest, highest = min(lowest, v), max(highest, v)
 		}
 		ch <- prometheus.MustNewConstMetric(speedDesc, prometheus.GaugeValue, lowest, service, "lowest")
--- a/internal/decide/speed/server.go
+++ b/internal/decide/speed/server.go
@@ -44,9 +44,9 @@
 	refreshAt atomic.Int64
 }
 
-// Speed returns the speed of the server relative to the mean of its service: one of a
+// At returns the speed of the server relative to the mean of its service: one of a
 // few steps from Min to Max, and 1 if nothing is known.
-func (s *Server) Speed(now time.Time) float64 {
+func (s *Server) At(now time.Time) float64 {
 	if at := s.refreshAt.Load(); at != 0 && now.UnixNano() >= at {
 		s.mu.Lock()
 		s.refresh(now)
