--- a/internal/backend/pool/worker.go
+++ b/internal/backend/pool/worker.go
@@ -8,6 +8,7 @@
 	"wasabiworks.example/wasabiworks/internal/backend/tcp"
 	"wasabiworks.example/wasabiworks/internal/decide/coldstart"
 	"wasabiworks.example/wasabiworks/internal/decide/evacuation"
+	"wasabiworks.example/wasabiworks/internal/decide/speed"
 )
 
 // Registration is the registration of one process of a backend server.
@@ -53,6 +54,8 @@
 	Transport *http.Transport
 	// Prompts records the parts of prompts that the server has read.
 	Prompts Prompts
+	// Speed is the speed of the process relative to the servers of its service.
+	Speed speed.Server
 
 	// coldLimit is the limit for cold servers of the server's service.
 	coldLimit atomic.Pointer[coldstart.Limit]
--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -45,6 +45,7 @@
 			Local:        s.FailureDomain == e.config.FailureDomain,
 			Suspect:      s.Suspect(now) || e.tried(s) || !preferred || s.Ramps(now, e.config.Random),
 			New:          s.RecentlyJoined(now), Excluded: !s.Accepts(now),
+			Speed: s.Speed.At(now),
 		})
 	}
 	if len(e.prompt.Parts) == 0 {
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -20,6 +20,7 @@
 type attempt struct {
 	server          *pool.Worker
 	cacheSource     *pool.Worker // as in target
+	uncachedTokens  int64        // as in target
 	sentAt          time.Time
 	sinceStart      time.Duration // from the arrival of the request to sentAt
 	took            time.Duration
@@ -82,7 +83,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	transport := e.transportFor(server)
-	e.attempts = append(e.attempts, attempt{server: server, cacheSource: t.cacheSource, sentAt: now, sinceStart: now.Sub(e.start), cancel: cancel})
+	e.attempts = append(e.attempts, attempt{server: server, cacheSource: t.cacheSource, uncachedTokens: uncachedTokens, sentAt: now, sinceStart: now.Sub(e.start), cancel: cancel})
 	a := &e.attempts[len(e.attempts)-1]
 	a.verdict, a.held = e.newVerdict(a), e.responses.Hold(cancel)
 	server.Begin(uncachedTokens, now)
@@ -100,6 +101,7 @@
 			e.serviceTimes.observe(e.route, a.pace.first.Sub(a.sentAt))
 		}
 		e.waiters.check(e.service)
+		e.learnFromEnd(a)
 		e.metrics.attempts.WithLabelValues(result.String()).Inc()
 	}()
 	var sent tcp.SendTrace
