Validate requests again that yielded to more urgent ones

Cause, found in review: a request that yielded was sent to the server chosen before the wait when its hold ended, although the server's failure domain might have been evacuated, or its key revoked, in the meantime. The test failed before: the evacuated server got a second request. A cold server's send was also spent on a request that then waited. Change: the choice is made again after the wait, and a server is acquired only for a request that is sent. Also from the review: a retry is withdrawn from the budget after the wait for a server, not before; a refusal counts for one retry; a deadline of 0 ms counts as 1 ms rather than as none; a tiny cold rate no longer overflows its interval.

--- a/internal/caller/forward/acquire.go
+++ b/internal/caller/forward/acquire.go
@@ -6,13 +6,19 @@
 
 // acquireServer returns a server for the next attempt that accepts a request right
 // now. It returns false if chooseServer does, or if other requests are faster each
-// time.
-func (e *exchange) acquireServer() (t target, ok bool) {
+// time. If the request yields, the server is not acquired, and yields is true.
+func (e *exchange) acquireServer() (t target, yields, ok bool) {
 	for range maxChoices {
 		t, ok = e.chooseServer()
-		if !ok || t.server.Acquire(e.config.Now()) {
-			return t, ok
+		if !ok {
+			return t, false, false
+		}
+		if e.yields(t) {
+			return t, true, true
+		}
+		if t.server.Acquire(e.config.Now()) {
+			return t, false, true
 		}
 	}
-	return target{}, false
+	return target{}, false, false
 }
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -162,6 +162,7 @@
 	// retry; 0 if it was told none.
 	toldToRetryAfter time.Duration
 	retryReserved    bool // the next attempt was withdrawn from the retry budget
+	hasYielded       bool // the request waited for more urgent ones as long as it may
 	failedOver       bool // an attempt at a silent server was ended for another server
 	stream           streamProgress
 	usageCounted     bool              // the request was counted in the workspace's usage
@@ -327,7 +328,7 @@
 		timeout = e.route.Timeout
 	}
 	if ms, err := strconv.ParseInt(e.r.Header.Get(e.config.Headers.Remaining), 10, 64); err == nil && ms >= 0 {
-		if requested := time.Duration(min(ms, maxTimeoutMillis)) * time.Millisecond; timeout <= 0 || requested < timeout {
+		if requested := time.Duration(min(max(ms, 1), maxTimeoutMillis)) * time.Millisecond; timeout <= 0 || requested < timeout {
 			timeout = requested
 		}
 	}
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -52,7 +52,7 @@
 			e.giveUp(ctx, reason, runs)
 			return
 		}
-		t, ok := e.acquireServer()
+		t, yields, ok := e.acquireServer()
 		if !ok {
 			if lastReason == "" {
 				lastReason = e.reasonForNoServer()
@@ -63,14 +63,15 @@
 			}
 			continue
 		}
-		if e.yields(t) {
-			if e.waitForServer(ctx) {
-				continue
-			}
+		if yields {
+			// What the request was allowed may have changed while it waited, so it is
+			// validated again and chooses again.
+			e.hasYielded = !e.waitForServer(ctx)
 			if ctx.Err() != nil {
 				e.giveUp(ctx, NoServer, runs)
 				return
 			}
+			continue
 		}
 		retry := false
 		switch result := e.send(ctx, t); result {
--- a/internal/caller/forward/wait.go
+++ b/internal/caller/forward/wait.go
@@ -89,9 +89,9 @@
 
 // yields reports whether the request should wait although a server could take it: the
 // server of t is in doubt, or was until just now, as are all others then, and more urgent
-// requests wait.
+// requests wait. It yields until its hold ends.
 func (e *exchange) yields(t target) bool {
-	return len(e.attempts) == 0 && e.view.Table.Prioritized() && t.server.Suspect(e.config.Now().Add(-recheckInterval)) && e.waiters.ahead(e.service, e.urgency)
+	return !e.hasYielded && len(e.attempts) == 0 && e.view.Table.Prioritized() && t.server.Suspect(e.config.Now().Add(-recheckInterval)) && e.waiters.ahead(e.service, e.urgency)
 }
 
 // requeue waits for a server after servers rejected the request as full, and reports
@@ -99,7 +99,7 @@
 // the client would reach them later.
 func (e *exchange) requeue(ctx context.Context, rejections int) bool {
 	now := e.config.Now()
-	return rejections < maxQueuedRejections && now.Before(e.holdUntil(now)) && e.withdrawRetry(ctx) && e.waitForServer(ctx)
+	return rejections < maxQueuedRejections && now.Before(e.holdUntil(now)) && e.waitForServer(ctx) && e.withdrawRetry(ctx)
 }
 
 // waitForConfiguration waits before the next check of whether the configuration is
--- a/internal/decide/admission/retryafter.go
+++ b/internal/decide/admission/retryafter.go
@@ -107,10 +107,15 @@
 }
 
 // Retried reports whether a request was refused before, and its client waited until the
-// time that it was told.
+// time that it was told. Each refusal counts for one retry, so that a client that sends
+// equal requests all the time gains nothing by it.
 func (r *Refusals) Retried(fingerprint uint64, now time.Time) bool {
 	at, ok := r.retryAt[fingerprint]
-	return ok && !now.Before(at)
+	if !ok || at.IsZero() || now.Before(at) {
+		return false
+	}
+	r.retryAt[fingerprint] = time.Time{}
+	return true
 }
 
 // PerSecond returns the number of refusals in about the last second.
--- a/internal/decide/coldstart/coldstart.go
+++ b/internal/decide/coldstart/coldstart.go
@@ -19,9 +19,12 @@
 
 // Interval returns the least time between two requests of one owner.
 func (l Limit) Interval() time.Duration {
-	return time.Duration(float64(time.Second) / (ownerShare * l.Rate))
+	return time.Duration(min(float64(maxInterval), float64(time.Second)/(ownerShare*l.Rate)))
 }
 
+// maxInterval bounds Interval, which a tiny rate would overflow.
+const maxInterval = time.Hour
+
 // Query asks whether an instance may send to a cold server.
 type Query struct {
 	Limit Limit
