Bound the uses of an allowance by units that are in one pool at a time

Cause: owners learn of each other's uses from counters that lag, members of a failure domain without an owner use their share besides the owner, and a killed instance forgets what it admitted. A failure domain with more than twice its even share of the requests refuses below the limit. Change: each instance accrues its share. Units go with messages to the owner in the failure domain, and as loans to others; the sender deducts them first. Urgency is sent and used. New fields in SpendRequest and SpendReply. No counters are exchanged any more.

--- a/internal/entry/gateway/allowances.go
+++ b/internal/entry/gateway/allowances.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
@@ -13,57 +15,50 @@
 // newAllowances returns the limiter that enforces the allowances of workspaces.
 func (f *Instance) newAllowances() (*allowance.Limiter, error) {
 	return allowance.New(allowance.Config{
-		Instance: f.config.ID, Node: f.node, Counters: &f.counters, Slack: f.config.AllowanceSlack,
-		Fleet: f.fleet, Table: f.table.Load, Ask: f.askAllowance, Notify: func() { f.exchange.Notify() },
-		Now: f.now, Wall: time.Now, Registerer: f.registry, Log: f.config.Log,
+		Instance: f.config.ID, Slack: f.config.AllowanceSlack, Fleet: f.fleet, Table: f.table.Load, Ask: f.askAllowance,
+		Now: f.now, Registerer: f.registry, Log: f.config.Log,
 	})
 }
 
 // fleet describes the instances that share the allowances.
 func (f *Instance) fleet() allowance.Fleet {
 	now := time.Now()
-	return allowance.Fleet{Instances: f.instanceCount(), Unreachable: f.unreachableCount(now), Local: f.members.Live(f.config.FailureDomain, now)}
+	fleet := allowance.Fleet{Instances: f.instanceCount(), Local: f.members.Live(f.config.FailureDomain, now)}
+	heard := f.members.HeardDomains(now)
+	delete(heard, f.config.FailureDomain)
+	for _, domain := range slices.Sorted(maps.Keys(heard)) {
+		fleet.Remote = append(fleet.Remote, f.members.Live(domain, now))
+	}
+	return fleet
 }
 
-// askAllowance asks a peer to admit a use of a workspace's allowance.
-func (f *Instance) askAllowance(ctx context.Context, instance, workspace string, units float64) (limit.Admission, error) {
-	reply, err := f.exchange.Spend(ctx, instance, &peerpb.SpendRequest{Workspace: workspace, Units: units})
-	return limit.Admission{
-		Admitted: reply.GetAdmitted(), RetryAfter: time.Duration(reply.GetWait()) * time.Millisecond, ExhaustedLimit: reply.GetBound(),
+// askAllowance sends a request about a workspace's allowance to a peer.
+func (f *Instance) askAllowance(ctx context.Context, instance string, r allowance.Request) (allowance.Reply, error) {
+	reply, err := f.exchange.Spend(ctx, instance, &peerpb.SpendRequest{
+		Workspace: r.Workspace, Units: r.Use.Units, Urgency: uint32(r.Use.Urgency),
+		Contribution: r.Contribution, Borrow: r.Borrow,
+	})
+	return allowance.Reply{
+		Admission: limit.Admission{
+			Admitted: reply.GetAdmitted(), RetryAfter: time.Duration(reply.GetWait()) * time.Millisecond, ExhaustedLimit: reply.GetBound(),
+		},
+		Granted: reply.GetGranted(),
 	}, err
 }
 
-// serveSpend admits or rejects, for a peer, a use of a workspace's allowance.
-func (f *Instance) serveSpend(_ context.Context, r *peerpb.SpendRequest) (*peerpb.SpendReply, error) {
-	a, err := f.allowances.Serve(r.GetWorkspace(), r.GetUnits())
+// serveSpend handles a peer's request about a workspace's allowance.
+func (f *Instance) serveSpend(ctx context.Context, r *peerpb.SpendRequest) (*peerpb.SpendReply, error) {
+	reply, err := f.allowances.Serve(ctx, allowance.Request{
+		Workspace: r.GetWorkspace(), Use: limit.Use{Units: r.GetUnits(), Urgency: int(r.GetUrgency())},
+		Contribution: r.GetContribution(), Borrow: r.GetBorrow(),
+	})
 	if err != nil {
 		return nil, err
 	}
-	return &peerpb.SpendReply{Admitted: a.Admitted, Wait: a.RetryAfter.Milliseconds(), Bound: a.ExhaustedLimit}, nil
-}
-
-// unreachableCount returns the number of registered instances that this one has lost
-// contact with. Instances of other failure domains count as reachable while any
-// member of their failure domain is heard from.
-func (f *Instance) unreachableCount(now time.Time) (n int) {
-	registered := f.registeredSnapshot.Load()
-	if registered == nil {
-		return 0
-	}
-	heard := f.members.HeardDomains(now)
-	live := make(map[string]bool)
-	for _, id := range f.members.Live(f.config.FailureDomain, now) {
-		live[id] = true
-	}
-	for _, m := range *registered {
-		if m.ID == f.config.ID {
-			continue
-		}
-		if m.FailureDomain == f.config.FailureDomain && !live[m.ID] || m.FailureDomain != f.config.FailureDomain && !heard[m.FailureDomain] {
-			n++
-		}
-	}
-	return n
+	a := reply.Admission
+	return &peerpb.SpendReply{
+		Admitted: a.Admitted, Wait: a.RetryAfter.Milliseconds(), Bound: a.ExhaustedLimit, Granted: reply.Granted,
+	}, nil
 }
 
 // refreshAllowancesAndCrashes periodically refreshes the allowances, removes
@@ -76,3 +71,9 @@
 		blocked = f.logBlockedParts(blocked)
 	})
 }
+
+// collectAllowances periodically collects the units of the allowances that this
+// instance owns, until ctx ends.
+func (f *Instance) collectAllowances(ctx context.Context) {
+	wait.Every(ctx, allowance.CollectPeriod, func() { f.allowances.Collect(ctx) })
+}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -89,8 +89,7 @@
 	// the others exchange. The second one stands in while the first is silent.
 	hubsPerDomain = 2
 	// remotePeriod is the time between two exchanges with an instance of another
-	// failure domain in a fleet of few failure domains. Until then the failure
-	// domains do not know what the others have admitted of an allowance.
+	// failure domain in a fleet of few failure domains.
 	remotePeriod = 500 * time.Millisecond
 	// dutyKey is the store key that names the holder of the duty.
 	dutyKey = "wasabiworks/duty"
@@ -327,6 +326,7 @@
 	wg.Go(func() { f.expireServers(workCtx) })
 	wg.Go(func() { f.register(workCtx) })
 	wg.Go(func() { f.refreshAllowancesAndCrashes(workCtx) })
+	wg.Go(func() { f.collectAllowances(workCtx) })
 	wg.Go(func() { f.exchangeWithPeers(workCtx) })
 	var dutyDone sync.WaitGroup
 	dutyDone.Go(func() { f.duty.Run(dutyCtx) })
--- a/internal/peer/allowance/limiter.go
+++ b/internal/peer/allowance/limiter.go
@@ -3,52 +3,34 @@
 import (
 	"context"
 	"math"
-	"slices"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
-	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
-	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 )
 
 const (
 	// askTimeout limits a call to the owner, which is in the same failure domain
-	// and responds within a millisecond.
+	// and responds within milliseconds, or borrows units first.
 	askTimeout = 150 * time.Millisecond
-	// avoidPeriod is how long an instance is not asked after a call to it failed.
-	avoidPeriod = time.Second
+	// silentAvoidPeriod is how long an instance is not asked after a call to it timed
+	// out, and failedAvoidPeriod the same after a call failed at once, as while the
+	// instance restarts.
+	silentAvoidPeriod = time.Second
+	failedAvoidPeriod = 250 * time.Millisecond
+	// forgetPeerAfter is how long after the last call to an instance its outcome is
+	// remembered.
+	forgetPeerAfter = time.Minute
 	// maxOwnersAsked is the maximum number of instances asked for one request.
 	maxOwnersAsked = 2
-	// ownerShareFactor is the multiple of the failure domain's equal share of an
-	// allowance that the failure domain's owner of the allowance may admit. It
-	// bounds what all owners admit before they learn of each other's spending,
-	// which takes half a second when less than half of the burst is left.
-	ownerShareFactor = 2
-	// burstSlackFraction is the fraction of Config.Slack that is added to the
-	// burst, so that a steady load that arrives unevenly is not rejected.
-	burstSlackFraction = 0.4
-	// maxDebtSeconds limits the debt of a workspace, in seconds of its allowance
-	// rate.
-	maxDebtSeconds = 6
-	// joinPeriod is how long after its start an instance assumes that the spending
-	// it learns from others is older than its start, and does not charge it. In
-	// this time, the instance also limits its failure domain to its equal share,
-	// and new allowances start with initialBurstFraction of their burst.
-	joinPeriod = 4 * time.Second
-	// initialBurstFraction is the fraction of a burst that is available when an
-	// instance starts and at the end of joinPeriod. The instance does not know what
-	// was spent before its start or what others have spent since, and all
-	// instances may have been killed at once.
-	initialBurstFraction = 0.2
 )
 
 var (
@@ -64,76 +46,92 @@
 // Fleet describes the instances that share the allowances, as this instance
 // sees them.
 type Fleet struct {
-	// Instances is the number of instances, and Unreachable the number of those
-	// that this instance has lost contact with.
-	Instances, Unreachable int
+	// Instances is the number of instances.
+	Instances int
 	// Local are the IDs of the live instances in the same failure domain,
 	// including this one.
 	Local []string
+	// Remote are the IDs of the live instances in each other failure domain that
+	// this instance is in contact with.
+	Remote [][]string
 }
 
-// Config configures a Limiter. All fields but Log are required.
+// isIsolated reports whether the instance has lost contact with all others. It then
+// takes itself for the owner of all workspaces.
+func (f *Fleet) isIsolated() bool {
+	return f.Instances > 1 && len(f.Local) <= 1 && len(f.Remote) == 0
+}
+
+// Request is a request to the owner of a workspace's allowance. An empty use takes
+// nothing.
+type Request struct {
+	Workspace string
+	Use       limit.Use
+	// Contribution are units that the sender gives to the owner, and Borrow the
+	// units that it asks the owner to give.
+	Contribution, Borrow float64
+}
+
+// Reply is the reply to a Request.
+type Reply struct {
+	Admission limit.Admission
+	// Granted are the units that the owner gives to the sender.
+	Granted float64
+}
+
+// Config configures a Limiter. The fields up to Now are required.
 type Config struct {
 	Instance string
-	// Node is the name of the instance's own counters.
-	Node     string
-	Counters *evidence.Table
 	// Slack is what all instances together may admit beyond an allowance, in units.
 	Slack float64
 	Fleet func() Fleet
 	Table func() *routes.Table
-	// Ask asks another instance to admit a use.
-	Ask func(ctx context.Context, instance, workspace string, units float64) (limit.Admission, error)
-	// Notify starts an immediate exchange of the counters with the peers.
-	Notify func()
-	// Now reads the boot clock, and Wall the wall clock, which determines epochs.
-	Now, Wall  func() time.Time
+	// Ask sends a request to another instance.
+	Ask func(ctx context.Context, instance string, r Request) (Reply, error)
+	// Now reads the boot clock.
+	Now func() time.Time
+	// Random returns a number between 0 and 1; default rand.Float64.
+	Random     func() float64
 	Registerer prometheus.Registerer
 	Log        *zap.Logger
 }
 
 // Limiter admits uses of allowances. Its methods are safe for concurrent use.
 type Limiter struct {
-	config    Config
-	start     time.Time
-	fleet     atomic.Pointer[Fleet]
-	decisions *prometheus.CounterVec
+	config  Config
+	start   time.Time
+	fleet   atomic.Pointer[Fleet]
+	metrics *metrics
 
-	mu         sync.Mutex
-	states     map[string]*workspaceState
-	avoidUntil map[string]time.Time // time before which an instance is not asked, by ID
-	lastNotify time.Time            // last call of Notify because less than half of a burst was left
+	mu     sync.Mutex
+	states map[string]*workspaceState
+	// peers holds the outcome of the last call to each instance, by ID.
+	peers map[string]outcome
 }
 
-// workspaceState is the state of one workspace's allowance.
-type workspaceState struct {
-	// all limits the use by all instances, domain the use by the failure domain
-	// while this instance is the owner, and standalone the use by this instance
-	// while it cannot reach an owner.
-	all, domain, standalone limit.Allowance
-	// counted are the units, by epoch, up to which the counters of all instances
-	// have been processed: charged, or ignored within joinPeriod.
-	counted     map[string]uint64
-	unpublished uint64 // units spent by this instance and not yet added to the counters
-	// isJoining is set until the instance charges the spending of others.
-	isJoining bool
+// outcome describes the outcome of the last call to an instance.
+type outcome struct {
+	hasReplied bool
+	avoidUntil time.Time // time before which the instance is not asked
+	forgetAt   time.Time
 }
 
-// New returns a limiter. The caller must call Refresh every RefreshPeriod.
+// New returns a limiter. The caller must call Refresh every RefreshPeriod, and
+// Collect every CollectPeriod.
 func New(c Config) (*Limiter, error) {
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
 	l := &Limiter{
-		config: c, start: c.Now(), states: make(map[string]*workspaceState), avoidUntil: make(map[string]time.Time),
-		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "allowance_decisions_total", Help: "Uses of allowances by who decided and the outcome.",
-		}, []string{"by", "outcome"}),
+		config: c, start: c.Now(), metrics: newMetrics(), states: make(map[string]*workspaceState), peers: make(map[string]outcome),
 	}
 	if c.Registerer == nil {
 		return l, nil
 	}
-	return l, c.Registerer.Register(l.decisions)
+	return l, l.metrics.register(c.Registerer)
 }
 
 // Take uses units of a workspace's allowance if they are available, and
@@ -142,46 +140,63 @@
 	if w.Allowance.Rate <= 0 {
 		return limit.Admission{Admitted: true}
 	}
-	a := l.decide(ctx, w, u.Units)
-	outcome := "admitted"
-	if !a.Admitted {
-		outcome = "refused"
-	}
+	a := l.decide(ctx, w, u)
 	by, _, _ := strings.Cut(a.DecidedBy, " ")
-	l.decisions.WithLabelValues(by, outcome).Inc()
+	l.metrics.countDecision(by, a.Admitted, u.Urgency)
 	return a
 }
 
-func (l *Limiter) decide(ctx context.Context, w *routes.Workspace, units float64) limit.Admission {
-	for _, owner := range l.owners(w.Name) {
+func (l *Limiter) decide(ctx context.Context, w *routes.Workspace, u limit.Use) limit.Admission {
+	for _, owner := range l.owners(w) {
+		if owner == l.config.Instance && l.knownFleet().isIsolated() {
+			break
+		}
 		if owner == l.config.Instance {
-			return l.decideLocally(w, units, false)
+			l.setAlone(w, false)
+			return l.decideAsOwner(ctx, w, u)
 		}
-		if a, err := l.askOwner(ctx, owner, w.Name, units); err == nil {
-			return a
+		r := Request{Workspace: w.Name, Use: u, Contribution: l.contribution(w, owner)}
+		if reply, err := l.ask(ctx, owner, askTimeout, r); err == nil {
+			l.setAlone(w, false)
+			reply.Admission.DecidedBy = "peer " + owner
+			return reply.Admission
 		}
 	}
-	return l.decideLocally(w, units, true)
+	if ctx.Err() == nil {
+		l.setAlone(w, true)
+	}
+	return l.decideAlone(w, u)
 }
 
-// Serve decides, as the owner, whether to admit a use that a peer requests.
-func (l *Limiter) Serve(workspace string, units float64) (limit.Admission, error) {
-	if !(units >= 0) || math.IsInf(units, 0) {
-		return limit.Admission{}, InvalidUnits.New("use of %v units", units)
+// Serve handles, as the owner of a workspace's allowance, a request of a peer.
+func (l *Limiter) Serve(ctx context.Context, r Request) (Reply, error) {
+	for _, units := range []float64{r.Use.Units, r.Contribution, r.Borrow} {
+		if !(units >= 0) || math.IsInf(units, 0) {
+			return Reply{}, InvalidUnits.New("use of %v, contribution of %v, loan of %v units", r.Use.Units, r.Contribution, r.Borrow)
+		}
 	}
 	t := l.config.Table()
 	if t == nil {
-		return limit.Admission{}, UnknownWorkspace.New("no table yet")
+		return Reply{}, UnknownWorkspace.New("no table yet")
 	}
-	w, known := t.Workspace(workspace)
+	w, known := t.Workspace(r.Workspace)
 	if !known {
-		return limit.Admission{}, UnknownWorkspace.New("workspace %q is not in table %d", workspace, t.Version)
+		return Reply{}, UnknownWorkspace.New("workspace %q is not in table %d", r.Workspace, t.Version)
 	}
-	return l.decideLocally(w, units, false), nil
+	if w.Allowance.Rate <= 0 {
+		return Reply{Admission: limit.Admission{Admitted: true}}, nil
+	}
+	var reply Reply
+	reply.Granted = l.transfer(w, r)
+	reply.Admission.Admitted = true
+	if r.Use.Units > 0 {
+		reply.Admission = l.decideAsOwner(ctx, w, r.Use)
+	}
+	return reply, nil
 }
 
 // knownFleet returns the fleet as of the last Refresh. Before the first one it asks: an
-// instance that takes itself for the only one admits the whole allowance alone.
+// instance that takes itself for the only one accrues the whole allowance alone.
 func (l *Limiter) knownFleet() *Fleet {
 	if f := l.fleet.Load(); f != nil {
 		return f
@@ -192,95 +207,117 @@
 }
 
 // owners returns the instances to ask, starting with the owner.
-func (l *Limiter) owners(workspace string) []string {
-	local, now := l.knownFleet().Local, l.config.Now()
+func (l *Limiter) owners(w *routes.Workspace) []string {
 	l.mu.Lock()
-	if len(l.avoidUntil) > 0 {
-		local = slices.DeleteFunc(slices.Clone(local), func(id string) bool { return now.Before(l.avoidUntil[id]) })
-	}
-	l.mu.Unlock()
-	return membership.Owners(xxhash.Sum64String(workspace), local, maxOwnersAsked)
+	defer l.mu.Unlock()
+	now := l.config.Now()
+	return l.reachable(l.state(w, now).owners, maxOwnersAsked, now)
 }
 
-// askOwner asks another instance. An instance whose call fails is not asked for
-// avoidPeriod, unless the call failed because ctx ended.
-func (l *Limiter) askOwner(ctx context.Context, owner, workspace string, units float64) (limit.Admission, error) {
-	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	a, err := l.config.Ask(callCtx, owner, workspace, units)
-	if err == nil || ctx.Err() != nil {
-		a.DecidedBy = "peer " + owner
-		return a, err
+// reachable returns the first n of candidates, without those to which a call failed
+// recently.
+func (l *Limiter) reachable(candidates []string, n int, now time.Time) []string {
+	reachable := make([]string, 0, n)
+	for _, id := range candidates {
+		if len(reachable) == n {
+			break
+		}
+		if !now.Before(l.peers[id].avoidUntil) {
+			reachable = append(reachable, id)
+		}
 	}
-	l.mu.Lock()
-	l.avoidUntil[owner] = l.config.Now().Add(avoidPeriod)
-	l.mu.Unlock()
-	l.config.Log.Info("request to allowance owner failed", zap.String("peer", owner), zap.String("workspace", workspace), zap.Error(err))
-	return a, err
+	return reachable
 }
 
-// decideLocally decides on a use without asking another instance, as the owner
-// or, if standalone, because no owner can be reached.
-func (l *Limiter) decideLocally(w *routes.Workspace, units float64, standalone bool) limit.Admission {
-	if w.Allowance.Rate <= 0 {
-		return limit.Admission{Admitted: true}
+// ask sends a request to another instance. An instance whose call fails is not asked
+// for a while, unless the call failed because ctx ended.
+func (l *Limiter) ask(ctx context.Context, instance string, timeout time.Duration, r Request) (Reply, error) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reply, err := l.config.Ask(callCtx, instance, r)
+	if !(reply.Granted >= 0 && reply.Granted <= r.Borrow) {
+		reply.Granted = 0
+	}
+	if err != nil && ctx.Err() != nil {
+		return reply, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.config.Now()
-	s := l.state(w, now)
-	a, part := limit.Admission{DecidedBy: "owner", ExhaustedLimit: "part of the failure domain"}, &s.domain
-	if standalone {
-		a, part = limit.Admission{DecidedBy: "alone", ExhaustedLimit: "part of the instance"}, &s.standalone
+	previous := l.peers[instance]
+	if err == nil {
+		l.peers[instance] = outcome{hasReplied: true, forgetAt: now.Add(forgetPeerAfter)}
+		return reply, nil
+	}
+	avoidPeriod := failedAvoidPeriod
+	if callCtx.Err() != nil {
+		avoidPeriod = silentAvoidPeriod
 	}
-	a.RetryAfter = part.Wait(units, now)
-	if wait := s.all.Wait(units, now); wait > a.RetryAfter {
-		a.RetryAfter, a.ExhaustedLimit = wait, "allowance of all instances"
+	l.peers[instance] = outcome{avoidUntil: now.Add(avoidPeriod), forgetAt: now.Add(forgetPeerAfter)}
+	if previous.hasReplied {
+		l.config.Log.Info("request to allowance owner failed", zap.String("peer", instance), zap.String("workspace", r.Workspace), zap.Error(err))
 	}
-	if a.RetryAfter > 0 {
+	return reply, err
+}
+
+// decideAsOwner decides on a use with the units of the failure domain, and borrows
+// units of other failure domains if these do not suffice.
+func (l *Limiter) decideAsOwner(ctx context.Context, w *routes.Workspace, u limit.Use) limit.Admission {
+	a := l.takeShared(w, u, true)
+	if a.Admitted || !l.borrow(ctx, w, u.Units) {
 		return a
 	}
-	s.all.Spend(units, now)
-	part.Spend(units, now)
-	s.unpublished += uint64(units)
-	return limit.Admission{Admitted: true, DecidedBy: a.DecidedBy}
+	return l.takeShared(w, u, false)
 }
 
-// state returns the state of a workspace's allowance and creates it if needed.
-func (l *Limiter) state(w *routes.Workspace, now time.Time) *workspaceState {
-	s, ok := l.states[w.Name]
-	if !ok {
-		s = &workspaceState{counted: make(map[string]uint64), isJoining: l.isJoining(now)}
-		l.states[w.Name] = s
-		s.setLimits(w, l.knownFleet(), l.config.Slack, now)
-		if s.isJoining {
-			s.capBursts(now)
-		}
+// takeShared uses units of the failure domain. It records the demand the first time
+// that it is called for a use.
+func (l *Limiter) takeShared(w *routes.Workspace, u limit.Use, isFirst bool) limit.Admission {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Now()
+	s := l.state(w, now)
+	s.collect(now)
+	s.servedAt = now
+	if isFirst {
+		s.shared.Record(u, now)
 	}
-	return s
+	wait := s.shared.Take(u, 0, now)
+	return admission(wait, "owner", "part of the failure domain")
 }
 
-// isJoining reports whether the instance started less than joinPeriod ago.
-func (l *Limiter) isJoining(now time.Time) bool { return now.Sub(l.start) < joinPeriod }
+// decideAlone decides on a use with the units of this instance.
+func (l *Limiter) decideAlone(w *routes.Workspace, u limit.Use) limit.Admission {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Now()
+	s := l.state(w, now)
+	s.own.Record(u, now)
+	wait := s.own.Take(u, l.config.Random(), now)
+	return admission(wait, "alone", "part of the instance")
+}
 
-// capBursts limits what is left of each limit to initialBurstFraction.
-func (s *workspaceState) capBursts(now time.Time) {
-	for _, a := range []*limit.Allowance{&s.all, &s.domain, &s.standalone} {
-		a.Cap(initialBurstFraction, now)
+// admission returns the admission of a use after a wait.
+func admission(wait time.Duration, by, limitName string) limit.Admission {
+	if wait == 0 {
+		return limit.Admission{Admitted: true, DecidedBy: by}
 	}
+	return limit.Admission{RetryAfter: wait, DecidedBy: by, ExhaustedLimit: limitName}
 }
 
-// setLimits sets the limits of a workspace's allowance. A failure domain that has
-// lost contact with others, or has not heard from them yet, is limited to its
-// equal share.
-func (s *workspaceState) setLimits(w *routes.Workspace, f *Fleet, slack float64, now time.Time) {
-	n := float64(max(1, f.Instances))
-	fraction := float64(max(1, len(f.Local))) / n
-	if f.Unreachable == 0 && !s.isJoining {
-		fraction *= ownerShareFactor
+// setAlone records whether the instance decides alone on the uses of a workspace,
+// and logs changes.
+func (l *Limiter) setAlone(w *routes.Workspace, isAlone bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.state(w, l.config.Now())
+	if s.isAlone == isAlone {
+		return
+	}
+	s.isAlone = isAlone
+	if isAlone {
+		l.config.Log.Warn("no allowance owner is reachable: using the instance's own share", zap.String("workspace", w.Name))
+		return
 	}
-	rate, burst := w.Allowance.Rate, w.Allowance.Burst+burstSlackFraction*slack
-	s.all.Set(rate, burst, now)
-	s.domain.Set(rate*min(1, fraction), max(1, burst*min(1, fraction)), now)
-	s.standalone.Set(rate/n, max(1, burst/n), now)
+	l.config.Log.Info("allowance owner is reachable again", zap.String("workspace", w.Name))
 }
