Ramp servers up from half of their share after the cold time

Cause: the owners of a cold server keep it busier than its share, and right after the cold time it got nothing until the ramp had begun.

--- a/internal/decide/coldstart/coldstart.go
+++ b/internal/decide/coldstart/coldstart.go
@@ -58,6 +58,10 @@
 	return ok && !now.Before(at)
 }
 
+// rampStart is the share of its requests that a server gets right after its cold time. Its
+// owners have kept it busy until then, so it is not left idle for the others.
+const rampStart = 0.5
+
 // Ramp returns the share, from 0 to 1, that a server has of the requests that it would
 // get if it had not been cold until coldUntil.
 func (l Limit) Ramp(coldUntil, now time.Time) float64 {
@@ -65,5 +69,5 @@
 	if l.Rate <= 0 || coldUntil.IsZero() || warm >= l.ColdTime {
 		return 1
 	}
-	return max(0, warm.Seconds()/l.ColdTime.Seconds())
+	return rampStart + (1-rampStart)*max(0, warm.Seconds()/l.ColdTime.Seconds())
 }
