--- a/internal/decide/route/prompt.go
+++ b/internal/decide/route/prompt.go
@@ -60,6 +60,8 @@
 	New, Excluded bool
 	// Speed is the speed relative to the mean of the service; 0 counts as 1.
 	Speed float64
+	// Known is true if PendingTokens and Running hold the requests of all instances.
+	Known bool
 }
 
 // speed returns the speed of the server relative to the mean of the service.
@@ -91,6 +93,9 @@
 	// remoteCostSlots is the cost of a server in another failure domain for a
 	// plain service, as a fraction of the server's slots.
 	remoteCostSlots = 0.2
+	// minMarginTokens is the least MaxPending beyond what is known to be pending. A wait
+	// of so few tokens is not worth asking about another server.
+	minMarginTokens = 500
 	// tieCostSlots scales the random number that breaks ties, as a fraction of the
 	// server's slots. It is too small to outweigh a request.
 	tieCostSlots = 1e-4
@@ -106,6 +111,9 @@
 	// Source is the index of a server from which the chosen one should fetch
 	// TokensToFetch more tokens instead of processing them again, or -1.
 	Source, TokensToFetch int
+	// MaxPending is the number of pending tokens of all instances up to which the
+	// chosen server is still the best choice.
+	MaxPending float64
 }
 
 // ChoosePrompt returns the server that is expected to answer the prompt first.
@@ -139,10 +147,14 @@
 		}
 		return expected(source) - expected(i)
 	}
-	index := cheapest(cs, func(i int) float64 {
+	index, margin := cheapest(cs, func(i int) float64 {
 		c := &cs[i]
 		promptCost := max(0, float64(p.Tokens-expected(i))-(1-fetchCostRatio)*float64(fetched(i)))
-		cost := (pendingWeight*c.PendingTokens+runningCostTokens*float64(c.Running))/c.speed() + promptCost
+		weight := pendingWeight
+		if c.Known {
+			weight = 1
+		}
+		cost := (weight*c.PendingTokens+runningCostTokens*float64(c.Running))/c.speed() + promptCost
 		if !c.Local {
 			cost += remoteCostTokens
 		}
@@ -154,7 +166,10 @@
 	if index < 0 {
 		return Placement{Index: -1, Source: -1}
 	}
-	placement := Placement{Index: index, CachedTokens: expected(index), Source: -1}
+	placement := Placement{
+		Index: index, CachedTokens: expected(index), Source: -1,
+		MaxPending: cs[index].PendingTokens + max(margin, minMarginTokens)*cs[index].speed(),
+	}
 	if n := fetched(index); n > 0 {
 		placement.Source, placement.TokensToFetch = source, n
 	}
@@ -208,7 +223,7 @@
 // other failure domains are charged remoteCostSlots; random breaks ties, in proportion
 // to the speeds.
 func ChooseService(cs []Candidate, random uint64) int {
-	return cheapest(cs, func(i int) float64 {
+	index, _ := cheapest(cs, func(i int) float64 {
 		c := &cs[i]
 		cost := float64(c.Running) / (float64(max(1, c.Slots)) * c.speed())
 		if !c.Local {
@@ -216,6 +231,7 @@
 		}
 		return cost + tieCostSlots*exponential(combineHashes(random, uint64(i)))/c.speed()
 	})
+	return index
 }
 
 // exponential maps a hash to an exponentially distributed number of mean 1. The least
@@ -233,22 +249,25 @@
 }()
 
 // cheapest returns the index of the candidate with the lowest cost, or -1 if
-// there is none. Excluded candidates are never chosen, and suspects only if there
-// are no others.
-func cheapest(cs []Candidate, cost func(i int) float64) int {
+// there is none, and by how much the second lowest cost is higher. Excluded candidates
+// are never chosen, and suspects only if there are no others.
+func cheapest(cs []Candidate, cost func(i int) float64) (index int, margin float64) {
 	for _, suspect := range []bool{false, true} {
-		best, lowest := -1, math.Inf(1)
+		best, lowest, second := -1, math.Inf(1), math.Inf(1)
 		for i := range cs {
 			if cs[i].Suspect != suspect || cs[i].Excluded {
 				continue
 			}
-			if v := cost(i); v < lowest {
-				best, lowest = i, v
+			switch v := cost(i); {
+			case v < lowest:
+				best, lowest, second = i, v, lowest
+			case v < second:
+				second = v
 			}
 		}
 		if best >= 0 {
-			return best
+			return best, second - lowest
 		}
 	}
-	return -1
+	return -1, 0
 }
--- a/internal/peer/exchange/call.go
+++ b/internal/peer/exchange/call.go
@@ -49,6 +49,16 @@
 	return call[*peerpb.SpendReply](ctx, n, id, func(c clients) endpoint.Endpoint { return c.spend }, r)
 }
 
+// Claim asks a member to add a request to the work of a backend server.
+func (n *Node) Claim(ctx context.Context, id string, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return call[*peerpb.ClaimReply](ctx, n, id, func(c clients) endpoint.Endpoint { return c.claim }, r)
+}
+
+// Progress tells a member how claimed requests went on.
+func (n *Node) Progress(ctx context.Context, id string, r *peerpb.ProgressRequest) (*peerpb.ProgressReply, error) {
+	return call[*peerpb.ProgressReply](ctx, n, id, func(c clients) endpoint.Endpoint { return c.progress }, r)
+}
+
 // call calls the endpoint that selectEndpoint selects from the clients of the
 // member id.
 func call[Reply any](ctx context.Context, n *Node, id string, selectEndpoint func(clients) endpoint.Endpoint, r any) (Reply, error) {
--- a/internal/peer/exchange/transport.go
+++ b/internal/peer/exchange/transport.go
@@ -27,12 +27,14 @@
 	Usage    Method[*peerpb.UsageRequest, *peerpb.UsageReply]
 	Watch    Method[*peerpb.WatchRequest, *peerpb.WatchReply]
 	Spend    Method[*peerpb.SpendRequest, *peerpb.SpendReply]
+	Claim    Method[*peerpb.ClaimRequest, *peerpb.ClaimReply]
+	Progress Method[*peerpb.ProgressRequest, *peerpb.ProgressReply]
 }
 
 // server adapts go-kit handlers to the generated service interface.
 type server struct {
 	peerpb.UnimplementedPeerServer
-	exchange, pull, reserve, complete, handover, usage, watch, spend kitgrpc.Handler
+	exchange, pull, reserve, complete, handover, usage, watch, spend, claim, progress kitgrpc.Handler
 }
 
 func newServer(exchange Method[*peerpb.Digest, *peerpb.Digest], s Services, m *metrics) *server {
@@ -45,6 +47,8 @@
 		usage:    newHandler("Usage", s.Usage, m),
 		watch:    newHandler("Watch", s.Watch, m),
 		spend:    newHandler("Spend", s.Spend, m),
+		claim:    newHandler("Claim", s.Claim, m),
+		progress: newHandler("Progress", s.Progress, m),
 	}
 }
 
@@ -80,6 +84,14 @@
 	return callHandler[*peerpb.SpendReply](ctx, s.spend, r)
 }
 
+func (s *server) Claim(ctx context.Context, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return callHandler[*peerpb.ClaimReply](ctx, s.claim, r)
+}
+
+func (s *server) Progress(ctx context.Context, r *peerpb.ProgressRequest) (*peerpb.ProgressReply, error) {
+	return callHandler[*peerpb.ProgressReply](ctx, s.progress, r)
+}
+
 // newHandler wraps a method in a go-kit endpoint and server.
 func newHandler[Request, Reply proto.Message](name string, method Method[Request, Reply], m *metrics) kitgrpc.Handler {
 	e := func(ctx context.Context, r any) (any, error) {
@@ -118,7 +130,7 @@
 
 // clients are the go-kit endpoints of one connection.
 type clients struct {
-	exchange, pull, reserve, complete, handover, usage, watch, spend endpoint.Endpoint
+	exchange, pull, reserve, complete, handover, usage, watch, spend, claim, progress endpoint.Endpoint
 }
 
 func newClients(c *grpc.ClientConn, m *metrics) clients {
@@ -131,6 +143,8 @@
 		usage:    newClient(c, "Usage", peerpb.UsageReply{}, m),
 		watch:    newClient(c, "Watch", peerpb.WatchReply{}, m),
 		spend:    newClient(c, "Spend", peerpb.SpendReply{}, m),
+		claim:    newClient(c, "Claim", peerpb.ClaimReply{}, m),
+		progress: newClient(c, "Progress", peerpb.ProgressReply{}, m),
 	}
 }
 
