--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -32,6 +32,7 @@
 		dutyHeld = dutyHeld || item.Key == dutyKey
 		f.applyItem(item)
 	}
+	f.publishEvacuations(c)
 	if instancesChanged {
 		f.publishInstances()
 	}
@@ -65,6 +66,8 @@
 		f.applyServer(strings.TrimPrefix(item.Key, format.ServersPrefix), item)
 	case strings.HasPrefix(item.Key, instancesPrefix):
 		f.applyInstance(item)
+	case format.EvacuationPrefix != "" && strings.HasPrefix(item.Key, format.EvacuationPrefix):
+		f.applyEvacuation(item)
 	case strings.HasPrefix(item.Key, format.MovesPrefix):
 		f.mover.applyOrder(item)
 	case strings.HasPrefix(item.Key, movesPrefix):
@@ -90,6 +93,7 @@
 		return
 	}
 	f.table.Store(t)
+	f.publishColdStart()
 	f.config.Log.Info("configuration applied", zap.Int64("version", t.Version), zap.Int64("revision", item.Revision), zap.Int("routes", len(t.Routes)))
 }
 
@@ -139,9 +143,10 @@
 		f.config.Log.Warn("server entry names no usable server", zap.String("server", id), zap.Int64("revision", item.Revision), zap.Bool("removed", removed), zap.Error(err))
 		return
 	}
+	s.Revision = item.Revision
 	if f.pool.Put(s, f.now()) {
 		f.config.Log.Info("server added or changed", zap.String("server", id), zap.String("service", s.Service), zap.String("address", s.Address),
-			zap.String("domain", s.FailureDomain), zap.Bool("leaving", s.Leaving), zap.Int64("revision", item.Revision))
+			zap.String("domain", s.FailureDomain), zap.Bool("leaving", s.Leaving), zap.Duration("cold-left", s.ColdLeft), zap.Int64("revision", item.Revision))
 	}
 }
 
