--- a/internal/backend/pool/process.go
+++ b/internal/backend/pool/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -92,3 +93,6 @@
 		delete(p.states, oldest)
 	}
 }
+
+// Process identifies the process of the server among those that run under any ID.
+func (w *Worker) Process() string { return w.ID + "/" + strconv.FormatInt(w.Incarnation, 10) }
--- a/internal/caller/forward/acquire.go
+++ b/internal/caller/forward/acquire.go
@@ -1,5 +1,7 @@
 package forward
 
+import "context"
+
 // maxChoices bounds the choices of a server for one attempt, each of which is made
 // because the server chosen before accepts no requests any longer.
 const maxChoices = 8
@@ -7,12 +9,13 @@
 // acquireServer returns a server for the next attempt that accepts a request right
 // now. It returns false if chooseServer does, or if other requests are faster each
 // time.
-func (e *exchange) acquireServer() (t target, ok bool) {
+func (e *exchange) acquireServer(ctx context.Context) (t target, ok bool) {
 	for range maxChoices {
-		t, ok = e.chooseServer()
+		t, ok = e.placeRequest(ctx)
 		if !ok || t.server.Acquire(e.config.Now()) {
 			return t, ok
 		}
+		t.claim.End()
 	}
 	return target{}, false
 }
--- a/internal/caller/forward/acquire_test.go
+++ b/internal/caller/forward/acquire_test.go
@@ -43,21 +43,21 @@
 func TestEvacuatedServerIsNoCacheSource(t *testing.T) {
 	e := newChoosing()
 	e.prompt = route.Prompt{Tokens: 41000, Parts: []route.Part{{ID: 1, Chain: 1, Tokens: 40000}, {ID: 2, Chain: 2, Tokens: 1000}}}
-	first, ok := e.acquireServer()
+	first, ok := e.acquireServer(t.Context())
 	if !ok {
 		t.Fatal("no server was chosen")
 	}
 	first.server.Prompts.Add(e.prompt.Parts, e.config.Now())
 	first.server.SetRetryAt(e.config.Now().Add(time.Hour))
-	if next, ok := e.acquireServer(); !ok || next.cacheSource != first.server {
+	if next, ok := e.acquireServer(t.Context()); !ok || next.cacheSource != first.server {
 		t.Fatalf("got %+v and %v, want the server that wants no requests as the source", next, ok)
 	}
 	e.evacuate(first.server.FailureDomain)
-	if next, ok := e.acquireServer(); !ok || next.cacheSource == first.server {
+	if next, ok := e.acquireServer(t.Context()); !ok || next.cacheSource == first.server {
 		t.Errorf("got %+v and %v, want another source than the evacuated server", next, ok)
 	}
 	e.evacuate("z0", "z1", "z2")
-	if next, ok := e.acquireServer(); ok {
+	if next, ok := e.acquireServer(t.Context()); ok {
 		t.Errorf("got %+v, want no server while all domains are evacuated", next)
 	}
 	if got := e.reasonForNoServer(); got != NoServer {
@@ -107,10 +107,10 @@
 	for range 4 {
 		warm.Begin(0, now)
 	}
-	if got, ok := e.acquireServer(); !ok || got.server != cold {
+	if got, ok := e.acquireServer(t.Context()); !ok || got.server != cold {
 		t.Errorf("the warm server busier: got %+v and %v, want the cold server", got.server, ok)
 	}
-	if got, ok := e.acquireServer(); !ok || got.server != warm {
+	if got, ok := e.acquireServer(t.Context()); !ok || got.server != warm {
 		t.Errorf("directly after: got %+v and %v, want the warm server", got.server, ok)
 	}
 }
--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -1,8 +1,14 @@
 package forward
 
 import (
+	"context"
+	"math"
+	"time"
+
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
+	"wasabiworks.example/wasabiworks/internal/decide/backlog"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
+	"wasabiworks.example/wasabiworks/internal/peer/claim"
 )
 
 // target is the server chosen for an attempt.
@@ -15,31 +21,46 @@
 	// cacheSource is a server from which the chosen server should fetch the cache
 	// of a part of the prompt; it may be nil.
 	cacheSource *pool.Worker
+	// limit is the backlog up to which the server remains the best choice.
+	limit backlog.Backlog
+	// claim is the claim on the server; it may be nil.
+	claim *claim.Claim
 }
 
 // coldLoad is the number of running requests that a cold server counts as having more
 // than it has, so that it is used when the others are busier.
 const coldLoad = 2
 
-// chooseServer returns the server for the next attempt. It returns false if no
-// server is usable or the best choice was tried before. Servers that were tried
-// count as suspect, so they are chosen only if all usable servers are suspect.
+// choices are the servers that may run a request, and what is known of them.
+type choices struct {
+	servers    []*pool.Worker
+	candidates []route.Candidate
+}
+
+// chooseServer returns the server for the next attempt by what this instance knows. It
+// returns false if no server is usable or the best choice was tried before.
 func (e *exchange) chooseServer() (t target, ok bool) {
+	c := e.choices(e.config.Now())
+	i, t := e.choose(&c)
+	return t, i >= 0
+}
+
+// choices returns the servers that may run the request. Servers that were tried count as
+// suspect, so they are chosen only if all usable servers are suspect.
+func (e *exchange) choices(now time.Time) choices {
 	all := e.config.Pool.Service(e.service)
-	now := e.config.Now()
-	candidates := make([]route.Candidate, 0, len(all))
-	servers := make([]*pool.Worker, 0, len(all))
+	c := choices{candidates: make([]route.Candidate, 0, len(all)), servers: make([]*pool.Worker, 0, len(all))}
 	for _, s := range all {
 		eligible, preferred := e.versionChoice.accepts(s.Version)
 		if !eligible || s.Evacuated() {
 			continue
 		}
-		servers = append(servers, s)
+		c.servers = append(c.servers, s)
 		running := s.Running()
 		if s.Cold(now) {
 			running += coldLoad
 		}
-		candidates = append(candidates, route.Candidate{
+		c.candidates = append(c.candidates, route.Candidate{
 			ID: s.ID, PendingTokens: float64(s.PendingTokens()), Running: running, Slots: s.Slots,
 			CachedTokens: s.Prompts.CachedTokens(e.prompt.Parts, now),
 			Local:        s.FailureDomain == e.config.FailureDomain,
@@ -48,20 +69,55 @@
 			Speed: s.Speed.At(now),
 		})
 	}
+	return c
+}
+
+// choose returns the best of the choices, and its index. The index is -1 if no server is
+// usable or the best choice was tried before.
+func (e *exchange) choose(c *choices) (index int, t target) {
 	if len(e.prompt.Parts) == 0 {
-		i := route.ChooseService(candidates, e.config.Random())
-		if i < 0 || e.tried(servers[i]) {
-			return target{}, false
+		i := route.ChooseService(c.candidates, e.config.Random())
+		if i < 0 || e.tried(c.servers[i]) {
+			return -1, target{}
 		}
-		return target{server: servers[i], uncachedTokens: int64(e.prompt.Tokens)}, true
+		return i, target{server: c.servers[i], uncachedTokens: int64(e.prompt.Tokens), limit: backlog.Unlimited}
+	}
+	p := route.ChoosePrompt(c.candidates, e.prompt)
+	if p.Index < 0 || e.tried(c.servers[p.Index]) {
+		return -1, target{}
 	}
-	p := route.ChoosePrompt(candidates, e.prompt)
-	if p.Index < 0 || e.tried(servers[p.Index]) {
-		return target{}, false
+	t = target{
+		server: c.servers[p.Index], uncachedTokens: max(0, int64(e.prompt.Tokens-p.CachedTokens-p.TokensToFetch)),
+		limit: backlog.Backlog{Pending: int64(min(p.MaxPending, math.MaxInt32)), Running: math.MaxInt64},
 	}
-	t = target{server: servers[p.Index], uncachedTokens: max(0, int64(e.prompt.Tokens-p.CachedTokens-p.TokensToFetch))}
 	if p.Source >= 0 {
-		t.cacheSource = servers[p.Source]
+		t.cacheSource = c.servers[p.Source]
+	}
+	return p.Index, t
+}
+
+// maxClaims bounds the servers that are asked for one attempt whether they are busier
+// than this instance knows.
+const maxClaims = 3
+
+// placeRequest returns the server for the next attempt, by what all instances have sent to
+// the best choices. It returns false if chooseServer does.
+func (e *exchange) placeRequest(ctx context.Context) (t target, ok bool) {
+	c := e.choices(e.config.Now())
+	for n := 1; ; n++ {
+		i, t := e.choose(&c)
+		if i < 0 || e.config.Claims == nil || len(e.prompt.Parts) == 0 {
+			return t, i >= 0
+		}
+		known := c.candidates[i].Known
+		if known || n > maxClaims {
+			t.limit = backlog.Unlimited
+		}
+		earlier, claimed, err := e.config.Claims.Add(ctx, claim.Server{Process: t.server.Process(), FailureDomain: t.server.FailureDomain}, t.uncachedTokens, t.limit, e.deadline)
+		if err != nil || claimed != nil || known || n > maxClaims {
+			t.claim = claimed
+			return t, true
+		}
+		c.candidates[i].PendingTokens, c.candidates[i].Running, c.candidates[i].Known = float64(earlier.Pending), int(earlier.Running), true
 	}
-	return t, true
 }
--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -13,6 +13,7 @@
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
+	"wasabiworks.example/wasabiworks/internal/peer/claim"
 )
 
 // View is the configuration of an instance at one point in time.
@@ -156,6 +157,8 @@
 	Usage         Usage
 	Poison        Poison
 	Versions      Versions
+	// Claims tells how much work servers have from all instances; it may be nil.
+	Claims *claim.Client
 	// OnRequestEnd is called at the end of each request; it may be nil.
 	OnRequestEnd func(Result)
 	// Now returns the time on the boot clock.
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -59,7 +59,7 @@
 			e.giveUp(ctx, reason, runs)
 			return
 		}
-		t, ok := e.acquireServer()
+		t, ok := e.acquireServer(ctx)
 		if !ok {
 			if lastReason == "" {
 				lastReason = e.reasonForNoServer()
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -14,6 +14,7 @@
 	"wasabiworks.example/wasabiworks/internal/backend/tcp"
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
+	"wasabiworks.example/wasabiworks/internal/peer/claim"
 )
 
 // attempt records one attempt to have a server run the request.
@@ -36,6 +37,7 @@
 	cancel          context.CancelFunc
 	failover        *failover // nil if no other server may take over
 	held            *limit.Holding
+	claim           *claim.Claim
 	padding         int // bytes of the stream that brought the client nothing
 }
 
@@ -81,7 +83,7 @@
 	now := e.config.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e.attempts = append(e.attempts, attempt{server: server, cacheSource: t.cacheSource, uncachedTokens: uncachedTokens, sentAt: now, sinceStart: now.Sub(e.start), cancel: cancel})
+	e.attempts = append(e.attempts, attempt{server: server, cacheSource: t.cacheSource, uncachedTokens: uncachedTokens, sentAt: now, sinceStart: now.Sub(e.start), cancel: cancel, claim: t.claim})
 	a := &e.attempts[len(e.attempts)-1]
 	a.verdict, a.held = e.newVerdict(a), e.responses.Hold(cancel)
 	server.Begin(uncachedTokens, now)
@@ -90,6 +92,7 @@
 			server.PromptRead(uncachedTokens)
 		}
 		server.End()
+		t.claim.End()
 		a.held.Release()
 		e.endFailover(a)
 		a.took, a.outcome = e.config.Now().Sub(now), result
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -114,6 +114,7 @@
 	a.promptProcessed = true
 	e.learnFromFirstEvent(a)
 	a.server.PromptRead(uncachedTokens)
+	a.claim.Processed()
 	e.config.Usage.AddFirst(e.service, now.Sub(e.start) > e.route.Objective)
 	a.server.Prompts.Add(e.prompt.Parts, now)
 	e.countUsage()
--- a/internal/decide/membership/hubs.go
+++ b/internal/decide/membership/hubs.go
@@ -99,3 +99,12 @@
 	}
 	return ""
 }
+
+// Strongest returns the n live members of a failure domain with the most capacity, among
+// equals by hash, or all of them if there are fewer.
+func (t *Table) Strongest(domain string, n int, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ids := t.byPreference(t.live(domain, now))
+	return ids[:min(n, len(ids))]
+}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"wasabiworks.example/wasabiworks/internal/operator/burn"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 	"wasabiworks.example/wasabiworks/internal/peer/allowance"
+	"wasabiworks.example/wasabiworks/internal/peer/claim"
 	"wasabiworks.example/wasabiworks/internal/peer/crash"
 	"wasabiworks.example/wasabiworks/internal/peer/duty"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
@@ -202,9 +203,12 @@
 	registeredCount    recentMax
 	// rosters are those of the last call of publishColdStart. Only apply and the methods
 	// that it calls use them.
-	rosters     *coldstart.Rosters
-	exchange    *exchange.Node
-	allowances  *allowance.Limiter
+	rosters    *coldstart.Rosters
+	exchange   *exchange.Node
+	allowances *allowance.Limiter
+	claims     *claim.Client
+	// trackers holds the IDs of the instances that track servers, by failure domain.
+	trackers    atomic.Pointer[map[string][]string]
 	crashes     crash.Reports
 	crashChecks sync.WaitGroup // counts running checks of whether a server has crashed
 	// counters are shared by all instances: the units that workspaces spent, and
@@ -253,7 +257,7 @@
 	}
 	f.handler, err = forward.New(forward.Config{
 		Headers: c.Format.Headers, FailureDomain: c.FailureDomain, View: f.view, Pool: f.pool,
-		Allowances: f.allowances, Usage: f.usage, Poison: poisonFilter{f}, Versions: f.mover,
+		Allowances: f.allowances, Usage: f.usage, Poison: poisonFilter{f}, Versions: f.mover, Claims: f.claims,
 		Budget: &retryBudgets{config: retry.SharedConfig{
 			Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instanceCount, Now: f.now,
 		}},
@@ -277,6 +281,9 @@
 	if f.allowances, err = f.newAllowances(); err != nil {
 		return err
 	}
+	if f.claims, err = f.newClaims(); err != nil {
+		return err
+	}
 	f.crashes = crash.Reports{Set: new(poison.CauseSet), Now: time.Now}
 	if err := f.registerPartMetrics(); err != nil {
 		return err
@@ -301,7 +308,7 @@
 		Members: f.members, MinRemotePeriod: remotePeriod,
 		Sources:    []exchange.Source{counters, f.crashes},
 		Sinks:      []exchange.Sink{counters, f.crashes},
-		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.serveWatch, Spend: f.serveSpend},
+		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.serveWatch, Spend: f.serveSpend, Claim: f.claims.ServeClaim, Progress: f.claims.ServeProgress},
 		Registerer: f.registry,
 		Logger:     c.Log,
 	})
@@ -346,6 +353,8 @@
 	wg.Go(func() { f.register(workCtx) })
 	wg.Go(func() { f.refreshAllowancesAndCrashes(workCtx) })
 	wg.Go(func() { f.exchangeWithPeers(workCtx) })
+	wg.Go(func() { f.chooseTrackers(workCtx) })
+	wg.Go(func() { f.claims.Run(workCtx) })
 	var dutyDone sync.WaitGroup
 	dutyDone.Go(func() { f.duty.Run(dutyCtx) })
 	wg.Go(func() { f.mover.run(workCtx) })
