--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -104,20 +104,60 @@
 // the best choices. It returns false if chooseServer does.
 func (e *exchange) placeRequest(ctx context.Context) (t target, ok bool) {
 	c := e.choices(e.config.Now())
+	i, t := e.choose(&c)
+	if i < 0 || e.config.Claims == nil || len(e.prompt.Parts) == 0 {
+		return t, i >= 0
+	}
+	shared, prefix := e.prompt.Shared()
+	first := claimedServer(t.server)
 	for n := 1; ; n++ {
-		i, t := e.choose(&c)
-		if i < 0 || e.config.Claims == nil || len(e.prompt.Parts) == 0 {
-			return t, i >= 0
-		}
-		known := c.candidates[i].Known
-		if known || n > maxClaims {
+		if c.candidates[i].Known || n > maxClaims {
 			t.limit = backlog.Unlimited
 		}
-		earlier, claimed, err := e.config.Claims.Add(ctx, claim.Server{Process: t.server.Process(), FailureDomain: t.server.FailureDomain}, t.uncachedTokens, t.limit, e.deadline)
-		if err != nil || claimed != nil || known || n > maxClaims {
-			t.claim = claimed
+		earlier, claimed, err := e.config.Claims.Add(ctx, claimedServer(t.server), claim.Request{Tokens: t.uncachedTokens, Prefix: prefix, Deadline: e.deadline}, t.limit)
+		if err != nil {
 			return t, true
 		}
-		c.candidates[i].PendingTokens, c.candidates[i].Running, c.candidates[i].Known = float64(earlier.Pending), int(earlier.Running), true
+		if !c.candidates[i].Known {
+			c.learn(i, earlier, shared)
+			next, better := e.choose(&c)
+			if next < 0 {
+				next, better = i, t
+			}
+			if next != i || claimed == nil {
+				claimed.End()
+				i, t = next, better
+				continue
+			}
+			t = better
+		}
+		t.claim = claimed
+		if server := claimedServer(t.server); server != first {
+			e.config.Claims.Hold(first, prefix, server.Process)
+		}
+		return t, true
+	}
+}
+
+// claimedServer returns the server as it is named in claims.
+func claimedServer(s *pool.Worker) claim.Server {
+	return claim.Server{Process: s.Process(), FailureDomain: s.FailureDomain}
+}
+
+// learn adds what the tracker of the i-th choice knows. shared is the number of tokens of
+// the prefix.
+func (c *choices) learn(i int, r backlog.Reading, shared int) {
+	known := &c.candidates[i]
+	known.PendingTokens, known.Known = float64(r.Pending), true
+	if r.Cached {
+		known.CachedTokens = max(known.CachedTokens, shared)
+	}
+	if r.Holder == "" {
+		return
+	}
+	for j, s := range c.servers {
+		if s.Process() == r.Holder {
+			c.candidates[j].CachedTokens = max(c.candidates[j].CachedTokens, shared)
+		}
 	}
 }
--- a/internal/decide/backlog/ledger.go
+++ b/internal/decide/backlog/ledger.go
@@ -1,6 +1,7 @@
 package backlog
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -12,6 +13,11 @@
 	// promptLifetime bounds the time for which a claim counts as prompt tokens to be
 	// processed. The message that ends it can be lost.
 	promptLifetime = 3 * time.Second
+	// prefixLifetime is the time for which a prefix that was sent to a server is
+	// assumed to be in its cache.
+	prefixLifetime = 30 * time.Second
+	// maxPrefixes bounds the prefixes of a Ledger.
+	maxPrefixes = 1 << 16
 	// maxLifetime bounds the time for which a claim counts at all.
 	maxLifetime = time.Minute
 )
@@ -40,16 +46,43 @@
 	Request uint64
 	// Tokens is the number of prompt tokens that the server will have to process.
 	Tokens int64
+	// Prefix identifies the shared parts of the prompt; 0 if there are none.
+	Prefix uint64
 	// Deadline is when the request ends at the latest.
 	Deadline time.Time
 }
 
+// Reading is what a Ledger knows about a server and a prefix before a claim.
+type Reading struct {
+	Backlog
+	// Cached is true if the server was sent a request with the prefix before.
+	Cached bool
+	// Holder is the last other server that was sent one, as far as the Ledger was told,
+	// or empty.
+	Holder string
+}
+
 // Ledger holds the claims on the servers that an instance tracks. The zero value is
 // empty. Its methods are safe for concurrent use.
 type Ledger struct {
-	mu      sync.Mutex
-	servers map[string]*server
-	claims  int
+	mu       sync.Mutex
+	servers  map[string]*server
+	claims   int
+	prefixes map[prefixKey]prefix
+}
+
+// prefixKey identifies a prefix at a server.
+type prefixKey struct {
+	server string
+	prefix uint64
+}
+
+// prefix says until when a server is assumed to have a prefix, and which other server
+// has it.
+type prefix struct {
+	cachedUntil time.Time
+	holder      string
+	holderUntil time.Time
 }
 
 // server holds the claims on one server.
@@ -63,15 +96,21 @@
 	promptDeadline, deadline time.Time
 }
 
-// Add adds a claim if the backlog of the earlier claims is within limit. It returns that
-// backlog.
-func (l *Ledger) Add(c Claim, limit Backlog, now time.Time) (earlier Backlog, added bool) {
+// Add adds a claim if the backlog of the earlier claims is within limit. It returns what
+// was known before.
+func (l *Ledger) Add(c Claim, limit Backlog, now time.Time) (earlier Reading, added bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.servers[c.Server]
 	if s != nil {
 		l.expire(c.Server, s, now)
-		earlier = s.backlog
+		earlier.Backlog = s.backlog
+	}
+	key := prefixKey{c.Server, c.Prefix}
+	p := l.prefixes[key]
+	earlier.Cached = now.Before(p.cachedUntil)
+	if now.Before(p.holderUntil) {
+		earlier.Holder = p.holder
 	}
 	if !earlier.Within(limit) || l.claims >= maxClaims || s != nil && s.claims[c.Request] != nil {
 		return earlier, false
@@ -88,9 +127,34 @@
 	s.backlog.Pending += tokens
 	s.backlog.Running++
 	l.claims++
+	if c.Prefix != 0 {
+		p.cachedUntil = now.Add(prefixLifetime)
+		l.setPrefix(key, p)
+	}
 	return earlier, true
 }
 
+// Hold records that a request with a prefix was sent to the server holder instead of
+// another.
+func (l *Ledger) Hold(server string, prefix uint64, holder string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := prefixKey{server, prefix}
+	p := l.prefixes[key]
+	p.holder, p.holderUntil = holder, now.Add(prefixLifetime)
+	l.setPrefix(key, p)
+}
+
+// setPrefix stores p unless there are too many prefixes.
+func (l *Ledger) setPrefix(key prefixKey, p prefix) {
+	if l.prefixes == nil {
+		l.prefixes = make(map[prefixKey]prefix)
+	}
+	if _, ok := l.prefixes[key]; ok || len(l.prefixes) < maxPrefixes {
+		l.prefixes[key] = p
+	}
+}
+
 // Processed records that a server has processed the prompt of a claim.
 func (l *Ledger) Processed(serverID string, request uint64) {
 	l.mu.Lock()
@@ -116,6 +180,9 @@
 	for id, s := range l.servers {
 		l.expire(id, s, now)
 	}
+	maps.DeleteFunc(l.prefixes, func(_ prefixKey, p prefix) bool {
+		return !now.Before(p.cachedUntil) && !now.Before(p.holderUntil)
+	})
 }
 
 // Len returns the number of claims.
--- a/internal/decide/route/prompt.go
+++ b/internal/decide/route/prompt.go
@@ -60,7 +60,8 @@
 	New, Excluded bool
 	// Speed is the speed relative to the mean of the service; 0 counts as 1.
 	Speed float64
-	// Known is true if PendingTokens and Running hold the requests of all instances.
+	// Known is true if PendingTokens holds the requests of all instances, and
+	// CachedTokens is what they have sent the server.
 	Known bool
 }
 
@@ -130,7 +131,7 @@
 	shared, chain := p.Shared()
 	preferred := preferredServer(cs, chain, func(c *Candidate) bool { return !c.Excluded })
 	expected := func(i int) int {
-		if i == preferred {
+		if i == preferred && !cs[i].Known {
 			return max(cs[i].CachedTokens, int(expectedCachedFraction*float64(shared)))
 		}
 		return cs[i].CachedTokens
@@ -147,7 +148,7 @@
 		}
 		return expected(source) - expected(i)
 	}
-	index, margin := cheapest(cs, func(i int) float64 {
+	index, margin := cheapest(cs, p.Parts[len(p.Parts)-1].Chain, func(i int) float64 {
 		c := &cs[i]
 		promptCost := max(0, float64(p.Tokens-expected(i))-(1-fetchCostRatio)*float64(fetched(i)))
 		weight := pendingWeight
@@ -223,7 +224,7 @@
 // other failure domains are charged remoteCostSlots; random breaks ties, in proportion
 // to the speeds.
 func ChooseService(cs []Candidate, random uint64) int {
-	index, _ := cheapest(cs, func(i int) float64 {
+	index, _ := cheapest(cs, 0, func(i int) float64 {
 		c := &cs[i]
 		cost := float64(c.Running) / (float64(max(1, c.Slots)) * c.speed())
 		if !c.Local {
@@ -250,11 +251,13 @@
 
 // cheapest returns the index of the candidate with the lowest cost, or -1 if
 // there is none, and by how much the second lowest cost is higher. Excluded candidates
-// are never chosen, and suspects only if there are no others.
-func cheapest(cs []Candidate, cost func(i int) float64) (index int, margin float64) {
+// are never chosen, and suspects only if there are no others. The first of equal ones from
+// a position that depends on random is chosen.
+func cheapest(cs []Candidate, random uint64, cost func(i int) float64) (index int, margin float64) {
 	for _, suspect := range []bool{false, true} {
 		best, lowest, second := -1, math.Inf(1), math.Inf(1)
-		for i := range cs {
+		for n := range cs {
+			i := int((random%uint64(len(cs)) + uint64(n)) % uint64(len(cs)))
 			if cs[i].Suspect != suspect || cs[i].Excluded {
 				continue
 			}
--- a/internal/peer/claim/client.go
+++ b/internal/peer/claim/client.go
@@ -96,10 +96,21 @@
 	request uint64
 }
 
+// Request describes a request for which a place is claimed.
+type Request struct {
+	// Tokens is the number of prompt tokens that the server will have to process.
+	Tokens int64
+	// Prefix identifies the shared parts of the prompt; 0 if there are none.
+	Prefix uint64
+	// Deadline is when the request ends at the latest.
+	Deadline time.Time
+}
+
 // Add claims a place for a request at a server if the backlog of the earlier claims is
-// within limit. It returns that backlog, and nil if the claim was not added.
-func (l *Client) Add(ctx context.Context, s Server, tokens int64, limit backlog.Backlog, deadline time.Time) (earlier backlog.Backlog, c *Claim, err error) {
-	earlier, c, err = l.add(ctx, s, tokens, limit, deadline)
+// within limit. It returns what the tracker knew before, and nil if the claim was not
+// added.
+func (l *Client) Add(ctx context.Context, s Server, r Request, limit backlog.Backlog) (earlier backlog.Reading, c *Claim, err error) {
+	earlier, c, err = l.add(ctx, s, r, limit)
 	outcome := "added"
 	switch {
 	case err != nil:
@@ -111,20 +122,21 @@
 	return earlier, c, err
 }
 
-func (l *Client) add(ctx context.Context, s Server, tokens int64, limit backlog.Backlog, deadline time.Time) (backlog.Backlog, *Claim, error) {
+func (l *Client) add(ctx context.Context, s Server, r Request, limit backlog.Backlog) (backlog.Reading, *Claim, error) {
 	now := l.config.Now()
 	c := &Claim{client: l, tracker: l.config.Tracker(s), server: s.Process, request: rand.Uint64()}
 	if c.tracker == l.config.Instance {
-		earlier, added := l.ledger.Add(backlog.Claim{Server: s.Process, Request: c.request, Tokens: tokens, Deadline: deadline}, limit, now)
+		earlier, added := l.ledger.Add(backlog.Claim{Server: s.Process, Request: c.request, Tokens: r.Tokens, Prefix: r.Prefix, Deadline: r.Deadline}, limit, now)
 		return earlier, c.ifAdded(added), nil
 	}
 	if c.tracker == "" || l.avoids(c.tracker, now) {
-		return backlog.Backlog{}, nil, NoTracker.New("tracker of %s is unknown or did not respond", s.Process)
+		return backlog.Reading{}, nil, NoTracker.New("tracker of %s is unknown or did not respond", s.Process)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	reply, err := l.config.Claim(callCtx, c.tracker, &peerpb.ClaimRequest{
-		Server: s.Process, Request: c.request, Tokens: tokens, MaxPending: limit.Pending, MaxRunning: limit.Running, Lifetime: deadline.Sub(now).Milliseconds(),
+		Server: s.Process, Request: c.request, Tokens: r.Tokens, MaxPending: limit.Pending, MaxRunning: limit.Running, Prefix: r.Prefix,
+		Lifetime: r.Deadline.Sub(now).Milliseconds(),
 	})
 	if err != nil {
 		if ctx.Err() == nil {
@@ -132,9 +144,12 @@
 		}
 		// The tracker may have added the claim although its reply is lost.
 		c.End()
-		return backlog.Backlog{}, nil, CallFailed.Wrap(err, "claim on %s", s.Process)
+		return backlog.Reading{}, nil, CallFailed.Wrap(err, "claim on %s", s.Process)
 	}
-	return backlog.Backlog{Pending: reply.GetPending(), Running: reply.GetRunning()}, c.ifAdded(reply.GetAdded()), nil
+	earlier := backlog.Reading{
+		Backlog: backlog.Backlog{Pending: reply.GetPending(), Running: reply.GetRunning()}, Cached: reply.GetCached(), Holder: reply.GetHolder(),
+	}
+	return earlier, c.ifAdded(reply.GetAdded()), nil
 }
 
 // ifAdded returns c if added is true, and nil otherwise.
@@ -179,6 +194,17 @@
 	}
 }
 
+// Hold reports to the tracker of s that a request with a prefix was sent to another server.
+func (l *Client) Hold(s Server, prefix uint64, holder string) {
+	switch tracker := l.config.Tracker(s); tracker {
+	case "":
+	case l.config.Instance:
+		l.ledger.Hold(s.Process, prefix, holder, l.config.Now())
+	default:
+		l.report(tracker, &peerpb.Progress{Server: s.Process, Prefix: prefix, Holder: holder})
+	}
+}
+
 func (l *Client) report(instance string, p *peerpb.Progress) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -223,9 +249,9 @@
 func (l *Client) ServeClaim(_ context.Context, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
 	now := l.config.Now()
 	earlier, added := l.ledger.Add(
-		backlog.Claim{Server: r.GetServer(), Request: r.GetRequest(), Tokens: r.GetTokens(), Deadline: now.Add(lifetime(r.GetLifetime()))},
+		backlog.Claim{Server: r.GetServer(), Request: r.GetRequest(), Tokens: r.GetTokens(), Prefix: r.GetPrefix(), Deadline: now.Add(lifetime(r.GetLifetime()))},
 		backlog.Backlog{Pending: r.GetMaxPending(), Running: r.GetMaxRunning()}, now)
-	return &peerpb.ClaimReply{Added: added, Pending: earlier.Pending, Running: earlier.Running}, nil
+	return &peerpb.ClaimReply{Added: added, Pending: earlier.Pending, Running: earlier.Running, Cached: earlier.Cached, Holder: earlier.Holder}, nil
 }
 
 // lifetime returns a number of milliseconds from a peer as a duration of up to an hour.
@@ -236,11 +262,14 @@
 // ServeProgress records what a peer reports of its claims.
 func (l *Client) ServeProgress(_ context.Context, r *peerpb.ProgressRequest) (*peerpb.ProgressReply, error) {
 	for _, p := range r.GetProgress() {
-		if p.GetEnded() {
+		switch {
+		case p.GetPrefix() != 0:
+			l.ledger.Hold(p.GetServer(), p.GetPrefix(), p.GetHolder(), l.config.Now())
+		case p.GetEnded():
 			l.ledger.End(p.GetServer(), p.GetRequest())
-			continue
+		default:
+			l.ledger.Processed(p.GetServer(), p.GetRequest())
 		}
-		l.ledger.Processed(p.GetServer(), p.GetRequest())
 	}
 	return &peerpb.ProgressReply{}, nil
 }
