--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -151,12 +151,11 @@
 	known.PendingTokens, known.Known = float64(r.Pending), true
 	if r.Cached {
 		known.CachedTokens = max(known.CachedTokens, shared)
-	}
-	if r.Holder == "" {
 		return
 	}
 	for j, s := range c.servers {
 		if s.Process() == r.Holder {
+			known.Uncached = true
 			c.candidates[j].CachedTokens = max(c.candidates[j].CachedTokens, shared)
 		}
 	}
--- a/internal/decide/route/prompt.go
+++ b/internal/decide/route/prompt.go
@@ -60,9 +60,11 @@
 	New, Excluded bool
 	// Speed is the speed relative to the mean of the service; 0 counts as 1.
 	Speed float64
-	// Known is true if PendingTokens holds the requests of all instances, and
-	// CachedTokens is what they have sent the server.
+	// Known is true if PendingTokens holds the requests of all instances.
 	Known bool
+	// Uncached servers are known not to have processed the shared parts, although
+	// another server has.
+	Uncached bool
 }
 
 // speed returns the speed of the server relative to the mean of the service.
@@ -131,7 +133,7 @@
 	shared, chain := p.Shared()
 	preferred := preferredServer(cs, chain, func(c *Candidate) bool { return !c.Excluded })
 	expected := func(i int) int {
-		if i == preferred && !cs[i].Known {
+		if i == preferred && !cs[i].Uncached {
 			return max(cs[i].CachedTokens, int(expectedCachedFraction*float64(shared)))
 		}
 		return cs[i].CachedTokens
@@ -150,7 +152,10 @@
 	}
 	index, margin := cheapest(cs, p.Parts[len(p.Parts)-1].Chain, func(i int) float64 {
 		c := &cs[i]
-		promptCost := max(0, float64(p.Tokens-expected(i))-(1-fetchCostRatio)*float64(fetched(i)))
+		promptCost := float64(max(0, p.Tokens-expected(i)))
+		if source >= 0 && cs[source].CachedTokens > 0 {
+			promptCost = max(0, promptCost-(1-fetchCostRatio)*float64(fetched(i)))
+		}
 		weight := pendingWeight
 		if c.Known {
 			weight = 1
