--- a/internal/decide/route/prompt.go
+++ b/internal/decide/route/prompt.go
@@ -96,6 +96,9 @@
 	// remoteCostSlots is the cost of a server in another failure domain for a
 	// plain service, as a fraction of the server's slots.
 	remoteCostSlots = 0.2
+	// knownPendingWeight scales the pending tokens of all instances. A wait costs only the
+	// request itself time, but processing a prefix again also delays others.
+	knownPendingWeight = 0.35
 	// minMarginTokens is the least MaxPending beyond what is known to be pending. A wait
 	// of so few tokens is not worth asking about another server.
 	minMarginTokens = 500
@@ -158,7 +161,7 @@
 		}
 		weight := pendingWeight
 		if c.Known {
-			weight = 1
+			weight = knownPendingWeight
 		}
 		cost := (weight*c.PendingTokens+runningCostTokens*float64(c.Running))/c.speed() + promptCost
 		if !c.Local {
@@ -174,7 +177,7 @@
 	}
 	placement := Placement{
 		Index: index, CachedTokens: expected(index), Source: -1,
-		MaxPending: cs[index].PendingTokens + max(margin, minMarginTokens)*cs[index].speed(),
+		MaxPending: cs[index].PendingTokens + max(margin, minMarginTokens)*cs[index].speed()/knownPendingWeight,
 	}
 	if n := fetched(index); n > 0 {
 		placement.Source, placement.TokensToFetch = source, n
