--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -52,7 +52,7 @@
 			e.giveUp(ctx, reason, runs)
 			return
 		}
-		t, yields, ok := e.acquireServer()
+		t, yields, ok := e.acquireServer(ctx)
 		if !ok {
 			if lastReason == "" {
 				lastReason = e.reasonForNoServer()
