--- a/cmd/wasabiworks/forward.go
+++ b/cmd/wasabiworks/forward.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/entry/gateway"
 	"wasabiworks.example/wasabiworks/internal/operator/logs"
 	"wasabiworks.example/wasabiworks/internal/operator/settings"
@@ -26,19 +27,20 @@
 	app *app
 }
 
-// maxHeapFraction is the fraction of the instance's memory from which the garbage
-// collector runs more often. The rest is for what it doesn't count, such as the buffers of
-// the kernel.
-const maxHeapFraction = 0.7
+// limitHeap makes the garbage collector run more often as the heap nears the memory that
+// the instance may use, unless that is 0.
+func limitHeap(memoryBytes int64) {
+	if heap := (limit.Resources{MemoryBytes: memoryBytes}).Shares().HeapBytes; heap > 0 {
+		debug.SetMemoryLimit(heap)
+	}
+}
 
 // Execute implements flags.Commander.
 func (c *forwardCommand) Execute([]string) error {
 	if err := c.Check(); err != nil {
 		return err
 	}
-	if memory := c.MemoryBytes(); memory > 0 {
-		debug.SetMemoryLimit(int64(maxHeapFraction * float64(memory)))
-	}
+	limitHeap(c.MemoryBytes())
 	registry := prometheus.NewRegistry()
 	log, logWriter, err := c.logger(c.app.stdout, registry)
 	if err != nil {
@@ -85,7 +87,7 @@
 		Store: platform.NewStore(c.Store), Cloud: platform.NewCloud(c.Cloud, c.Instance), Format: platform.Format(),
 		UsageWindow: window, Scale: c.HasDuty("autoscale"), AllowanceSlack: c.AllowanceSlack,
 		Retry:        gateway.RetryLimit{Ratio: c.RetryRatio, Slack: c.RetrySlack, Window: c.RetryWindow},
-		RevokeWithin: c.RevokeWithin, DrainTimeout: c.DrainNotice, MaxResponseBytes: c.MaxResponseBytes, MemoryBytes: c.MemoryBytes(), Log: log, Registry: registry,
+		RevokeWithin: c.RevokeWithin, DrainTimeout: c.DrainNotice, MaxResponseBytes: c.MaxResponseBytes, MemoryBytes: c.MemoryBytes(), Descriptors: settings.Descriptors(), Connections: c.Limits(), Log: log, Registry: registry,
 	})
 }
 
--- a/cmd/wasabiworks/serve.go
+++ b/cmd/wasabiworks/serve.go
@@ -36,6 +36,7 @@
 	if err := c.Check(); err != nil {
 		return err
 	}
+	limitHeap(c.MemoryBytes())
 	// Further signals have no effect: a second SIGTERM does not speed up a planned
 	// shutdown.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -69,6 +70,7 @@
 		Price: c.Price, Reclaimable: c.Reclaimable, Platform: c.Platform, Store: platform.NewStore(c.Platform),
 		Client: listeners[0], Peer: listeners[1], Operations: listeners[2],
 		ClientTLS: clientTLS, PeerTLS: peerTLS, DrainTimeout: c.DrainNotice, Log: log,
+		MemoryBytes: c.MemoryBytes(), Descriptors: settings.Descriptors(), Connections: c.Limits(),
 		Route: routePolicies[c.RoutePolicy], Move: movePolicies[c.MovePolicy],
 	})
 }
--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -170,6 +170,9 @@
 	// bytes, half for each; the default is 64 MiB, and the least one body of the maximum
 	// size of each.
 	MemoryBytes int64
+	// Requests, if it is not nil, holds the bodies of requests in place of the half of
+	// MemoryBytes.
+	Requests *limit.Memory
 	// Draining reports whether client connections are closed after the response.
 	Draining func() bool
 	// Refusing reports whether requests that were sent to no server yet are refused,
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"wasabiworks.example/wasabiworks/internal/caller/connlimit"
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/decide/poison"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
@@ -50,7 +51,10 @@
 	}
 	c.MemoryBytes = max(c.MemoryBytes, 2*c.MaxResponseBytes, 2*defaultMaxBody)
 	memory := limit.MemoryConfig{Bytes: c.MemoryBytes / 2}
-	requests, responses := limit.NewMemory(memory), limit.NewMemory(memory)
+	requests, responses := c.Requests, limit.NewMemory(memory)
+	if requests == nil {
+		requests = limit.NewMemory(memory)
+	}
 	m, err := newMetrics(c.Registerer, func() float64 { return float64(requests.Used()) }, func() float64 { return float64(responses.Used()) })
 	if err != nil {
 		return nil, err
@@ -261,8 +265,10 @@
 	switch {
 	case err == nil:
 		return ""
-	case errors.Is(err, errMemoryFull):
+	case errors.Is(err, errMemoryFull) || errors.Is(err, connlimit.ErrMemoryFull):
 		return MemoryFull
+	case errors.Is(err, connlimit.ErrStalled):
+		return BodyStalled
 	case errors.Is(err, errTooLong) || errors.As(err, &tooLarge):
 		return BodyTooLarge
 	case e.r.Context().Err() != nil || errors.Is(err, io.ErrUnexpectedEOF):
--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -29,6 +29,8 @@
 	BodyTooLarge Reason = "body-too-large"
 	// MalformedBody means that the encoding of the request body is invalid.
 	MalformedBody Reason = "malformed-body"
+	// BodyStalled means that the client sent nothing of the request body for too long.
+	BodyStalled Reason = "body-stalled"
 	// MalformedTarget means that the path cannot be sent to a server unchanged.
 	MalformedTarget Reason = "malformed-target"
 	// OverAllowance means that the workspace's allowance is used up.
@@ -72,7 +74,7 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, MalformedBody, MalformedTarget, OverAllowance, PoisonRequest, PoisonPart,
+	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, MalformedBody, BodyStalled, MalformedTarget, OverAllowance, PoisonRequest, PoisonPart,
 	NoServer, ServersFull, ServersUnreachable, ResponseLost, InvalidResponse, ResponseDropped, MemoryFull, TimedOut, TimedOutUnsent, Stopping, Interrupted, StreamBroken,
 }
 
@@ -104,6 +106,8 @@
 		return http.StatusUnauthorized, true, 0
 	case MalformedBody, MalformedTarget:
 		return http.StatusBadRequest, true, 0
+	case BodyStalled:
+		return http.StatusRequestTimeout, true, defaultRetryAfter
 	case BodyTooLarge:
 		return http.StatusRequestEntityTooLarge, true, 0
 	case OverAllowance:
--- a/internal/caller/forward/stream.go
+++ b/internal/caller/forward/stream.go
@@ -18,8 +18,8 @@
 	// maxPadding bounds the comments, and the events that the client already has, in the
 	// stream of an attempt, in bytes.
 	maxPadding = 1 << 20
-	// maxKeptEvent is the size of an event, in bytes, beyond which its memory is not used
-	// again for the next one.
+	// maxKeptEvent is the size of the memory of an event, in bytes, beyond which it is not
+	// used again after an event that needs less than a quarter of it.
 	maxKeptEvent = 16 << 10
 	// resumeSilenceFactor is the multiple of the route's EventGap, the longest
 	// time between two events that is on time, after which a resumable stream is moved
@@ -234,7 +234,7 @@
 // returns the bytes after the last complete event. The event is valid until the next
 // call.
 func (s *eventReader) next() ([]byte, error) {
-	if cap(s.event) > maxKeptEvent {
+	if cap(s.event) > maxKeptEvent && len(s.event) < cap(s.event)/4 {
 		s.event = nil
 		s.held.Resize(0)
 	}
--- a/internal/caller/reply/request.go
+++ b/internal/caller/reply/request.go
@@ -12,6 +12,8 @@
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/google/uuid"
+
+	"wasabiworks.example/wasabiworks/internal/caller/connlimit"
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/operator/catalogue"
 )
@@ -19,6 +21,9 @@
 // MaxBodyBytes is the maximum size of a request body.
 const MaxBodyBytes = 1 << 20
 
+// MaxBodyMemory is the memory that a body of MaxBodyBytes takes, in bytes.
+const MaxBodyMemory = MaxBodyBytes * bodyCost
+
 // Names of request headers. Every response also carries RequestIDHeader.
 const (
 	RequestIDHeader      = "X-Request-Id"
@@ -50,7 +55,11 @@
 // instance.
 var errMemoryFull = errors.New("request body does not fit into the memory of the instance")
 
-// heldBody counts the bytes that are read from a body in a Holding.
+// bodyCost is the memory that a byte of a body takes: the buffer that it is read into, and
+// what the request is decoded to.
+const bodyCost = 2
+
+// heldBody counts the memory for the bytes that are read from a body in a Holding.
 type heldBody struct {
 	io.ReadCloser
 	held *limit.Holding
@@ -61,7 +70,7 @@
 	n, err := b.ReadCloser.Read(p)
 	b.size += int64(n)
 	switch {
-	case !b.held.Resize(b.size), err != nil && !b.held.Keep():
+	case !b.held.Resize(b.size * bodyCost), err != nil && !b.held.Keep():
 		return n, errMemoryFull
 	default:
 		return n, err
@@ -73,22 +82,56 @@
 	if r.ContentLength > MaxBodyBytes {
 		return nil, bodyTooLarge()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxBodyBytes))
+	body, err := readAll(http.MaxBytesReader(nil, r.Body, MaxBodyBytes), r.ContentLength)
 	var tooLargeErr *http.MaxBytesError
 	if errors.As(err, &tooLargeErr) {
 		return nil, bodyTooLarge()
 	}
-	if errors.Is(err, errMemoryFull) {
+	if errors.Is(err, errMemoryFull) || errors.Is(err, connlimit.ErrMemoryFull) {
 		e := Rejected(http.StatusServiceUnavailable, "memory_full", "the instance has no memory left for the request")
 		e.RetryAfter = time.Second
 		return nil, e
 	}
+	if errors.Is(err, connlimit.ErrStalled) {
+		return nil, Rejected(http.StatusRequestTimeout, "body_stalled", "nothing of the request body came for too long")
+	}
 	if err != nil {
 		return nil, Invalid("", "incomplete_body", "the request body is incomplete")
 	}
 	return body, nil
 }
 
+// minBuffer is the size of the first buffer of a body, in bytes.
+const minBuffer = 4 << 10
+
+// readAll reads a body of which expected bytes are announced, or -1. Its buffer never
+// exceeds twice what has come, or what is announced, so that an announcement alone takes
+// no memory.
+func readAll(r io.Reader, expected int64) ([]byte, error) {
+	b := make([]byte, 0, minBuffer)
+	for {
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if errors.Is(err, io.EOF) {
+			return b, nil
+		}
+		if err != nil {
+			return b, err
+		}
+		if len(b) == cap(b) {
+			b = append(make([]byte, 0, nextBuffer(len(b), expected)), b...)
+		}
+	}
+}
+
+// nextBuffer returns the size of the next buffer when one of the given size is full.
+func nextBuffer(size int, expected int64) int {
+	if next := int64(2 * size); expected <= int64(size) || next <= expected {
+		return int(next)
+	}
+	return int(expected) + 1 // one more byte shows the end
+}
+
 func bodyTooLarge() error {
 	return Rejected(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is larger than 1 MiB")
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc"
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
+	"wasabiworks.example/wasabiworks/internal/caller/connlimit"
 	"wasabiworks.example/wasabiworks/internal/caller/forward"
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
@@ -38,18 +39,7 @@
 	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
-// bodyMemoryDivisor is the part of the instance's memory that bodies may hold: up to twice
-// as much is in use until the garbage is collected.
-const bodyMemoryDivisor = 3
-
 const (
-	// headerTimeout bounds the wait for a request's headers.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle client connection is kept open. It is longer
-	// than the idle time that clients were told; no response header announces one.
-	idleTimeout = time.Minute
-	// maxHeaderBytes bounds the headers of a request in bytes.
-	maxHeaderBytes = 64 << 10
 	// watchWait is how long a watch of the store waits for a change. If the store no
 	// longer replies to the instance that watches for the others, they learn of it
 	// within this time, the store's timeout and maxRelayAge, so that another one has
@@ -145,6 +135,10 @@
 	// MemoryBytes is the memory that the instance may use, in bytes, or 0 if it is
 	// unknown.
 	MemoryBytes int64
+	// Descriptors is the number of descriptors that the instance may open, or 0 if it is
+	// unknown, and Connections bounds the connections of clients besides.
+	Descriptors int
+	Connections connlimit.Limits
 	// DrainTimeout bounds the time that a planned shutdown gives to requests in
 	// progress.
 	DrainTimeout time.Duration
@@ -155,14 +149,15 @@
 
 // Instance is an instance that forwards plain HTTP requests.
 type Instance struct {
-	config   Config
-	now      func() time.Time
-	registry *prometheus.Registry
-	pool     *pool.Pool
-	follower *follow.Follower
-	handler  *forward.Handler
-	table    atomic.Pointer[routes.Table]
-	draining atomic.Bool
+	config      Config
+	now         func() time.Time
+	registry    *prometheus.Registry
+	pool        *pool.Pool
+	follower    *follow.Follower
+	handler     *forward.Handler
+	connections connectionGroups
+	table       atomic.Pointer[routes.Table]
+	draining    atomic.Bool
 	// refusing is true once the listener for clients is closed in a planned stop, and
 	// ending ends shortly before the connections are.
 	refusing   atomic.Bool
@@ -233,13 +228,16 @@
 	if f.burn, err = burn.New(burn.Config{Registry: f.registry}); err != nil {
 		return nil, err
 	}
+	if f.connections, err = f.newConnectionGroups(); err != nil {
+		return nil, err
+	}
 	f.handler, err = forward.New(forward.Config{
 		Headers: c.Format.Headers, FailureDomain: c.FailureDomain, View: f.view, Pool: f.pool,
 		Allowances: f.allowances, Usage: f.usage, Poison: poisonFilter{f}, Versions: f.mover,
 		Budget: &retryBudgets{config: retry.SharedConfig{
 			Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instanceCount, Now: f.now,
 		}},
-		MaxResponseBytes: c.MaxResponseBytes, MemoryBytes: c.MemoryBytes / bodyMemoryDivisor, OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
+		MaxResponseBytes: c.MaxResponseBytes, Requests: f.connections.requests, MemoryBytes: 2 * f.connections.shares.ResponseBytes, OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
 		Refusing: f.refusing.Load, Ending: f.ending,
 	})
 	return f, err
@@ -338,14 +336,18 @@
 	if f.config.UsageWindow > 0 && f.config.Scale {
 		wg.Go(func() { (&scaler{instance: f}).run(workCtx) })
 	}
-	clients := &http.Server{Handler: f.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	ready := &http.Server{Handler: f.readinessHandler(), ReadHeaderTimeout: headerTimeout}
-	operation := &http.Server{Handler: f.operationsHandler(), ReadHeaderTimeout: headerTimeout}
+	clients, ready, operation := &http.Server{Handler: f.handler}, &http.Server{Handler: f.readinessHandler()}, &http.Server{Handler: f.operationsHandler()}
 	failed := make(chan error, 3)
-	for server, listener := range map[*http.Server]net.Listener{clients: f.config.Clients, ready: f.config.Ready, operation: f.config.Operations} {
+	for _, s := range []struct {
+		server   *http.Server
+		listener net.Listener
+		group    *connlimit.Group
+	}{
+		{clients, f.config.Clients, f.connections.clients}, {ready, f.config.Ready, f.connections.ready}, {operation, f.config.Operations, f.connections.operations},
+	} {
 		wg.Go(func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				failed <- fmt.Errorf("serve %s: %w", listener.Addr(), err)
+			if err := s.group.Serve(s.server, s.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
 			}
 		})
 	}
@@ -383,7 +385,7 @@
 			f.config.Log.Error("exchange with peers failed", zap.Error(err))
 		}
 	})
-	if err := server.Serve(f.config.Peer); err != nil && ctx.Err() == nil {
+	if err := server.Serve(f.connections.peers.Listen(f.config.Peer)); err != nil && ctx.Err() == nil {
 		f.config.Log.Error("serving peers failed", zap.Error(err))
 	}
 	wg.Wait()
--- a/internal/entry/instance/assemble.go
+++ b/internal/entry/instance/assemble.go
@@ -14,7 +14,6 @@
 	"wasabiworks.example/wasabiworks/internal/caller/openai"
 	"wasabiworks.example/wasabiworks/internal/caller/services"
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
-	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
 	"wasabiworks.example/wasabiworks/internal/decide/move"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
@@ -176,20 +175,15 @@
 	}
 }
 
-// bodyMemoryBytes limits the request bodies that an instance holds together, and the texts
-// of the responses that are being generated, in bytes each.
-const bodyMemoryBytes = 128 << 20
-
 func (i *Instance) initRequestPath() {
-	memory := limit.MemoryConfig{Bytes: bodyMemoryBytes}
-	requests := limit.NewMemory(memory)
+	requests, responses := i.connections.requests, i.connections.responses
 	instanceIncarnation := i.recorder.instanceIncarnation
 	budget := &retryBudgets{entryOf: i.platform.entryOf}
 	i.openai = openai.New(openai.Config{
 		Node: instanceIncarnation, FailureDomain: i.config.FailureDomain, Snapshots: i.moveController, Limiter: i.limiter, Versions: i.moveController,
 		Router: i.config.Route, Fleet: i.fleet, Engine: i.engine, Budget: budget,
 		Poison:   poisonAdapter{i.poison, func() { i.exchange.Notify() }, i.now},
-		Recorder: i.recorder, Now: i.now, Random: rand.Uint64, Requests: requests, Responses: limit.NewMemory(memory),
+		Recorder: i.recorder, Now: i.now, Random: rand.Uint64, Requests: requests, Responses: responses,
 	})
 	i.services = services.New(services.Config{
 		Node: instanceIncarnation, FailureDomain: i.config.FailureDomain, Snapshots: i.moveController, Limiter: i.limiter, Versions: i.moveController,
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -19,6 +19,7 @@
 	"wasabiworks.example/wasabiworks/internal/backend/engine"
 	"wasabiworks.example/wasabiworks/internal/backend/fleet"
 	"wasabiworks.example/wasabiworks/internal/backend/service"
+	"wasabiworks.example/wasabiworks/internal/caller/connlimit"
 	"wasabiworks.example/wasabiworks/internal/caller/openai"
 	"wasabiworks.example/wasabiworks/internal/caller/services"
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
@@ -35,16 +36,6 @@
 	"wasabiworks.example/wasabiworks/internal/platform/store"
 )
 
-const (
-	// httpTimeout limits the time to read the headers of a request and, on the
-	// operations server, also the time to write a response.
-	httpTimeout = 10 * time.Second
-	// idleTimeout limits how long an idle client connection is kept open.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes limits the size of a client request's headers.
-	maxHeaderBytes = 32 << 10
-)
-
 // Config configures an Instance. Run closes the listeners.
 type Config struct {
 	ID, Region, FailureDomain, Class string
@@ -60,6 +51,12 @@
 	// DrainTimeout limits how long a planned shutdown
 	// waits for the requests in progress.
 	DrainTimeout time.Duration
+	// MemoryBytes is the memory that the instance may use, in bytes, and Descriptors the
+	// number of descriptors that it may open; 0 is unknown. Connections bounds the
+	// connections of clients besides.
+	MemoryBytes int64
+	Descriptors int
+	Connections connlimit.Limits
 	Log          *zap.Logger
 	// Move and Route are the policies for version moves and for routing; nil
 	// means move.Sequential and route.Combined.
@@ -99,6 +96,7 @@
 	poison         *poison.Set
 	leavingMarks   *exchange.Set[string, leavingMark]
 	loadReports    *exchange.Set[string, fleet.Report]
+	connections    connectionGroups
 	openai         *openai.Server
 	services       *services.Server
 }
@@ -133,6 +131,9 @@
 		return nil, err
 	}
 	i.initPlatform()
+	if err := i.initConnections(); err != nil {
+		return nil, err
+	}
 	i.initRequestPath()
 	return i, nil
 }
@@ -148,19 +149,16 @@
 // so that the load balancer stops sending requests, completes the requests in
 // progress, and stops the background tasks last.
 func (i *Instance) Run(ctx context.Context) error {
-	clientServer := &http.Server{
-		Handler: i.clientHandler(), TLSConfig: i.config.ClientTLS,
-		ReadHeaderTimeout: httpTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	operationsServer := &http.Server{Handler: i.operationsHandler(), ReadHeaderTimeout: httpTimeout, WriteTimeout: httpTimeout}
+	clientServer := &http.Server{Handler: i.clientHandler(), TLSConfig: i.config.ClientTLS}
+	operationsServer := &http.Server{Handler: i.operationsHandler(), WriteTimeout: controlTimeout}
 	peerServer := i.newPeerServer()
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var g errgroup.Group
-	g.Go(func() error { return serveHTTP(clientServer, i.config.Client) })
-	g.Go(func() error { return serveHTTP(operationsServer, i.config.Operations) })
-	g.Go(func() error { return peerServer.Serve(i.config.Peer) })
+	g.Go(func() error { return serveHTTP(i.connections.clients, clientServer, i.config.Client) })
+	g.Go(func() error { return serveHTTP(i.connections.operations, operationsServer, i.config.Operations) })
+	g.Go(func() error { return peerServer.Serve(i.connections.peers.Listen(i.config.Peer)) })
 	for _, run := range []func(context.Context) error{
 		i.exchange.Run, i.propagator.Run, i.moveController.run, i.moveController.syncVetoes,
 		i.platform.syncList, i.platform.watchNotices, i.runPeriodicUpdates,
@@ -190,11 +188,11 @@
 	return s
 }
 
-func serveHTTP(s *http.Server, l net.Listener) error {
+func serveHTTP(g *connlimit.Group, s *http.Server, l net.Listener) error {
 	if s.TLSConfig != nil {
 		l = tls.NewListener(l, s.TLSConfig)
 	}
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := g.Serve(s, l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -89,6 +89,8 @@
 		c.add("price", fmt.Sprintf("%v is out of range", s.Price), fmt.Sprintf("0 to %v", maxPrice))
 	}
 	c.checkTLSFiles(s)
+	c.checkCount("memory-mb", int(s.MemoryMB), minMemoryMB, maxMemoryMB, true)
+	c.checkConnections(&s.Connections)
 	c.checkChoice("log-level", s.LogLevel, logLevels)
 	c.checkChoice("route-policy", s.RoutePolicy, routePolicies)
 	c.checkChoice("move-policy", s.MovePolicy, movePolicies)
--- a/internal/operator/settings/forward.go
+++ b/internal/operator/settings/forward.go
@@ -27,9 +27,10 @@
 	AllowanceSlack    float64       `long:"allowance-slack" env:"WASABIWORKS_ALLOWANCE_SLACK" value-name:"UNITS" default:"0" description:"what a workspace may use beyond its allowance, over all instances"`
 	DrainNotice       time.Duration `long:"drain-notice" env:"WASABIWORKS_DRAIN_NOTICE" value-name:"DURATION" default:"25s" description:"time that requests in progress have to complete in a planned shutdown, 1s to 10m"`
 	MaxResponseBytes  int64         `long:"max-response-bytes" env:"WASABIWORKS_MAX_RESPONSE_BYTES" value-name:"BYTES" default:"4194304" description:"maximum size of a backend server's response that is not a stream, 65536 to 1073741824"`
-	MemoryMB          int64         `long:"memory-mb" env:"WASABIWORKS_MEMORY_MB" value-name:"MB" default:"0" description:"memory that the instance may use, in millions of bytes, 64 to 1048576; a sixth each is for the bodies of requests and of responses; 0 is unknown, and allows 32 MiB for each"`
+	MemoryMB          int64         `long:"memory-mb" env:"WASABIWORKS_MEMORY_MB" value-name:"MB" default:"0" description:"memory that the instance may use, in millions of bytes, 64 to 1048576; of what is left after 24 MB for the program a sixth each is for requests and for the bodies of responses, a quarter for connections; 0 is unknown, and allows 32 MiB for each"`
 	Cores             float64       `long:"cores" env:"WASABIWORKS_CORES" value-name:"CORES" default:"0" description:"processor time that the instance may use, in cores, up to 1024; instances with more of it do the fleet's work; 0 is unknown"`
 	LogLevel          string        `long:"log-level" env:"WASABIWORKS_LOG_LEVEL" value-name:"LEVEL" default:"info" description:"lowest level that is logged: debug, info, warn or error"`
+	Connections
 }
 
 // minRevokeWithin leaves time for two watch calls to the store, each of which
@@ -96,12 +97,11 @@
 	if s.MaxResponseBytes < minMaxResponse || s.MaxResponseBytes > maxMaxResponse {
 		c.add("max-response-bytes", fmt.Sprintf("%d is out of range", s.MaxResponseBytes), fmt.Sprintf("%d to %d", minMaxResponse, maxMaxResponse))
 	}
-	if s.MemoryMB != 0 && (s.MemoryMB < minMemoryMB || s.MemoryMB > maxMemoryMB) {
-		c.add("memory-mb", fmt.Sprintf("%d is out of range", s.MemoryMB), fmt.Sprintf("0, or %d to %d", minMemoryMB, maxMemoryMB))
-	}
+	c.checkCount("memory-mb", int(s.MemoryMB), minMemoryMB, maxMemoryMB, true)
 	if !(s.Cores >= 0 && s.Cores <= maxCores) {
 		c.add("cores", fmt.Sprintf("%v is out of range", s.Cores), fmt.Sprintf("0 to %v", maxCores))
 	}
+	c.checkConnections(&s.Connections)
 	c.checkChoice("log-level", s.LogLevel, logLevels)
 	if len(c.problems) > 0 {
 		return c.problems
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -24,4 +24,10 @@
 	RoutePolicy       string        `long:"route-policy" env:"WASABIWORKS_ROUTE_POLICY" value-name:"POLICY" default:"combined" description:"choice of backend servers: combined, or the baselines affinity, round-robin and least-loaded"`
 	MovePolicy        string        `long:"move-policy" env:"WASABIWORKS_MOVE_POLICY" value-name:"POLICY" default:"sequential" description:"decision on version moves: sequential, or the baseline fixed-steps; the same on all instances"`
 	LogLevel          string        `long:"log-level" env:"WASABIWORKS_LOG_LEVEL" value-name:"LEVEL" default:"info" description:"lowest level that is logged: debug, info, warn or error"`
+	MemoryMB          int64         `long:"memory-mb" env:"WASABIWORKS_MEMORY_MB" value-name:"MB" default:"0" description:"memory that the instance may use, in millions of bytes, 64 to 1048576; of what is left after 24 MB for the program a sixth each is for requests and for the texts of responses, a quarter for connections; 0 is unknown, and allows 128 MiB for each of the first two"`
+	Connections
 }
+
+// MemoryBytes returns the memory that the instance may use, in bytes, or 0 if it is
+// unknown.
+func (s *Settings) MemoryBytes() int64 { return s.MemoryMB * bytesPerMB }
--- a/internal/peer/exchange/node.go
+++ b/internal/peer/exchange/node.go
@@ -62,6 +62,9 @@
 	maxConcurrentExchanges = 32
 	// maxStreamsPerPeer limits the concurrent calls from one peer.
 	maxStreamsPerPeer = 256
+	// maxHeaderBytes limits the headers of a call, and handshakeTimeout the time until a
+	// connection from a peer is set up.
+	maxHeaderBytes, handshakeTimeout = 16 << 10, 5 * time.Second
 )
 
 // Config configures a Node. Members is required.
@@ -154,6 +157,8 @@
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxStreamsPerPeer),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
 	}
 }
 
