--- a/internal/caller/connlimit/group.go
+++ b/internal/caller/connlimit/group.go
@@ -235,6 +235,11 @@
 			return
 		}
 		next.ServeHTTP(w, r)
+		if ok && c.held != nil {
+			// net/http may keep the request for another half second, for a client that
+			// has not read the response, but does not look at its header again.
+			r.Header = nil
+		}
 	})
 }
 
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -57,7 +57,7 @@
 	MemoryBytes int64
 	Descriptors int
 	Connections connlimit.Limits
-	Log          *zap.Logger
+	Log         *zap.Logger
 	// Move and Route are the policies for version moves and for routing; nil
 	// means move.Sequential and route.Combined.
 	Move  move.Policy
