Drop evicted bodies at once, and evict only for much smaller ones

Bodies of about the same size evicted each other as they grew, and each was held until its refusal was written. A holding is now evicted only for one of half its size at most, and a body that is not complete is dropped before the response.

--- a/internal/caller/connlimit/conn.go
+++ b/internal/caller/connlimit/conn.go
@@ -40,9 +40,19 @@
 // others in the memory of the instance.
 var ErrMemoryFull = errors.New("request head does not fit into the memory of the instance")
 
-// maxWrite bounds one write, in bytes. A client that takes this much within
-// Limits.WriteStall makes progress.
-const maxWrite = 64 << 10
+const (
+	// maxWrite bounds one write, in bytes. A write over TLS cannot be continued after its
+	// deadline, so that this is what a client must take within Limits.WriteStall.
+	maxWrite = 64 << 10
+	// minWriteProgress is what a client must take of a larger write within
+	// Limits.WriteStall, in bytes, if the connection is not over TLS. Whoever takes less
+	// keeps the memory of a response at no cost.
+	minWriteProgress = 4 << 10
+	// deadlineSteps is the part of a time limit by which its deadline is too early at
+	// most: it is moved only when it gains that much, so that a body or stream in many
+	// small pieces costs little.
+	deadlineSteps = 8
+)
 
 // conn is a connection of a Group.
 type conn struct {
@@ -203,11 +213,10 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
 }
 
-// extendBody extends the deadline of a body by what has come of it. The deadline is moved
-// seldom, so that a body in many pieces costs little.
+// extendBody extends the deadline of a body of which something has come.
 func (c *conn) extendBody() {
 	now := time.Now()
-	if c.limits.BodyStall > 0 && c.ownDeadline().Sub(now) < c.limits.BodyStall/2 {
+	if stall := c.limits.BodyStall; stall > 0 && c.ownDeadline().Sub(now) < stall-stall/deadlineSteps {
 		c.setOwnDeadline(after(now, c.limits.BodyStall))
 	}
 }
@@ -243,8 +252,8 @@
 		n, err := c.Conn.Write(p[written:min(len(p), written+maxWrite)])
 		written += n
 		if c.writeStalled(err) {
-			if n > 0 {
-				continue // the client has taken something
+			if n >= minWriteProgress {
+				continue
 			}
 			c.group.closed(WriteStalled)
 		}
@@ -260,8 +269,7 @@
 		(c.serverWriteBy.IsZero() || time.Now().Before(c.serverWriteBy))
 }
 
-// extendWrite extends the write deadline up to the server's own. It is moved seldom, so
-// that a stream of small events costs little.
+// extendWrite extends the write deadline up to the server's own.
 func (c *conn) extendWrite() {
 	if c.limits.WriteStall == 0 {
 		return
@@ -271,7 +279,7 @@
 	if !c.serverWriteBy.IsZero() && c.serverWriteBy.Before(by) {
 		by = c.serverWriteBy
 	}
-	if c.writeBy.IsZero() || c.writeBy.After(by) || by.Sub(c.writeBy) > c.limits.WriteStall/2 {
+	if c.writeBy.IsZero() || c.writeBy.After(by) || by.Sub(c.writeBy) > c.limits.WriteStall/deadlineSteps {
 		c.writeBy = by
 		_ = c.Conn.SetWriteDeadline(by) // fails only if the connection is closed
 	}
--- a/internal/caller/connlimit/connlimit_test.go
+++ b/internal/caller/connlimit/connlimit_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -152,16 +155,22 @@
 // Guards against a client that takes nothing of its response and keeps the connection, and
 // against one that is cut although it has taken something since the last deadline.
 func TestUnreadResponse(t *testing.T) {
+	const taken = minWriteProgress + 1
 	server, client := net.Pipe()
 	defer client.Close()
 	l := Limits{WriteStall: 500 * time.Millisecond}
 	g := New(Config{Limits: func() Limits { return l }})
 	c := g.admit(server, opaque)
 	go func() {
-		_, _ = io.ReadFull(client, make([]byte, 40)) // progress, after which nothing is read
+		_, _ = io.ReadFull(client, make([]byte, taken)) // progress, after which nothing is read
 	}()
-	if n, err := c.Write(make([]byte, 100)); err == nil || n != 40 {
-		t.Errorf("wrote %d bytes with error %v, want 40 bytes and a timeout", n, err)
+	start := time.Now()
+	n, err := c.Write(make([]byte, 2*taken))
+	if !errors.Is(err, os.ErrDeadlineExceeded) || n != taken {
+		t.Errorf("wrote %d bytes with error %v, want %d bytes and a timeout", n, err, taken)
+	}
+	if waited := time.Since(start); waited < l.WriteStall*3/2 {
+		t.Errorf("the client was cut after %v, want another %v after it had taken something", waited, l.WriteStall)
 	}
 }
 
@@ -228,6 +237,39 @@
 	}
 }
 
+// Guards against requests over TLS that are not served or not bounded, and against idle
+// connections over TLS that take the room of new ones.
+func TestTLS(t *testing.T) {
+	certificates := httptest.NewTLSServer(nil)
+	defer certificates.Close()
+	inner, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: certificates.TLS.Certificates})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := defaults()
+	l.Connections = 2
+	g := New(Config{Limits: func() Limits { return l }})
+	s := &http.Server{Handler: http.NotFoundHandler()}
+	go func() { _ = g.Serve(s, inner) }() // returns after Close
+	defer s.Close()
+	ordinary, odd := headOf(500, "a: b\r\n"), headOf(40<<10, "a:\n")
+	for _, tt := range []struct {
+		request string
+		want    int
+	}{{ordinary, 404}, {odd, 431}, {ordinary, 404}, {ordinary, 404}, {ordinary, 404}} {
+		c := tls.Client(dial(t, inner.Addr().String(), ""), &tls.Config{InsecureSkipVerify: true})
+		_, _ = io.WriteString(c, tt.request) // the server may close the connection meanwhile
+		if got := status(c); got != tt.want {
+			t.Errorf("head of %d bytes: got status %d, want %d", len(tt.request), got, tt.want)
+		}
+		waitFor(t, "no request is at work", func() bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.queues[working].first == nil && g.queues[receiving].first == nil
+		})
+	}
+}
+
 // Guards against log lines that grow with an attack.
 func TestLogDoesNotGrow(t *testing.T) {
 	core, lines := observer.New(zapcore.WarnLevel)
--- a/internal/caller/connlimit/limits.go
+++ b/internal/caller/connlimit/limits.go
@@ -17,7 +17,7 @@
 	// IdleTimeout is how long a connection may stay idle between two requests.
 	IdleTimeout time.Duration
 	// BodyStall is how long a client may send nothing of a body that is not complete, and
-	// WriteStall how long it may take nothing of a response.
+	// WriteStall how long it may take next to nothing of a response.
 	BodyStall, WriteStall time.Duration
 }
 
--- a/internal/caller/forward/buffer.go
+++ b/internal/caller/forward/buffer.go
@@ -32,7 +32,8 @@
 }
 
 // readBody reads a body of at most maxBytes bytes, of which expected are announced, or
-// -1. The error is errTooLong, errMemoryFull or one of r.
+// -1. The error is errTooLong, errMemoryFull or one of r; what was read is then dropped at
+// once, because the response to a refused request may take a while.
 func readBody(r io.Reader, expected, maxBytes int64, held *limit.Holding) (b body, err error) {
 	next := int64(minPieceBytes)
 	if expected >= minPieceBytes {
@@ -44,7 +45,7 @@
 		if len(piece) == cap(piece) {
 			allocated += next
 			if !held.Resize(allocated) {
-				return b, errMemoryFull
+				return body{}, errMemoryFull
 			}
 			piece = make([]byte, 0, next)
 			b.pieces = append(b.pieces, piece)
@@ -56,13 +57,13 @@
 		b.size += int64(n)
 		switch {
 		case b.size > maxBytes:
-			return b, errTooLong
+			return body{}, errTooLong
 		case errors.Is(err, io.EOF) && held.Keep():
 			return b, nil
 		case held.Evicted():
-			return b, errMemoryFull
+			return body{}, errMemoryFull
 		case err != nil:
-			return b, err
+			return body{}, err
 		}
 	}
 }
--- a/internal/decide/limit/memory.go
+++ b/internal/decide/limit/memory.go
@@ -6,6 +6,11 @@
 // events are smaller, so that neither the lock nor a full Memory concerns them.
 const FreeBytes = 16 << 10
 
+// evictionRatio is how much larger than the size that is asked for a holding must be to be
+// evicted for it. Otherwise holdings of about the same size, which grow together, would
+// evict each other, and what they held fills the memory until it is collected.
+const evictionRatio = 2
+
 // MemoryConfig configures a Memory.
 type MemoryConfig struct {
 	// Bytes is the limit of all counted holdings together.
@@ -13,7 +18,7 @@
 }
 
 // Memory limits the bytes that the requests of an instance hold together. If it is full,
-// the largest holding that may be evicted makes room for smaller ones, so that a few
+// the largest holding that may be evicted makes room for much smaller ones, so that a few
 // bodies without end do not keep the others out. It is safe for concurrent use.
 type Memory struct {
 	config MemoryConfig
@@ -104,7 +109,8 @@
 }
 
 // resize sets the size of a holding. If that exceeds the limit, it evicts the largest
-// holding, which the caller must tell, or refuses the size if there is no larger one.
+// holding, which the caller must tell, or refuses the size if there is no holding that is
+// larger by evictionRatio.
 func (m *Memory) resize(h *Holding, bytes int64) (victim *Holding, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -113,7 +119,7 @@
 		return nil, false
 	}
 	if grown := bytes - h.size; grown > 0 && m.used+grown > m.config.Bytes {
-		if victim = m.largest(h, bytes); victim == nil {
+		if victim = m.largest(h, evictionRatio*bytes); victim == nil {
 			return nil, false
 		}
 		// The bytes of the victim are free as soon as its owner has noticed.
--- a/internal/entry/gateway/burn.go
+++ b/internal/entry/gateway/burn.go
@@ -41,7 +41,7 @@
 			return burn.Slow, true
 		}
 		return burn.Good, true
-	case forward.ClientLeft, forward.NoRoute, forward.UnknownKey, forward.BodyTooLarge, forward.MalformedBody, forward.MalformedTarget, forward.PoisonRequest, forward.PoisonPart:
+	case forward.ClientLeft, forward.NoRoute, forward.UnknownKey, forward.BodyTooLarge, forward.MalformedBody, forward.BodyStalled, forward.MalformedTarget, forward.PoisonRequest, forward.PoisonPart:
 		return burn.Good, false
 	case forward.OverAllowance:
 		return burn.Limited, true
