Split package connlimit by what its files do

The file of the connection held its deadlines and writes, and that of the group the follower of net/http. No change in behaviour, but a connection forgets an eviction with the request that it concerned.

--- a/internal/bench/hostile/system_test.go
+++ b/internal/bench/hostile/system_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 	clients, peers, ready, operations string
 	// requestHead is the head of an ordinary request without its last empty line and
 	// without the length of a body, streamHead that of a request for a stream, and
-	// largeHead that of a request whose response is large.
+	// largeHead that of a request whose response is large, if the program has one.
 	requestHead, streamHead, largeHead string
 	// maxBody is the size of the largest legal body, in bytes.
 	maxBody int
@@ -154,7 +155,7 @@
 	s := &system{clients: freeAddress(t), peers: freeAddress(t), operations: freeAddress(t), maxBody: 1 << 20}
 	authorization := "Host: app.example\r\nAuthorization: Bearer " + token + "\r\n"
 	s.requestHead = "POST /v1/services/" + serviceEntry + "/bookings HTTP/1.1\r\nIdempotency-Key: hostile\r\n" + authorization
-	s.largeHead = "GET /metrics-that-do-not-exist HTTP/1.1\r\n" + authorization
+	s.largeHead = "GET /absent HTTP/1.1\r\n" + authorization
 	s.streamHead = "POST /v1/completions HTTP/1.1\r\nContent-Type: application/json\r\n" + authorization
 	s.process = start(t, true, "wasabiworks", "serve", "--instance", "i0", "--region", "morava", "--failure-domain", "brno-a",
 		"--client-address", s.clients, "--peer-address", s.peers, "--operations-address", s.operations, "--platform", platform)
@@ -186,8 +187,8 @@
 // requestTimeout bounds one ordinary request.
 const requestTimeout = 5 * time.Second
 
-// bookings numbers the requests, so that none is answered from the journal.
-var bookings = nextPort
+// requests numbers the requests, so that none is answered from the journal.
+var requests atomic.Int64
 
 // request sends a request and returns an error unless the response has at least size bytes.
 func (s *system) request(url, header, value, body string, size int) error {
@@ -199,7 +200,7 @@
 	}
 	q.Host, q.Close = "app.example", true
 	q.Header.Set(header, value)
-	q.Header.Set("Idempotency-Key", fmt.Sprint("ordinary-", bookings.Add(1)))
+	q.Header.Set("Idempotency-Key", fmt.Sprint("ordinary-", requests.Add(1)))
 	r, err := http.DefaultClient.Do(q)
 	if err != nil {
 		return err
--- a/internal/caller/connlimit/conn.go
+++ b/internal/caller/connlimit/conn.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,20 +39,6 @@
 // others in the memory of the instance.
 var ErrMemoryFull = errors.New("request head does not fit into the memory of the instance")
 
-const (
-	// maxWrite bounds one write, in bytes. A write over TLS cannot be continued after its
-	// deadline, so that this is what a client must take within Limits.WriteStall.
-	maxWrite = 64 << 10
-	// minWriteProgress is what a client must take of a larger write within
-	// Limits.WriteStall, in bytes, if the connection is not over TLS. Whoever takes less
-	// keeps the memory of a response at no cost.
-	minWriteProgress = 4 << 10
-	// deadlineSteps is the part of a time limit by which its deadline is too early at
-	// most: it is moved only when it gains that much, so that a body or stream in many
-	// small pieces costs little.
-	deadlineSteps = 8
-)
-
 // conn is a connection of a Group.
 type conn struct {
 	net.Conn
@@ -85,62 +70,6 @@
 	deadlines deadlines
 }
 
-// deadlines are the read deadlines of a connection: the server's and the package's own.
-// The earlier one applies.
-type deadlines struct {
-	mu          sync.Mutex
-	server, own time.Time
-}
-
-// SetDeadline implements net.Conn.
-func (c *conn) SetDeadline(t time.Time) error {
-	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
-}
-
-// SetReadDeadline implements net.Conn.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	d := &c.deadlines
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.server = t
-	return c.Conn.SetReadDeadline(d.earlier())
-}
-
-// setOwnDeadline sets the package's own read deadline; the zero time sets none.
-func (c *conn) setOwnDeadline(t time.Time) {
-	d := &c.deadlines
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.own.Equal(t) {
-		return
-	}
-	d.own = t
-	_ = c.Conn.SetReadDeadline(d.earlier()) // fails only if the connection is closed
-}
-
-// ownDeadline returns the package's own read deadline.
-func (c *conn) ownDeadline() time.Time {
-	c.deadlines.mu.Lock()
-	defer c.deadlines.mu.Unlock()
-	return c.deadlines.own
-}
-
-// earlier returns the earlier deadline, or the zero time if there is none.
-func (d *deadlines) earlier() time.Time {
-	if d.own.IsZero() || !d.server.IsZero() && d.server.Before(d.own) {
-		return d.server
-	}
-	return d.own
-}
-
-// after returns the time after a duration, or the zero time if the duration is 0.
-func after(now time.Time, d time.Duration) time.Time {
-	if d == 0 {
-		return time.Time{}
-	}
-	return now.Add(d)
-}
-
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -177,10 +106,10 @@
 	case p == reading && c.ownPassed() && c.head.bytes > 0:
 		c.refuse(HeadTimeout)
 	case p == reading && c.ownPassed():
-		c.group.closed(HeadTimeout)
+		c.group.record(HeadTimeout)
 	case p == receiving && !c.evicted.Load() && c.ownPassed():
 		c.stalled.Store(true)
-		c.group.closed(BodyStalled)
+		c.group.record(BodyStalled)
 	}
 	return err
 }
@@ -229,62 +158,13 @@
 	if c.refused.Swap(true) {
 		return
 	}
-	c.group.closed(reason)
+	c.group.record(reason)
 	status, retryAfter := reason.response()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseTimeout))
 	// An error means that the client is gone, or reads nothing.
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status), retryAfter)
 }
 
-// SetWriteDeadline implements net.Conn. The deadline and Limits.WriteStall both apply.
-func (c *conn) SetWriteDeadline(t time.Time) error {
-	c.serverWriteBy, c.writeBy = t, t
-	return c.Conn.SetWriteDeadline(t)
-}
-
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (written int, err error) {
-	for {
-		if c.refused.Load() {
-			return written, net.ErrClosed
-		}
-		c.extendWrite()
-		n, err := c.Conn.Write(p[written:min(len(p), written+maxWrite)])
-		written += n
-		if c.writeStalled(err) {
-			if n >= minWriteProgress {
-				continue
-			}
-			c.group.closed(WriteStalled)
-		}
-		if err != nil || written == len(p) {
-			return written, err
-		}
-	}
-}
-
-// writeStalled reports whether a write failed because of Limits.WriteStall.
-func (c *conn) writeStalled(err error) bool {
-	return errors.Is(err, os.ErrDeadlineExceeded) && c.limits.WriteStall > 0 &&
-		(c.serverWriteBy.IsZero() || time.Now().Before(c.serverWriteBy))
-}
-
-// extendWrite extends the write deadline up to the server's own.
-func (c *conn) extendWrite() {
-	if c.limits.WriteStall == 0 {
-		return
-	}
-	now := time.Now()
-	by := now.Add(c.limits.WriteStall)
-	if !c.serverWriteBy.IsZero() && c.serverWriteBy.Before(by) {
-		by = c.serverWriteBy
-	}
-	if c.writeBy.IsZero() || c.writeBy.After(by) || by.Sub(c.writeBy) > c.limits.WriteStall/deadlineSteps {
-		c.writeBy = by
-		_ = c.Conn.SetWriteDeadline(by) // fails only if the connection is closed
-	}
-}
-
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.group.remove(c)
@@ -334,4 +214,5 @@
 func (c *conn) release() {
 	c.held.Release()
 	c.head, c.held = head{}, nil
+	c.evicted.Store(false)
 }
