Reuse the memory of refused bodies, and count what a request at work takes

Refused bodies left garbage faster than it was collected, and a connection whose request is at work was counted with 32 KiB although it also holds a small response.

--- a/internal/caller/forward/buffer.go
+++ b/internal/caller/forward/buffer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"sync"
 
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 )
@@ -31,10 +32,43 @@
 	size   int64
 }
 
+// freePieces are pieces of the maximum size of bodies that were not read to their end. Bodies
+// that are refused in great number would otherwise leave garbage faster than it is collected.
+var freePieces sync.Pool
+
+// newPiece returns an empty piece of a given size.
+func newPiece(size int64) []byte {
+	if size == maxPieceBytes {
+		if p, ok := freePieces.Get().(*[maxPieceBytes]byte); ok {
+			return p[:0]
+		}
+	}
+	return make([]byte, 0, size)
+}
+
+// discard makes the pieces of a body, which nothing else may use, available to others.
+func (b *body) discard() {
+	for _, p := range b.pieces {
+		if cap(p) == maxPieceBytes {
+			freePieces.Put((*[maxPieceBytes]byte)(p[:maxPieceBytes]))
+		}
+	}
+}
+
 // readBody reads a body of at most maxBytes bytes, of which expected are announced, or
 // -1. The error is errTooLong, errMemoryFull or one of r; what was read is then dropped at
 // once, because the response to a refused request may take a while.
-func readBody(r io.Reader, expected, maxBytes int64, held *limit.Holding) (b body, err error) {
+func readBody(r io.Reader, expected, maxBytes int64, held *limit.Holding) (body, error) {
+	var b body
+	if err := b.readFrom(r, expected, maxBytes, held); err != nil {
+		b.discard()
+		return body{}, err
+	}
+	return b, nil
+}
+
+// readFrom reads the body to its end or to an error.
+func (b *body) readFrom(r io.Reader, expected, maxBytes int64, held *limit.Holding) error {
 	next := int64(minPieceBytes)
 	if expected >= minPieceBytes {
 		next = min(maxPieceBytes, expected+1)
@@ -45,9 +79,9 @@
 		if len(piece) == cap(piece) {
 			allocated += next
 			if !held.Resize(allocated) {
-				return body{}, errMemoryFull
+				return errMemoryFull
 			}
-			piece = make([]byte, 0, next)
+			piece = newPiece(next)
 			b.pieces = append(b.pieces, piece)
 			next = min(maxPieceBytes, 2*next)
 		}
@@ -57,13 +91,13 @@
 		b.size += int64(n)
 		switch {
 		case b.size > maxBytes:
-			return body{}, errTooLong
+			return errTooLong
 		case errors.Is(err, io.EOF) && held.Keep():
-			return b, nil
+			return nil
 		case held.Evicted():
-			return body{}, errMemoryFull
+			return errMemoryFull
 		case err != nil:
-			return body{}, err
+			return err
 		}
 	}
 }
--- a/internal/decide/limit/resources.go
+++ b/internal/decide/limit/resources.go
@@ -28,8 +28,8 @@
 	// connections, so that an instance with a low limit serves at all.
 	minDescriptors = 64
 	// connectionBytes is the memory of a connection that is not counted: buffers and
-	// stacks of 16 KiB, and a small head or body.
-	connectionBytes = 16<<10 + FreeBytes
+	// stacks of 16 KiB, and a small request and response.
+	connectionBytes = 16<<10 + 2*FreeBytes
 	// pageBytes is the memory of the program's pages, which the garbage collector does not
 	// know, and programBytes that with the program's state without clients.
 	pageBytes, programBytes = 16_000_000, 24_000_000
