--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -149,15 +149,16 @@
 
 // Instance is an instance that forwards plain HTTP requests.
 type Instance struct {
-	config      Config
-	now         func() time.Time
-	registry    *prometheus.Registry
-	pool        *pool.Pool
-	follower    *follow.Follower
-	handler     *forward.Handler
+	config   Config
+	now      func() time.Time
+	registry *prometheus.Registry
+	pool     *pool.Pool
+	follower *follow.Follower
+	handler  *forward.Handler
+	table    atomic.Pointer[routes.Table]
+	draining atomic.Bool
+	// connections bounds what the connections of each listener hold.
 	connections connectionGroups
-	table       atomic.Pointer[routes.Table]
-	draining    atomic.Bool
 	// refusing is true once the listener for clients is closed in a planned stop, and
 	// ending ends shortly before the connections are.
 	refusing   atomic.Bool
--- a/internal/entry/instance/instance.go
+++ b/internal/entry/instance/instance.go
@@ -51,17 +51,17 @@
 	// DrainTimeout limits how long a planned shutdown
 	// waits for the requests in progress.
 	DrainTimeout time.Duration
+	Log          *zap.Logger
+	// Move and Route are the policies for version moves and for routing; nil
+	// means move.Sequential and route.Combined.
+	Move  move.Policy
+	Route route.Policy
 	// MemoryBytes is the memory that the instance may use, in bytes, and Descriptors the
 	// number of descriptors that it may open; 0 is unknown. Connections bounds the
 	// connections of clients besides.
 	MemoryBytes int64
 	Descriptors int
 	Connections connlimit.Limits
-	Log         *zap.Logger
-	// Move and Route are the policies for version moves and for routing; nil
-	// means move.Sequential and route.Combined.
-	Move  move.Policy
-	Route route.Policy
 }
 
 // Instance is an entry instance, which forwards the requests of clients to the
--- a/internal/operator/settings/connections.go
+++ b/internal/operator/settings/connections.go
@@ -18,7 +18,7 @@
 	HeadTimeout              time.Duration `long:"head-timeout" env:"WASABIWORKS_HEAD_TIMEOUT" value-name:"DURATION" default:"10s" description:"time for the head of a request, 1s to 10m; raised to header_timeout_ms of the configuration"`
 	IdleTimeout              time.Duration `long:"idle-timeout" env:"WASABIWORKS_IDLE_TIMEOUT" value-name:"DURATION" default:"2m" description:"time for which a connection may be idle between requests, 1s to 10m; raised to idle_timeout_ms of the configuration"`
 	BodyStall                time.Duration `long:"body-stall" env:"WASABIWORKS_BODY_STALL" value-name:"DURATION" default:"30s" description:"time for which a client may send nothing of a request body, 1s to 10m"`
-	WriteStall               time.Duration `long:"write-stall" env:"WASABIWORKS_WRITE_STALL" value-name:"DURATION" default:"20s" description:"time for which a client may take nothing of a response, 1s to 10m"`
+	WriteStall               time.Duration `long:"write-stall" env:"WASABIWORKS_WRITE_STALL" value-name:"DURATION" default:"20s" description:"time in which a client must take 4 KiB of a response (64 KiB over TLS) or what is left of it, 1s to 10m"`
 }
 
 // Bounds on the settings of connections.
