--- a/internal/caller/forward/reason.go
+++ b/internal/caller/forward/reason.go
@@ -26,6 +26,8 @@
 	BodyTooLarge Reason = "body-too-large"
 	// MalformedBody means that the encoding of the request body is invalid.
 	MalformedBody Reason = "malformed-body"
+	// BodyStalled means that the client sent nothing of the request body for too long.
+	BodyStalled Reason = "body-stalled"
 	// MalformedTarget means that the path cannot be sent to a server unchanged.
 	MalformedTarget Reason = "malformed-target"
 	// OverAllowance means that the workspace's allowance is used up.
@@ -69,7 +71,7 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, MalformedBody, MalformedTarget, OverAllowance, PoisonRequest, PoisonPart,
+	Served, ClientLeft, NoConfiguration, StaleConfiguration, NoRoute, UnknownKey, BodyTooLarge, MalformedBody, BodyStalled, MalformedTarget, OverAllowance, PoisonRequest, PoisonPart,
 	NoServer, ServersFull, ServersUnreachable, ResponseLost, InvalidResponse, ResponseDropped, MemoryFull, TimedOut, TimedOutUnsent, Stopping, Interrupted, StreamBroken,
 }
 
@@ -86,6 +88,8 @@
 		return http.StatusUnauthorized, true, false
 	case MalformedBody, MalformedTarget:
 		return http.StatusBadRequest, true, false
+	case BodyStalled:
+		return http.StatusRequestTimeout, true, true
 	case BodyTooLarge:
 		return http.StatusRequestEntityTooLarge, true, false
 	case OverAllowance:
