--- a/internal/decide/backlog/ledger.go
+++ b/internal/decide/backlog/ledger.go
@@ -10,6 +10,8 @@
 const (
 	// maxClaims bounds the claims of a Ledger, so that peers cannot fill the memory.
 	maxClaims = 1 << 16
+	// maxTokens bounds the tokens of a claim, so that their sum cannot overflow.
+	maxTokens = 1 << 32
 	// promptLifetime bounds the time for which a claim counts as prompt tokens to be
 	// processed. The message that ends it can be lost.
 	promptLifetime = 3 * time.Second
@@ -89,6 +91,8 @@
 type server struct {
 	backlog Backlog
 	claims  map[uint64]*claim
+	// nextExpiry is when the first of the deadlines passes, or earlier.
+	nextExpiry time.Time
 }
 
 type claim struct {
@@ -98,7 +102,7 @@
 
 // Add adds a claim if the backlog of the earlier claims is within limit. It returns what
 // was known before.
-func (l *Ledger) Add(c Claim, limit Backlog, now time.Time) (earlier Reading, added bool) {
+func (l *Ledger) Add(c Claim, limit Backlog, now time.Time) (earlier Reading, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.servers[c.Server]
@@ -122,8 +126,10 @@
 		}
 		l.servers[c.Server] = s
 	}
-	tokens := max(0, c.Tokens)
-	s.claims[c.Request] = &claim{tokens: tokens, promptDeadline: now.Add(promptLifetime), deadline: earliest(c.Deadline, now.Add(maxLifetime))}
+	tokens := min(max(0, c.Tokens), maxTokens)
+	added := &claim{tokens: tokens, promptDeadline: now.Add(promptLifetime), deadline: earliest(c.Deadline, now.Add(maxLifetime))}
+	s.claims[c.Request] = added
+	s.expectExpiry(added)
 	s.backlog.Pending += tokens
 	s.backlog.Running++
 	l.claims++
@@ -194,13 +200,30 @@
 
 // expire removes the expired claims on one server.
 func (l *Ledger) expire(id string, s *server, now time.Time) {
+	if now.Before(s.nextExpiry) {
+		return
+	}
+	s.nextExpiry = time.Time{}
 	for request, c := range s.claims {
 		if !now.Before(c.promptDeadline) {
 			s.processed(c)
 		}
 		if !now.Before(c.deadline) {
 			l.remove(id, s, request)
+			continue
 		}
+		s.expectExpiry(c)
+	}
+}
+
+// expectExpiry brings nextExpiry forward to the next deadline of c.
+func (s *server) expectExpiry(c *claim) {
+	next := c.deadline
+	if c.tokens > 0 {
+		next = earliest(next, c.promptDeadline)
+	}
+	if s.nextExpiry.IsZero() || next.Before(s.nextExpiry) {
+		s.nextExpiry = next
 	}
 }
 
--- a/internal/decide/route/prompt_test.go
+++ b/internal/decide/route/prompt_test.go
@@ -125,3 +125,21 @@
 		}
 	}
 }
+
+// Guards against a server that is left because of a wait that is shorter than processing
+// its prefix elsewhere, and against one that is kept whatever waits there.
+func TestMaxPendingIsTheWaitUpToWhichTheServerIsBest(t *testing.T) {
+	cs := []Candidate{{ID: "a", Known: true, CachedTokens: 10_000}, {ID: "b"}}
+	p := Prompt{Tokens: 11_000, Parts: []Part{{ID: 1, Chain: 1, Tokens: 10_000}, {ID: 2, Chain: 2, Tokens: 1000}}}
+	cs[1].Uncached = true
+	best := ChoosePrompt(cs, p)
+	if best.Index != 0 || best.MaxPending < 1000 {
+		t.Fatalf("idle servers: got %+v, want the one with the prefix", best)
+	}
+	for pending, want := range map[float64]int{best.MaxPending * 0.99: 0, best.MaxPending * 1.01: 1} {
+		cs[0].PendingTokens = pending
+		if got := ChoosePrompt(cs, p).Index; got != want {
+			t.Errorf("%.0f tokens pending with %.0f allowed: got server %d, want %d", pending, best.MaxPending, got, want)
+		}
+	}
+}
--- a/internal/entry/gateway/trackers.go
+++ b/internal/entry/gateway/trackers.go
@@ -17,6 +17,9 @@
 	// servers. A few of the strongest do it, because each instance keeps a connection to
 	// each tracker.
 	trackersPerDomain = 4
+	// minTrackedFleet is the number of instances from which on servers are tracked. In a
+	// smaller fleet each instance sends a server a good part of its requests itself.
+	minTrackedFleet = 17
 	// trackersPeriod is the time between two choices of the trackers.
 	trackersPeriod = 200 * time.Millisecond
 )
@@ -34,8 +37,8 @@
 	})
 }
 
-// tracker returns the ID of the instance that tracks a server, or "" if no live instance
-// of its failure domain is known.
+// tracker returns the ID of the instance that tracks a server, or "" if the fleet is small
+// or no live instance of the server's failure domain is known.
 func (f *Instance) tracker(s claim.Server) string {
 	trackers := f.trackers.Load()
 	if trackers == nil {
@@ -47,12 +50,12 @@
 // chooseTrackers periodically chooses the trackers of each failure domain, until ctx ends.
 func (f *Instance) chooseTrackers(ctx context.Context) {
 	wait.Every(ctx, trackersPeriod, func() {
-		trackers := make(map[string][]string)
 		registered := f.registeredSnapshot.Load()
-		if registered == nil {
+		if registered == nil || len(*registered) < minTrackedFleet {
+			f.trackers.Store(nil)
 			return
 		}
-		now := time.Now()
+		trackers, now := make(map[string][]string), time.Now()
 		for _, m := range *registered {
 			if _, ok := trackers[m.FailureDomain]; !ok {
 				trackers[m.FailureDomain] = f.members.Strongest(m.FailureDomain, trackersPerDomain, now)
--- a/internal/peer/claim/client.go
+++ b/internal/peer/claim/client.go
@@ -20,8 +20,8 @@
 	claimTimeout = 30 * time.Millisecond
 	// avoidPeriod is how long a tracker is not asked after a call to it failed.
 	avoidPeriod = time.Second
-	// reportPeriod is the time between two reports to a tracker.
-	reportPeriod = 20 * time.Millisecond
+	// reportDelay is the time for which reports are collected before they are sent.
+	reportDelay = 20 * time.Millisecond
 	// reportTimeout limits a report.
 	reportTimeout = 500 * time.Millisecond
 	// maxReports bounds the reports that wait to be sent; claims whose reports are
@@ -63,6 +63,9 @@
 	ledger backlog.Ledger
 	claims *prometheus.CounterVec
 
+	// reported signals that reports wait to be sent.
+	reported chan struct{}
+
 	mu         sync.Mutex
 	avoidUntil map[string]time.Time // by instance
 	reports    map[string][]*peerpb.Progress
@@ -71,9 +74,9 @@
 
 // New returns a Client. An error means that a metric cannot be registered.
 func New(c Config) (*Client, error) {
-	l := &Client{config: c, avoidUntil: make(map[string]time.Time), reports: make(map[string][]*peerpb.Progress),
+	l := &Client{config: c, avoidUntil: make(map[string]time.Time), reports: make(map[string][]*peerpb.Progress), reported: make(chan struct{}, 1),
 		claims: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "server_claims_total", Help: "Claims on backend servers by outcome: added, busy, or failed if the tracker did not respond.",
+			Name: "server_claims_total", Help: "Claims on backend servers by outcome: added, busy, failed if the tracker did not respond, or untracked if there is none.",
 		}, []string{"outcome"}),
 	}
 	if c.Registerer == nil {
@@ -113,6 +116,8 @@
 	earlier, c, err = l.add(ctx, s, r, limit)
 	outcome := "added"
 	switch {
+	case errorx.IsOfType(err, NoTracker):
+		outcome = "untracked"
 	case err != nil:
 		outcome = "failed"
 	case c == nil:
@@ -163,7 +168,11 @@
 func (l *Client) avoids(instance string, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Before(l.avoidUntil[instance])
+	until, ok := l.avoidUntil[instance]
+	if ok && !now.Before(until) {
+		delete(l.avoidUntil, instance)
+	}
+	return now.Before(until)
 }
 
 func (l *Client) avoid(instance string, now time.Time) {
@@ -213,18 +222,28 @@
 	}
 	l.waiting++
 	l.reports[instance] = append(l.reports[instance], p)
+	select {
+	case l.reported <- struct{}{}:
+	default:
+	}
 }
 
 // Run sends the reports and removes expired claims until ctx ends.
 func (l *Client) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { wait.Every(ctx, expiryPeriod, func() { l.ledger.Expire(l.config.Now()) }) })
-	wait.Every(ctx, reportPeriod, func() {
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.reported:
+		}
+		wait.For(ctx, reportDelay)
 		for instance, progress := range l.takeReports() {
 			wg.Go(func() { l.send(ctx, instance, progress) })
 		}
-	})
-	wg.Wait()
+	}
 }
 
 func (l *Client) takeReports() map[string][]*peerpb.Progress {
