Add wasabiworks check for configurations and catalogues

Operators could not see before sending a configuration that a route is hidden, a field misspelt or a limit contradictory: the decoder ignores unknown fields and instances ignore versions that go back.

Catalogues are read, checked and compared by internal/operator/catalogue.

--- a/cmd/wasabiworks/catalogue.go
+++ b/cmd/wasabiworks/catalogue.go
@@ -38,22 +38,32 @@
 const maxInputBytes = 2 << 20
 
 func (f *fileArgument) parse(a *app) (*catalogue.File, error) {
-	name, r := f.Arguments.File, a.stdin
+	name, data, err := a.readInput(f.Arguments.File)
+	if err != nil {
+		return nil, err
+	}
+	return catalogue.ParseFile(name, data)
+}
+
+// readInput reads up to maxInputBytes of a file, or of standard input if the name is
+// "-". It returns the name for messages.
+func (a *app) readInput(name string) (shown string, data []byte, err error) {
+	shown, r := name, a.stdin
 	if name != "-" {
 		file, err := os.Open(name)
 		if err != nil {
-			return nil, err
+			return name, nil, err
 		}
 		defer file.Close()
 		r = file
 	} else {
-		name = "stdin"
+		shown = "stdin"
 	}
-	data, err := io.ReadAll(io.LimitReader(r, maxInputBytes))
+	data, err = io.ReadAll(io.LimitReader(r, maxInputBytes))
 	if err != nil {
-		return nil, fmt.Errorf("read %s: %w", name, err)
+		return shown, nil, fmt.Errorf("read %s: %w", shown, err)
 	}
-	return catalogue.ParseFile(name, data)
+	return shown, data, nil
 }
 
 type checkCommand struct {
--- a/cmd/wasabiworks/main.go
+++ b/cmd/wasabiworks/main.go
@@ -29,6 +29,7 @@
 type commands struct {
 	Serve     serveCommand     `command:"serve" description:"run an entry instance"`
 	Forward   forwardCommand   `command:"forward" description:"run an instance that forwards plain HTTP requests on the users' platform"`
+	Check     precheckCommand  `command:"check" description:"check a configuration of the platform or a catalogue before it is sent"`
 	Catalogue catalogueCommand `command:"catalogue" description:"check, compare and apply the catalogue"`
 	Moves     movesCommand     `command:"moves" description:"show the version moves"`
 	Status    statusCommand    `command:"status" description:"show the live entry instances"`
@@ -41,7 +42,7 @@
 func newParser(a *app, execute bool) *flags.Parser {
 	var c commands
 	c.Serve.app, c.Forward.app = a, a
-	c.Explain.app = a
+	c.Check.app, c.Explain.app = a, a
 	c.Catalogue.Check.app, c.Catalogue.Diff.app, c.Catalogue.Apply.app = a, a, a
 	c.Catalogue.Show.app, c.Catalogue.History.app, c.Catalogue.HashToken.app = a, a, a
 	c.Moves.app, c.Status.app, c.Report.Burn.app, c.Report.Forward.app = a, a, a, a
@@ -65,9 +66,15 @@
 func run(a *app, args []string) int {
 	_, err := newParser(a, true).ParseArgs(args)
 	var usage *flags.Error
+	var exit *exitError
 	switch {
 	case err == nil:
 		return 0
+	case errors.As(err, &exit):
+		if exit.err != nil {
+			fmt.Fprintln(a.stderr, oneLine(exit.err))
+		}
+		return exit.status
 	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
 		fmt.Fprintln(a.stdout, err)
 		return 0
@@ -79,7 +86,25 @@
 	return 1
 }
 
-// oneLine returns the message of a usage error on one line.
+// exitError ends a command with an exit status of its own. Its message is empty if the
+// command has printed everything.
+type exitError struct {
+	status int
+	err    error
+}
+
+// Error implements error.
+func (e *exitError) Error() string {
+	if e.err == nil {
+		return ""
+	}
+	return e.err.Error()
+}
+
+// Unwrap returns the error that ended the command.
+func (e *exitError) Unwrap() error { return e.err }
+
+// oneLine returns the message of an error on one line.
 func oneLine(err error) string { return strings.Join(strings.Fields(err.Error()), " ") }
 
 // platformOptions are the options of the commands that call the platform.
