--- a/cmd/wasabiworks/check.go
+++ b/cmd/wasabiworks/check.go
@@ -25,9 +25,9 @@
 // store at most once, and never writes.
 type precheckCommand struct {
 	fileArgument
-	Output  string        `long:"output" choice:"text" choice:"json" default:"text" description:"format of the findings"`
-	Against string        `long:"against" value-name:"FILE" description:"file with the version in effect, to list the differences from it"`
-	Store   string        `long:"store" value-name:"IP:PORT" description:"address of the platform's key-value store, to read the version in effect"`
+	Output  string        `long:"output" env:"WASABIWORKS_OUTPUT" choice:"text" choice:"json" default:"text" description:"format of the findings"`
+	Against string        `long:"against" env:"WASABIWORKS_AGAINST" value-name:"FILE" description:"file with the version in effect, to list the differences from it; takes precedence over --store"`
+	Store   string        `long:"store" env:"WASABIWORKS_STORE" value-name:"IP:PORT" description:"address of the platform's key-value store, to read the version in effect"`
 	Timeout time.Duration `long:"timeout" env:"WASABIWORKS_TIMEOUT" value-name:"DURATION" default:"30s" description:"time that reading the store may take"`
 	app     *app
 }
@@ -65,8 +65,8 @@
 }
 
 func (c *precheckCommand) check() (*report, error) {
-	if c.Against != "" && c.Store != "" {
-		return nil, errors.New("--against and --store are both given; allowed: one of them")
+	if c.Against != "" {
+		c.Store = "" // it may come from the environment
 	}
 	if c.Against == "-" && c.Arguments.File == "-" {
 		return nil, errors.New("standard input is given twice; allowed: once")
