--- a/cmd/wasabiworks/check_test.go
+++ b/cmd/wasabiworks/check_test.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// Guards against a documented session whose output the command does not print.
+func TestDocumentedCheckRuns(t *testing.T) {
+	_, blocks := readPage(t, pagesDir+"checking-a-configuration.md")
+	s := newShell(t)
+	want := ""
+	for _, b := range blocks {
+		if name, ok := strings.CutPrefix(b.info, "json "); ok {
+			s.write(name, b.text)
+		} else if b.info == "text" {
+			want = b.text
+		}
+	}
+	s.mustRun("", "check", "in-effect.json")
+	if status, out, _ := s.run("", "check", "--against", "in-effect.json", "next.json"); status != 1 || out != want {
+		t.Errorf("got status %d and\n%swant 1 and\n%s", status, out, want)
+	}
+}
+
 // Guards against a check that writes to the store, or reads more than the version in
 // effect.
 func TestCheckReadsStoreOnce(t *testing.T) {
--- a/internal/operator/precheck/compare.go
+++ b/internal/operator/precheck/compare.go
@@ -57,6 +57,7 @@
 }
 
 // compare matches the elements by name; the last of equal names counts, as in a table.
+// It reports the removed elements first, because clients notice them first.
 func (e elements[T]) compare() {
 	next, inOld := make(map[string]int), make(map[string]bool)
 	for i := range e.next {
@@ -65,12 +66,15 @@
 	for i := range e.old {
 		name := e.name(&e.old[i])
 		inOld[name] = true
-		if j, ok := next[name]; ok {
-			e.both(fmt.Sprintf("%s[%d]", e.path, j), &e.old[i], &e.next[j])
-		} else {
+		if _, ok := next[name]; !ok {
 			e.removed(e.path, &e.old[i])
 		}
 	}
+	for i := range e.old {
+		if j, ok := next[e.name(&e.old[i])]; ok {
+			e.both(fmt.Sprintf("%s[%d]", e.path, j), &e.old[i], &e.next[j])
+		}
+	}
 	for i := range e.next {
 		if !inOld[e.name(&e.next[i])] {
 			e.added(fmt.Sprintf("%s[%d]", e.path, i), &e.next[i])
--- a/internal/operator/precheck/precheck_test.go
+++ b/internal/operator/precheck/precheck_test.go
@@ -17,7 +17,7 @@
 			{
 				Name: "caption", Host: "albums.example", Prefix: "/caption/", Kind: routes.Streaming, Resumable: true,
 				Timeout: 8 * time.Second, Objective: time.Second, EventGap: 250 * time.Millisecond, Attempts: 2,
-				Split: []routes.Target{{Service: "v1", Weight: 9}, {Service: "v2", Weight: 1}},
+				Split: newSplit(9, 1),
 			},
 			{
 				Name: "share", Host: "albums.example", Prefix: "/", Kind: routes.NonIdempotent,
@@ -37,6 +37,11 @@
 	return routes.New(t)
 }
 
+// newSplit returns a split of the services v1 and v2.
+func newSplit(v1, v2 int) []routes.Target {
+	return []routes.Target{{Service: "v1", Weight: v1}, {Service: "v2", Weight: v2}}
+}
+
 // lines formats findings one per line, in the order in which they are reported.
 func lines(fs []precheck.Finding) string {
 	precheck.Sort(fs)
@@ -77,7 +82,7 @@
 			"routes[1].resumable: warning: no effect on a route that is non-idempotent"},
 		{"weight 0", func(t *routes.Table) { t.Routes[0].Split[1].Weight = 0 },
 			`routes[0].split[1].weight: warning: service "v2" gets no requests`},
-		{"no weight", func(t *routes.Table) { t.Routes[0].Split = []routes.Target{{"v1", 0}, {"v2", 0}} },
+		{"no weight", func(t *routes.Table) { t.Routes[0].Split = newSplit(0, 0) },
 			"routes[0].split: warning: no service has a weight above 0; all requests go to the first"},
 		{"unknown services", func(t *routes.Table) { t.Services = t.Services[:1] },
 			"routes[0].split[1].service: error: unknown service \"v2\"\nroutes[1].service: error: unknown service \"plain\""},
@@ -130,14 +135,18 @@
 			t.Routes[0].Objective = 2 * time.Second
 			t.Routes[1].Timeout = 1500 * time.Millisecond
 		}), "routes[1].timeout: breaking: route \"share\": timeout: 2s -> 1.5s\nroutes[0].objective: change: route \"caption\": objective: 1s -> 2s"},
+		{"removed before changed", next(func(t *routes.Table) {
+			t.Routes[0].Public, t.Routes[0].Timeout, t.Routes = true, time.Second, t.Routes[:1]
+		}), "routes: breaking: route \"share\" is removed; requests for \"albums.example/\" get 404\n" +
+			"routes[0].timeout: breaking: route \"caption\": timeout: 8s -> 1s\nroutes[0].public: change: route \"caption\": open without a key: false -> true"},
 		{"timeout raised to none", next(func(t *routes.Table) { t.Routes[1].Timeout = 0 }), `routes[1].timeout: change: route "share": timeout: 2s -> none`},
-		{"same shares", next(func(t *routes.Table) { t.Routes[0].Split = []routes.Target{{"v1", 90}, {"v2", 10}} }), ""},
+		{"same shares", next(func(t *routes.Table) { t.Routes[0].Split = newSplit(90, 10) }), ""},
 		{"shares", next(func(t *routes.Table) { t.Routes[0].Split[1].Weight = 3 }),
 			`routes[0].split: change: route "caption": services: "v1" 90%, "v2" 10% -> "v1" 75%, "v2" 25%`},
 		{"services", next(func(t *routes.Table) {
 			t.Services[0].Scaling, t.Services[1].Name = &routes.Scaling{Min: 1, Max: 4}, "v3"
 		}),
-			"services[0].scaling.max: change: service \"v1\": maximum of servers: 9 -> 4\nservices: change: service \"v2\" is removed\nservices[1]: change: service \"v3\" is added"},
+			"services: change: service \"v2\" is removed\nservices[0].scaling.max: change: service \"v1\": maximum of servers: 9 -> 4\nservices[1]: change: service \"v3\" is added"},
 		{"rate and burst lowered", next(func(t *routes.Table) { t.Workspaces[0].Allowance.Rate, t.Workspaces[0].Allowance.Burst = 50, 400 }),
 			"workspaces[0].rate: breaking: workspace \"fairs\": units a second: 100 -> 50\nworkspaces[0].burst: breaking: workspace \"fairs\": burst: 500 -> 400"},
 		{"no rate", next(func(t *routes.Table) { t.Workspaces[0].Allowance.Rate = 0 }),
