Let findings carry their file, and test keys held twice

A mutation trial showed that no test failed when a key that two workspaces hold counted for both. The command had a second type for findings with file and line; Finding has them now, and its JSON form.

--- a/cmd/wasabiworks/check.go
+++ b/cmd/wasabiworks/check.go
@@ -32,18 +32,10 @@
 	app     *app
 }
 
-// located is a finding of a file.
-type located struct {
-	precheck.Finding
-	file string
-	// line is 0 if it is not known.
-	line int
-}
-
 // report is what a check found. The input is unusable if the running system could not
 // read it.
 type report struct {
-	findings []located
+	findings []precheck.Finding
 	unusable bool
 }
 
@@ -129,9 +121,10 @@
 		}
 	}
 	precheck.Sort(findings)
-	for _, f := range findings {
-		r.findings = append(r.findings, located{Finding: f, file: name})
+	for i := range findings {
+		findings[i].File = name
 	}
+	r.findings = findings
 	return r, nil
 }
 
@@ -172,7 +165,13 @@
 
 func (r *report) write(w io.Writer, format string) error {
 	if format == "json" {
-		return r.writeJSON(w)
+		e := json.NewEncoder(w)
+		e.SetEscapeHTML(false)
+		e.SetIndent("", "  ")
+		return e.Encode(struct {
+			Usable   bool               `json:"usable"`
+			Findings []precheck.Finding `json:"findings"`
+		}{!r.unusable, append([]precheck.Finding{}, r.findings...)})
 	}
 	b := bufio.NewWriter(w)
 	for i, f := range r.findings {
@@ -180,33 +179,7 @@
 			fmt.Fprintf(b, "%d more findings; --output json lists all\n", len(r.findings)-i)
 			break
 		}
-		place := f.file
-		if f.line > 0 {
-			place = fmt.Sprintf("%s:%d", f.file, f.line)
-		}
-		fmt.Fprintf(b, "%s: %v\n", place, f.Finding)
+		fmt.Fprintln(b, f)
 	}
 	return b.Flush()
 }
-
-func (r *report) writeJSON(w io.Writer) error {
-	type finding struct {
-		Severity string `json:"severity"`
-		File     string `json:"file"`
-		Line     int    `json:"line,omitempty"`
-		Path     string `json:"path"`
-		Message  string `json:"message"`
-		Allowed  string `json:"allowed,omitempty"`
-	}
-	findings := make([]finding, 0, len(r.findings))
-	for _, f := range r.findings {
-		findings = append(findings, finding{f.Severity.String(), f.file, f.line, f.Path, f.Message, f.Allowed})
-	}
-	e := json.NewEncoder(w)
-	e.SetEscapeHTML(false)
-	e.SetIndent("", "  ")
-	return e.Encode(struct {
-		Usable   bool      `json:"usable"`
-		Findings []finding `json:"findings"`
-	}{!r.unusable, findings})
-}
--- a/cmd/wasabiworks/check_catalogue.go
+++ b/cmd/wasabiworks/check_catalogue.go
@@ -30,18 +30,18 @@
 		return nil, err
 	}
 	if c.Store != "" && file.BasedOn != base.Revision {
-		r.add(name, precheck.Error, "based-on", fmt.Sprintf("edited from revision %d, but revision %d is in effect", file.BasedOn, base.Revision), strconv.FormatInt(base.Revision, 10))
+		r.findings = append(r.findings, precheck.Finding{
+			Severity: precheck.Error, File: name, Path: "based-on",
+			Message: fmt.Sprintf("edited from revision %d, but revision %d is in effect", file.BasedOn, base.Revision),
+			Allowed: strconv.FormatInt(base.Revision, 10),
+		})
 	}
 	next := *file.Catalogue
 	next.Moves = base.Catalogue.Moves // a file holds none; an apply plans them
-	lines := catalogue.Diff(base.Catalogue, &next)
-	for _, severity := range []precheck.Severity{precheck.Breaking, precheck.Change} {
-		for _, line := range lines {
-			if catalogueSeverity(line) == severity {
-				r.add(name, severity, "", line, "")
-			}
-		}
+	for _, line := range catalogue.Diff(base.Catalogue, &next) {
+		r.findings = append(r.findings, precheck.Finding{Severity: catalogueSeverity(line), File: name, Message: line})
 	}
+	precheck.Sort(r.findings)
 	return r, nil
 }
 
@@ -70,10 +70,6 @@
 	return precheck.Change
 }
 
-func (r *report) add(file string, s precheck.Severity, path, message, allowed string) {
-	r.findings = append(r.findings, located{Finding: precheck.Finding{Severity: s, Path: path, Message: message, Allowed: allowed}, file: file})
-}
-
 // addProblems adds the problems of a catalogue. A problem without a field means that the
 // file could not be read. It returns errors that are not problems.
 func (r *report) addProblems(err error) error {
@@ -88,9 +84,8 @@
 	}
 	for _, p := range problems {
 		r.unusable = r.unusable || p.Field == ""
-		r.findings = append(r.findings, located{
-			Finding: precheck.Finding{Severity: precheck.Error, Path: p.Field, Message: withoutToken(p), Allowed: p.Allowed},
-			file:    p.File, line: p.Line,
+		r.findings = append(r.findings, precheck.Finding{
+			Severity: precheck.Error, File: p.File, Line: p.Line, Path: p.Field, Message: withoutToken(p), Allowed: p.Allowed,
 		})
 	}
 	return nil
--- a/cmd/wasabiworks/check_test.go
+++ b/cmd/wasabiworks/check_test.go
@@ -113,6 +113,24 @@
 	}
 }
 
+// Guards against a catalogue that is checked against another revision than the one in
+// effect, and against limits and workspaces whose loss is not ranked first.
+func TestCheckCatalogueAgainstStore(t *testing.T) {
+	s := newShell(t)
+	s.write("a.yaml", checkedCatalogue)
+	s.mustRun("", "catalogue", "apply", "a.yaml")
+	shown := s.mustRun("", "catalogue", "show")
+	if out := s.mustRun(shown, "check", "--store", s.platform, "-"); out != "" {
+		t.Errorf("for the catalogue in effect, got %q, want nothing", out)
+	}
+	next := strings.Replace(checkedCatalogue, "name: fairs", "name: depots", 1)
+	status, out, _ := s.run(next, "check", "--store", s.platform, "-")
+	lines := strings.Split(out, "\n")
+	if status != 1 || !strings.HasPrefix(lines[0], "stdin: based-on: error: edited from revision 0") || lines[1] != "stdin: breaking: - workspace fairs" {
+		t.Errorf("got status %d and %q, want 1, based-on and the workspace", status, lines)
+	}
+}
+
 // Guards against input that ends the tool otherwise than by its exit statuses, or that
 // prints JSON which cannot be read.
 func FuzzCheckCommand(f *testing.F) {
--- a/internal/operator/precheck/finding.go
+++ b/internal/operator/precheck/finding.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -24,19 +25,33 @@
 	return [...]string{"error", "warning", "breaking", "change"}[s]
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (s Severity) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
 // Finding is one result of a check. It contains no access keys, and no line breaks.
 type Finding struct {
-	Severity Severity
+	Severity Severity `json:"severity"`
+	// File is the checked file, and Line is 0 if it is not known. This package sets
+	// neither.
+	File string `json:"file"`
+	Line int    `json:"line,omitempty"`
 	// Path locates the field, such as routes[2].objective.
-	Path    string
-	Message string
+	Path    string `json:"path"`
+	Message string `json:"message"`
 	// Allowed describes the values that the field accepts, if that is known.
-	Allowed string
+	Allowed string `json:"allowed,omitempty"`
 }
 
 // String formats the finding as one line.
 func (f Finding) String() string {
 	var b strings.Builder
+	if f.File != "" {
+		b.WriteString(f.File + ":")
+		if f.Line > 0 {
+			b.WriteString(strconv.Itoa(f.Line) + ":")
+		}
+		b.WriteString(" ")
+	}
 	if f.Path != "" {
 		b.WriteString(f.Path + ": ")
 	}
--- a/internal/operator/precheck/precheck_test.go
+++ b/internal/operator/precheck/precheck_test.go
@@ -172,3 +172,14 @@
 		})
 	}
 }
+
+// Guards against differences that do not exist where a key selects one of several
+// workspaces that have it.
+func TestTableDoesNotDifferFromItself(t *testing.T) {
+	table := newTable(func(t *routes.Table) {
+		t.Workspaces[0].Keys, t.Workspaces[1].Keys = []string{"", "secret-a", "secret-b"}, []string{"secret-b", "", "secret-b"}
+	})
+	if got := precheck.Compare(table, table); len(got) > 0 {
+		t.Errorf("got %v, want none", got)
+	}
+}
