--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -103,9 +103,10 @@
 // placeRequest returns the server for the next attempt, by what all instances have sent to
 // the best choices. It returns false if chooseServer does.
 func (e *exchange) placeRequest(ctx context.Context) (t target, ok bool) {
+	e.prompt.Tracked = len(e.prompt.Parts) > 0 && e.config.Claims != nil && e.config.Claims.Enabled()
 	c := e.choices(e.config.Now())
 	i, t := e.choose(&c)
-	if i < 0 || e.config.Claims == nil || len(e.prompt.Parts) == 0 {
+	if i < 0 || !e.prompt.Tracked {
 		return t, i >= 0
 	}
 	shared, prefix := e.prompt.Shared()
--- a/internal/caller/forward/claim_test.go
+++ b/internal/caller/forward/claim_test.go
@@ -10,7 +10,7 @@
 )
 
 // newClaiming returns an exchange for a prompt, whose instance tracks all servers itself
-// if tracked is true.
+// if tracked is true. Otherwise no tracker is known.
 func newClaiming(t *testing.T, tracked bool) *exchange {
 	e := newChoosing()
 	e.prompt = route.Prompt{Tokens: 2000, Parts: []route.Part{{ID: 1, Chain: 1, Tokens: 1000}, {ID: 2, Chain: 2, Tokens: 1000}}}
@@ -19,7 +19,7 @@
 	if tracked {
 		tracker = "self"
 	}
-	c, err := claim.New(claim.Config{Instance: "self", Tracker: func(claim.Server) string { return tracker }, Now: e.config.Now})
+	c, err := claim.New(claim.Config{Instance: "self", Enabled: func() bool { return true }, Tracker: func(claim.Server) string { return tracker }, Now: e.config.Now})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/decide/route/prompt.go
+++ b/internal/decide/route/prompt.go
@@ -20,6 +20,18 @@
 	// maximum length of the output.
 	Tokens, MaxTotalTokens int
 	Parts                  []Part
+	// Tracked is true if the instance can ask what others have sent to a server. The
+	// first choice among equal servers then depends on the prompt, so that instances ask
+	// about different ones, and only prefixes that are known to be cached are fetched.
+	Tracked bool
+}
+
+// tieBreak returns the number that decides among equal servers.
+func (p Prompt) tieBreak() uint64 {
+	if !p.Tracked {
+		return 0
+	}
+	return p.Parts[len(p.Parts)-1].Chain
 }
 
 // Shared returns the number of tokens in all parts but the last, which is
@@ -153,10 +165,10 @@
 		}
 		return expected(source) - expected(i)
 	}
-	index, margin := cheapest(cs, p.Parts[len(p.Parts)-1].Chain, func(i int) float64 {
+	index, margin := cheapest(cs, p.tieBreak(), func(i int) float64 {
 		c := &cs[i]
 		promptCost := float64(max(0, p.Tokens-expected(i)))
-		if source >= 0 && cs[source].CachedTokens > 0 {
+		if source >= 0 && (!p.Tracked || cs[source].CachedTokens > 0) {
 			promptCost = max(0, promptCost-(1-fetchCostRatio)*float64(fetched(i)))
 		}
 		weight := pendingWeight
--- a/internal/decide/route/prompt_test.go
+++ b/internal/decide/route/prompt_test.go
@@ -130,7 +130,7 @@
 // its prefix elsewhere, and against one that is kept whatever waits there.
 func TestMaxPendingIsTheWaitUpToWhichTheServerIsBest(t *testing.T) {
 	cs := []Candidate{{ID: "a", Known: true, CachedTokens: 10_000}, {ID: "b"}}
-	p := Prompt{Tokens: 11_000, Parts: []Part{{ID: 1, Chain: 1, Tokens: 10_000}, {ID: 2, Chain: 2, Tokens: 1000}}}
+	p := Prompt{Tracked: true, Tokens: 11_000, Parts: []Part{{ID: 1, Chain: 1, Tokens: 10_000}, {ID: 2, Chain: 2, Tokens: 1000}}}
 	cs[1].Uncached = true
 	best := ChoosePrompt(cs, p)
 	if best.Index != 0 || best.MaxPending < 1000 {
--- a/internal/entry/gateway/trackers.go
+++ b/internal/entry/gateway/trackers.go
@@ -27,7 +27,7 @@
 // newClaims returns the client for claims on backend servers.
 func (f *Instance) newClaims() (*claim.Client, error) {
 	return claim.New(claim.Config{
-		Instance: f.config.ID, Tracker: f.tracker, Now: f.now, Registerer: f.registry,
+		Instance: f.config.ID, Enabled: func() bool { return f.trackers.Load() != nil }, Tracker: f.tracker, Now: f.now, Registerer: f.registry,
 		Claim: func(ctx context.Context, id string, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
 			return f.exchange.Claim(ctx, id, r)
 		},
--- a/internal/peer/claim/client.go
+++ b/internal/peer/claim/client.go
@@ -45,6 +45,8 @@
 // Config configures a Client. All fields but Registerer are required.
 type Config struct {
 	Instance string
+	// Enabled reports whether servers are tracked.
+	Enabled func() bool
 	// Tracker returns the ID of the instance that tracks a server, or "" if there is
 	// none.
 	Tracker func(Server) string
@@ -91,6 +93,9 @@
 	return l, c.Registerer.Register(l.claims)
 }
 
+// Enabled reports whether servers are tracked.
+func (l *Client) Enabled() bool { return l.config.Enabled() }
+
 // Claim is a claim that was added. Its methods report to the tracker without blocking.
 type Claim struct {
 	client  *Client
--- a/internal/peer/claim/client_test.go
+++ b/internal/peer/claim/client_test.go
@@ -27,7 +27,7 @@
 	n := &network{now: time.Unix(1000, 0), clients: make(map[string]*Client), down: make(map[string]bool), tracker: instances[0]}
 	for _, id := range instances {
 		c, err := New(Config{
-			Instance: id, Tracker: func(Server) string { return n.tracker }, Now: func() time.Time { return n.now },
+			Instance: id, Enabled: func() bool { return true }, Tracker: func(Server) string { return n.tracker }, Now: func() time.Time { return n.now },
 			Claim: func(ctx context.Context, to string, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
 				n.calls++
 				if n.down[to] {
