--- a/cmd/wasabiworks/check_catalogue.go
+++ b/cmd/wasabiworks/check_catalogue.go
@@ -74,12 +74,7 @@
 // file could not be read. It returns errors that are not problems.
 func (r *report) addProblems(err error) error {
 	var problems catalogue.Problems
-	var single catalogue.Problem
-	switch {
-	case errors.As(err, &problems):
-	case errors.As(err, &single):
-		problems = catalogue.Problems{single}
-	default:
+	if !errors.As(err, &problems) {
 		return err
 	}
 	for _, p := range problems {
