Bound claims, refuse before the body is read, and hold the count of instances

The handler gets a copy of the request. - Instances whose entries lapse, because the store refuses them, go on spending their part of an allowance; the others divided it among themselves after 30 s. The count is now held for 10 minutes. Also: a connection that makes room is closed before a log line is written, and negative figures of a tracker count as 0.

--- a/internal/caller/connlimit/group.go
+++ b/internal/caller/connlimit/group.go
@@ -89,12 +89,12 @@
 		c.setOwnDeadline(after(now, c.limits.HeadTimeout))
 	}
 	victim, reason := g.add(c, p, now)
-	if reason != "" {
-		g.record(reason)
-	}
 	if victim != nil {
 		victim.closeNow()
 	}
+	if reason != "" {
+		g.record(reason)
+	}
 	if reason == TooManyConnections || reason == TooManyFromAddress {
 		return nil
 	}
--- a/internal/caller/connlimit/http.go
+++ b/internal/caller/connlimit/http.go
@@ -47,12 +47,16 @@
 // handler follows the body of each request, so that a request that was read is not taken
 // for one that is still on its way.
 func handler(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, own *http.Request) {
+		r := own
 		c, ok := r.Context().Value(connKey{}).(*conn)
 		switch {
 		case !ok:
 		case r.Body != nil && r.Body != http.NoBody:
-			r.Body = &body{ReadCloser: r.Body, conn: c}
+			// net/http looks at the body of its own request to tell whether the client
+			// still has to be read from, or waits for 100 Continue, before a response.
+			r = own.WithContext(own.Context())
+			r.Body = &body{ReadCloser: own.Body, conn: c}
 		case !c.keep():
 			MemoryFull.writeTo(w)
 			return
@@ -61,7 +65,7 @@
 		if ok && c.held != nil {
 			// net/http may keep the request for another half second, for a client that
 			// has not read the response, but does not look at its header again.
-			r.Header = nil
+			own.Header = nil
 		}
 	})
 }
--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -121,6 +121,9 @@
 		}
 		if !c.candidates[i].Known {
 			c.learn(i, earlier, shared)
+			if n == maxClaims {
+				c.excludeUnknown()
+			}
 			next, better := e.choose(&c)
 			if next < 0 {
 				next, better = i, t
@@ -140,6 +143,13 @@
 	}
 }
 
+// excludeUnknown excludes the servers whose tracker was not asked.
+func (c *choices) excludeUnknown() {
+	for i := range c.candidates {
+		c.candidates[i].Excluded = c.candidates[i].Excluded || !c.candidates[i].Known
+	}
+}
+
 // claimedServer returns the server as it is named in claims.
 func claimedServer(s *pool.Worker) claim.Server {
 	return claim.Server{Process: s.Process(), FailureDomain: s.FailureDomain}
--- a/internal/caller/forward/claim_test.go
+++ b/internal/caller/forward/claim_test.go
@@ -1,12 +1,16 @@
 package forward
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"wasabiworks.example/wasabiworks/internal/backend/pool"
 	"wasabiworks.example/wasabiworks/internal/decide/backlog"
 	"wasabiworks.example/wasabiworks/internal/decide/route"
 	"wasabiworks.example/wasabiworks/internal/peer/claim"
+	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 )
 
 // newClaiming returns an exchange for a prompt, whose instance tracks all servers itself
@@ -82,3 +86,27 @@
 		t.Errorf("no tracker: got %+v, want %s without a claim", got, home.server.ID)
 	}
 }
+
+// Guards against a request that asks the trackers of all servers one after the other,
+// because each one that it has not asked looks idle.
+func TestRequestAsksFewTrackers(t *testing.T) {
+	e := newClaiming(t, false)
+	for n := range 60 {
+		e.config.Pool.Put(pool.Registration{ID: fmt.Sprint("busy", n), Service: "service", FailureDomain: "z0", Slots: 8}, e.config.Now().Add(-time.Hour))
+	}
+	calls := 0
+	c, err := claim.New(claim.Config{
+		Instance: "self", Enabled: func() bool { return true }, Tracker: func(claim.Server) string { return "peer" }, Now: e.config.Now,
+		Claim: func(_ context.Context, _ string, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+			calls++
+			return &peerpb.ClaimReply{Pending: 30_000, Running: 2, Added: r.GetMaxPending() >= 30_000}, nil
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.config.Claims = c
+	if got, ok := e.placeRequest(t.Context()); !ok || got.claim == nil || calls > maxClaims+1 {
+		t.Errorf("all servers busy: got %+v after %d calls, want a claim after at most %d", got, calls, maxClaims+1)
+	}
+}
--- a/internal/caller/reply/request.go
+++ b/internal/caller/reply/request.go
@@ -178,7 +178,10 @@
 			controller := http.NewResponseController(w)
 			held := m.Hold(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }) // ends the read
 			defer held.Release()
-			r.Body = &heldBody{ReadCloser: &deadlineBody{r.Body, controller, false}, held: held}
+			// net/http looks at the body of its own request before a response.
+			body := &heldBody{ReadCloser: &deadlineBody{r.Body, controller, false}, held: held}
+			r = r.WithContext(r.Context())
+			r.Body = body
 		}
 		server.ServeHTTP(w, r)
 	})
--- a/internal/entry/gateway/allowances.go
+++ b/internal/entry/gateway/allowances.go
@@ -23,7 +23,7 @@
 // fleet describes the instances that share the allowances.
 func (f *Instance) fleet() allowance.Fleet {
 	now := time.Now()
-	fleet := allowance.Fleet{Instances: f.instanceCount(), Local: f.members.Live(f.config.FailureDomain, now)}
+	fleet := allowance.Fleet{Instances: max(1, f.allowanceCount.get(f.now())), Local: f.members.Live(f.config.FailureDomain, now)}
 	heard := f.members.HeardDomains(now)
 	delete(heard, f.config.FailureDomain)
 	for _, domain := range slices.Sorted(maps.Keys(heard)) {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -195,7 +195,9 @@
 	// other goroutines, and nil before the first listing.
 	registered         map[string]membership.Member
 	registeredSnapshot atomic.Pointer[[]membership.Member]
-	registeredCount    recentMax
+	// registeredCount is the number of registered instances, and allowanceCount that
+	// by which allowances are divided.
+	registeredCount, allowanceCount recentMax
 	// rosters are those of the last call of publishColdStart. Only apply and the methods
 	// that it calls use them.
 	rosters    *coldstart.Rosters
--- a/internal/entry/gateway/members.go
+++ b/internal/entry/gateway/members.go
@@ -31,6 +31,10 @@
 	// their entries were removed. If leases lapse while the store is unavailable,
 	// all entries are removed at once although the instances are running.
 	countHold = 10 * time.Second
+	// allowanceCountHold is the same for the division of allowances. Instances that are
+	// cut off from the store for longer than their leases last go on spending their part,
+	// which the others must not divide among themselves meanwhile.
+	allowanceCountHold = 10 * time.Minute
 )
 
 // registration is an instance's entry in the store.
@@ -158,7 +162,8 @@
 	}
 	f.members.MergeInstanceList(listed, time.Now())
 	f.registeredSnapshot.Store(&listed)
-	f.registeredCount.set(len(listed), f.now())
+	f.registeredCount.set(len(listed), f.now(), countHold)
+	f.allowanceCount.set(len(listed), f.now(), allowanceCountHold)
 	f.publishColdStart()
 }
 
@@ -179,7 +184,7 @@
 }
 
 // recentMax holds a number. After a decrease, get returns the highest recent
-// number until countHold has passed since that number was last set, or since the
+// number until a time to hold it has passed since that number was last set, or since the
 // first decrease after the previous hold ended. It is safe for concurrent use.
 type recentMax struct {
 	mu        sync.Mutex
@@ -188,12 +193,12 @@
 	holdUntil time.Time // when highest expires
 }
 
-func (r *recentMax) set(n int, now time.Time) {
+func (r *recentMax) set(n int, now time.Time, hold time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if n >= r.highest || !now.Before(r.holdUntil) {
 		r.highest = max(n, r.current)
-		r.holdUntil = now.Add(countHold)
+		r.holdUntil = now.Add(hold)
 	}
 	r.current = n
 }
--- a/internal/entry/gateway/members_test.go
+++ b/internal/entry/gateway/members_test.go
@@ -30,7 +30,7 @@
 	for n, s := range steps {
 		now = now.Add(s.after)
 		if s.set >= 0 {
-			r.set(s.set, now)
+			r.set(s.set, now, countHold)
 		}
 		if got := r.get(now); got != s.want {
 			t.Errorf("step %d: got %d, want %d", n, got, s.want)
@@ -81,3 +81,21 @@
 		}
 	}
 }
+
+// Guards against allowances that are divided among the instances whose entries are left,
+// while instances that are cut off from the store go on spending their part.
+func TestAllowancesAreDividedAmongLapsedInstances(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r recentMax
+	r.set(76, now, allowanceCountHold)
+	now = now.Add(time.Hour)
+	r.set(49, now, allowanceCountHold)
+	for _, tt := range []struct {
+		after time.Duration
+		want  int
+	}{{registrationTTL + countHold, 76}, {allowanceCountHold - 1, 76}, {allowanceCountHold, 49}} {
+		if got := r.get(now.Add(tt.after)); got != tt.want {
+			t.Errorf("%v after 27 entries lapsed: got %d instances, want %d", tt.after, got, tt.want)
+		}
+	}
+}
--- a/internal/peer/claim/client.go
+++ b/internal/peer/claim/client.go
@@ -157,7 +157,7 @@
 		return backlog.Reading{}, nil, CallFailed.Wrap(err, "claim on %s", s.Process)
 	}
 	earlier := backlog.Reading{
-		Backlog: backlog.Backlog{Pending: reply.GetPending(), Running: reply.GetRunning()}, Cached: reply.GetCached(), Holder: reply.GetHolder(),
+		Backlog: backlog.Backlog{Pending: max(0, reply.GetPending()), Running: max(0, reply.GetRunning())}, Cached: reply.GetCached(), Holder: reply.GetHolder(),
 	}
 	return earlier, c.ifAdded(reply.GetAdded()), nil
 }
