Rename what is ambiguous in admission, cold servers and claims

coldstart.Query.FirstLive was true for everybody but the second owner; its inverse SecondMaySend says what it decides. Names that stood for several things (waiting, conditions, refusals, Hold) and names that hid what they decide (begun, news, virtual, sent, discount) are replaced. Tests follow the names; their assertions are the same.

Split backlog.Ledger.Add and evacuation.Set.Apply, and compute the last start that meets an objective in one place. Comments state which connection is closed when a group is full, when a class is served before a more urgent one, and when a claim has no limit. No behaviour changes.

--- a/internal/backend/pool/cold.go
+++ b/internal/backend/pool/cold.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxColdTime bounds the time for which a server can say that it is cold, so that a
-	// garbled number does not limit it for good.
+	// maxColdTime bounds the time for which a server can say that it is cold, so that an
+	// invalid number does not limit it permanently.
 	maxColdTime = 10 * time.Minute
 	// maxEntryDelay is how old a server's entry may be when it is applied. An entry that
 	// says that the server is warm does not contradict a response of that time.
@@ -35,7 +35,7 @@
 func (p *Pool) SetColdStart(c *ColdStart) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conditions.cold.Store(c)
+	p.shared.cold.Store(c)
 	for _, w := range p.workers {
 		w.setColdLimit()
 	}
@@ -44,7 +44,7 @@
 // setColdLimit copies the limit of the server's service.
 func (w *Worker) setColdLimit() {
 	var l coldstart.Limit
-	if c := w.conditions.cold.Load(); c != nil {
+	if c := w.shared.cold.Load(); c != nil {
 		l = c.Limits[w.Service]
 	}
 	w.coldLimit.Store(&l)
@@ -63,10 +63,10 @@
 }
 
 // ColdSends returns the number of requests that this instance has sent to cold servers.
-func (p *Pool) ColdSends() int64 { return p.conditions.coldSends.Load() }
+func (p *Pool) ColdSends() int64 { return p.shared.coldSends.Load() }
 
-// coldState is what a server process has said of its cold time, and what this instance
-// has sent to it. Times are on the clock of package boottime, in nanoseconds.
+// coldState holds what a server process reported about its cold time, and when this
+// instance last sent to it. Times are on the clock of package boottime, in nanoseconds.
 type coldState struct {
 	// entryUntil is the end of the cold time according to the entry at entryRevision.
 	// Only Put writes these.
@@ -86,17 +86,17 @@
 }
 
 // applyEntry records the cold time of an entry that was applied at now. An entry that
-// was applied before has no effect. It reports whether the server was not known to be
-// cold and is now.
-func (c *coldState) applyEntry(s *Registration, now time.Time) (news bool) {
+// was applied before has no effect. turnedCold reports whether the server was not known
+// to be cold and is now.
+func (c *coldState) applyEntry(s *Registration, now time.Time) (turnedCold bool) {
 	if s.Revision != 0 && s.Revision <= c.entryRevision {
 		return false
 	}
 	c.entryRevision = s.Revision
 	if s.ColdLeft > 0 {
-		news = now.UnixNano() >= c.until()
+		turnedCold = now.UnixNano() >= c.until()
 		c.entryUntil.Store(now.Add(min(s.ColdLeft, maxColdTime)).UnixNano())
-		return news
+		return turnedCold
 	}
 	// The end stays known, because the ramp begins with it.
 	c.entryUntil.Store(min(c.entryUntil.Load(), now.UnixNano()))
@@ -111,16 +111,16 @@
 
 // SetColdLeft records that a response which arrived at now says for how long the server
 // stays cold. A shorter time than that known has no effect, since responses may arrive
-// out of order. It reports whether the server was not known to be cold.
-func (w *Worker) SetColdLeft(left time.Duration, now time.Time) (news bool) {
+// out of order. turnedCold reports whether the server was not known to be cold before.
+func (w *Worker) SetColdLeft(left time.Duration, now time.Time) (turnedCold bool) {
 	if left <= 0 {
 		return false
 	}
 	c := &w.state.cold
-	news = now.UnixNano() >= c.until()
+	turnedCold = now.UnixNano() >= c.until()
 	storeMax(&c.respondedAt, now.UnixNano())
 	storeMax(&c.responseUntil, now.Add(min(left, maxColdTime)).UnixNano())
-	return news
+	return turnedCold
 }
 
 // storeMax sets v to n if n is greater.
@@ -141,7 +141,7 @@
 	if n := w.state.cold.until(); n != 0 {
 		until = time.Unix(0, n)
 	}
-	if at := w.conditions.domains.Load().ReturnedAt(w.FailureDomain); !at.IsZero() && at.Add(l.ColdTime).After(until) {
+	if at := w.shared.domains.Load().ReturnedAt(w.FailureDomain); !at.IsZero() && at.Add(l.ColdTime).After(until) {
 		until = at.Add(l.ColdTime)
 	}
 	return until
@@ -157,7 +157,7 @@
 
 // coldQuery asks whether this instance may send to the server while it is cold.
 func (w *Worker) coldQuery(l coldstart.Limit) coldstart.Query {
-	c := w.conditions.cold.Load()
+	c := w.shared.cold.Load()
 	state := &w.state.cold
 	known := state.owners.Load()
 	if known == nil || known.rosters != c.Rosters {
@@ -165,7 +165,7 @@
 		state.owners.Store(known)
 	}
 	q := coldstart.Query{Limit: l, Self: c.Self, Owners: known.owners, Confirmed: c.Confirmed(), LastSend: time.Unix(0, state.lastSend.Load())}
-	q.FirstLive = c.Self != q.Owners.Second || c.IsLive(q.Owners.First)
+	q.SecondMaySend = c.Self == q.Owners.Second && !c.IsLive(q.Owners.First)
 	return q
 }
 
@@ -206,7 +206,7 @@
 	if !state.lastSend.CompareAndSwap(last, max(last, now.UnixNano())) {
 		return false
 	}
-	w.conditions.coldSends.Add(1)
+	w.shared.coldSends.Add(1)
 	return true
 }
 
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -21,7 +21,7 @@
 	// at its end.
 	batching, changed bool
 	view              atomic.Pointer[map[string][]*Worker]
-	conditions        conditions
+	shared            sharedState
 }
 
 // New returns an empty pool.
@@ -81,7 +81,7 @@
 	if ok {
 		current.retire()
 	}
-	w := newWorker(s, p.states.get(&s), &p.conditions, now)
+	w := newWorker(s, p.states.get(&s), &p.shared, now)
 	w.state.cold.applyEntry(&s, now)
 	p.workers[s.ID] = w
 	if ok && current.process() != s.process() {
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -129,7 +129,7 @@
 // Guards against a silent server that keeps getting requests, and against a
 // server that is avoided for long after one failure.
 func TestSilentOrFailedServerIsSuspect(t *testing.T) {
-	w := newWorker(Registration{ID: "a"}, new(processState), new(conditions), epoch)
+	w := newWorker(Registration{ID: "a"}, new(processState), new(sharedState), epoch)
 	now := epoch
 	check := func(what string, want bool) {
 		t.Helper()
--- a/internal/backend/pool/conditions.go
+++ b/internal/backend/pool/shared.go
@@ -6,9 +6,9 @@
 	"wasabiworks.example/wasabiworks/internal/decide/evacuation"
 )
 
-// conditions hold what decides on the use of servers besides the servers themselves.
-// All Workers of a Pool share them.
-type conditions struct {
+// sharedState is the state that all Workers of a Pool share: what the use of a server
+// depends on besides the server itself, and a count over all servers.
+type sharedState struct {
 	domains   atomic.Pointer[evacuation.Set]
 	cold      atomic.Pointer[ColdStart]
 	coldSends atomic.Int64
@@ -16,11 +16,11 @@
 
 // EvacuatedDomains returns the evacuated failure domains. The result may be nil, which
 // is an empty set.
-func (p *Pool) EvacuatedDomains() *evacuation.Set { return p.conditions.domains.Load() }
+func (p *Pool) EvacuatedDomains() *evacuation.Set { return p.shared.domains.Load() }
 
 // SetEvacuatedDomains replaces the evacuated failure domains. It takes effect at once,
 // also on requests for which a server has been chosen but not acquired.
-func (p *Pool) SetEvacuatedDomains(s *evacuation.Set) { p.conditions.domains.Store(s) }
+func (p *Pool) SetEvacuatedDomains(s *evacuation.Set) { p.shared.domains.Store(s) }
 
 // Evacuated reports whether the server is in an evacuated failure domain.
-func (w *Worker) Evacuated() bool { return w.conditions.domains.Load().IsEvacuated(w.FailureDomain) }
+func (w *Worker) Evacuated() bool { return w.shared.domains.Load().IsEvacuated(w.FailureDomain) }
--- a/internal/backend/pool/worker.go
+++ b/internal/backend/pool/worker.go
@@ -65,7 +65,7 @@
 
 	joined        time.Time
 	state         *processState
-	conditions    *conditions
+	shared        *sharedState
 	retired       atomic.Bool  // no longer in the pool
 	running       atomic.Int64 // requests sent and not yet ended
 	pendingTokens atomic.Int64 // prompt tokens of requests whose first response event has not arrived
@@ -76,8 +76,8 @@
 	fullUntil     atomic.Int64 // set by a rejection
 }
 
-func newWorker(s Registration, state *processState, c *conditions, now time.Time) *Worker {
-	w := &Worker{Registration: s, joined: now, state: state, conditions: c}
+func newWorker(s Registration, state *processState, shared *sharedState, now time.Time) *Worker {
+	w := &Worker{Registration: s, joined: now, state: state, shared: shared}
 	w.setColdLimit()
 	w.Transport = tcp.NewTransport(tcp.Config{DialTimeout: dialTimeout, IdleTimeout: idleTimeout})
 	return w
@@ -100,7 +100,7 @@
 // RecentlyJoined reports whether the server joined less than newServerPeriod ago, or
 // its failure domain has just been returned to service.
 func (w *Worker) RecentlyJoined(now time.Time) bool {
-	return now.Sub(w.joined) < newServerPeriod || w.conditions.domains.Load().Use(w.FailureDomain, now) == evacuation.Returning
+	return now.Sub(w.joined) < newServerPeriod || w.shared.domains.Load().Use(w.FailureDomain, now) == evacuation.Returning
 }
 
 // Begin records that a request is sent at now, and the number of its prompt
--- a/internal/bench/hostile/legal_test.go
+++ b/internal/bench/hostile/legal_test.go
@@ -49,7 +49,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(patience))
+	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
 	for _, p := range pieces {
 		_, _ = io.WriteString(conn, p) // a failure shows in the response
 		time.Sleep(piecePause)
--- a/internal/bench/hostile/process_test.go
+++ b/internal/bench/hostile/process_test.go
@@ -27,8 +27,8 @@
 	// descriptorLimit is RLIMIT_NOFILE of an instance, and descriptorReserve the part of
 	// it that no client may take.
 	descriptorLimit, descriptorReserve = 512, 100
-	// patience bounds each wait of a test. No test takes that long unless it fails.
-	patience = 20 * time.Second
+	// waitTimeout bounds each wait of a test. No test takes that long unless it fails.
+	waitTimeout = 20 * time.Second
 	// writeStall is the setting for how long a client may take nothing of a response.
 	writeStall = "1s"
 )
@@ -169,7 +169,7 @@
 func await(t *testing.T, what string, check func() error) {
 	t.Helper()
 	var err error
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if err = check(); err == nil {
 			return
 		}
--- a/internal/caller/connlimit/group.go
+++ b/internal/caller/connlimit/group.go
@@ -113,7 +113,7 @@
 		if victim, reason = g.victim(now); victim == nil {
 			return nil, TooManyConnections
 		}
-		g.discount(victim)
+		g.uncount(victim)
 	}
 	g.open++
 	g.byAddress[c.address]++
@@ -127,7 +127,7 @@
 	g.mu.Lock()
 	victim, reason := g.victim(time.Now())
 	if victim != nil {
-		g.discount(victim)
+		g.uncount(victim)
 	}
 	g.mu.Unlock()
 	if victim != nil {
@@ -136,15 +136,16 @@
 	}
 }
 
-// remove ends the count of a connection.
+// remove removes a connection that is closed.
 func (g *Group) remove(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.discount(c)
+	g.uncount(c)
 }
 
-// discount ends the count of a connection. g.mu must be held.
-func (g *Group) discount(c *conn) {
+// uncount removes a connection from the counts and its queue, if it is still counted. g.mu
+// must be held.
+func (g *Group) uncount(c *conn) {
 	if c.removed {
 		return
 	}
--- a/internal/caller/connlimit/report.go
+++ b/internal/caller/connlimit/report.go
@@ -15,7 +15,7 @@
 
 // Reasons to close a connection or to refuse a request.
 const (
-	// TooManyConnections means that all connections had a request at work.
+	// TooManyConnections means that no connection could be closed in place of the new one.
 	TooManyConnections Reason = "too-many-connections"
 	// TooManyFromAddress means that too many connections came from one address.
 	TooManyFromAddress Reason = "too-many-from-address"
--- a/internal/caller/connlimit/victim.go
+++ b/internal/caller/connlimit/victim.go
@@ -6,10 +6,11 @@
 // first bytes, before it may be closed to make room for others.
 const newcomerGrace = time.Second
 
-// victim returns the connection that is closed when the group is full, and the reason: the
-// one that has brought the least for the longest time. Connections that have had no
-// request go first, then those that have been idle the longest, then bodies that come the
-// most slowly. It returns nil if all others have a request at work. g.mu must be held.
+// victim returns the connection to close when the group is full, and the reason. Connections
+// that have had no request for newcomerGrace go first, then the one that has been idle the
+// longest, the slowest body, the oldest incomplete head, and the opaque connection that has
+// been silent the longest. It returns nil if every connection has a request that was read,
+// or within newcomerGrace began a body or, if opaque, sent something. g.mu must be held.
 func (g *Group) victim(now time.Time) (*conn, Reason) {
 	newcomer := g.oldestWithoutRequest()
 	if newcomer != nil && now.Sub(newcomer.since) >= newcomerGrace {
--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -21,7 +21,8 @@
 	// cacheSource is a server from which the chosen server should fetch the cache
 	// of a part of the prompt; it may be nil.
 	cacheSource *pool.Worker
-	// limit is the backlog up to which the server remains the best choice.
+	// limit is the backlog, of all instances, up to which the server remains the best
+	// choice. A claim is added only within it.
 	limit backlog.Backlog
 	// claim is the claim on the server; it may be nil.
 	claim *claim.Claim
@@ -96,12 +97,14 @@
 	return p.Index, t
 }
 
-// maxClaims bounds the servers that are asked for one attempt whether they are busier
-// than this instance knows.
+// maxClaims bounds the servers whose trackers are asked for one attempt whether the servers
+// are busier than this instance knows.
 const maxClaims = 3
 
 // placeRequest returns the server for the next attempt, by what all instances have sent to
-// the best choices. It returns false if chooseServer does.
+// the best choices. It returns false if chooseServer does. It claims a place at the best
+// choice, and chooses again whenever the tracker's response makes another server the best.
+// A claim has no limit once the server's backlog is known or maxClaims servers were asked.
 func (e *exchange) placeRequest(ctx context.Context) (t target, ok bool) {
 	e.prompt.Tracked = len(e.prompt.Parts) > 0 && e.config.Claims != nil && e.config.Claims.Enabled()
 	c := e.choices(e.config.Now())
@@ -134,7 +137,7 @@
 		}
 		t.claim = claimed
 		if server := claimedServer(t.server); server != first {
-			e.config.Claims.Hold(first, prefix, server.Process)
+			e.config.Claims.ReportHolder(first, prefix, server.Process)
 		}
 		return t, true
 	}
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -34,7 +34,7 @@
 	// the client abandoned, and failureLogLimit those for other requests.
 	routineLogLimit, failureLogLimit limit.Allowance
 	waiters                          *waiters
-	refusals                         refusals
+	recentRefusals                   refusalHistory
 	serviceTimes                     serviceTimes
 	// resendTransport sends requests again to a server that rejected them. Each of them
 	// gets a new connection, on which no copy of the rejection can be left.
@@ -123,8 +123,8 @@
 	e.run(ctx)
 }
 
-// refused reports whether the request comes too late in a planned stop to be sent.
-func (e *exchange) refused() bool {
+// refusedByStop reports whether a planned stop refuses the request, which was not sent yet.
+func (e *exchange) refusedByStop() bool {
 	return e.config.Refusing != nil && len(e.attempts) == 0 && e.config.Refusing()
 }
 
@@ -178,7 +178,7 @@
 // empty Reason after adding the request to the retry budget.
 func (e *exchange) accept() Reason {
 	c := &e.config
-	if e.refused() {
+	if e.refusedByStop() {
 		return Stopping
 	}
 	e.view = c.View()
@@ -214,7 +214,7 @@
 	e.suspect = poison.Request{
 		Fingerprint: fingerprint(e.r.Method, e.requestURI, e.r.Header.Get(c.Headers.Key), e.body.pieces...), Parts: shared,
 	}
-	e.isRetry = e.refusals.retried(e.suspect.Fingerprint, e.start)
+	e.isRetry = e.recentRefusals.retried(e.suspect.Fingerprint, e.start)
 	e.pickService()
 	if reason := e.checkPoison(); reason != "" {
 		return reason
@@ -257,7 +257,7 @@
 // accepted. It returns the reason to reject the request, or an empty Reason if it may
 // be sent.
 func (e *exchange) revalidate() Reason {
-	if e.refused() {
+	if e.refusedByStop() {
 		return Stopping
 	}
 	if reason := e.checkPoison(); reason != "" {
--- a/internal/caller/forward/log.go
+++ b/internal/caller/forward/log.go
@@ -42,7 +42,7 @@
 		request := e.admissionRequest()
 		fields = append(fields, zap.Int("urgency", e.urgency), zap.Duration("slack", request.Slack(now)), zap.Duration("retry-after", e.toldToRetryAfter))
 	}
-	if e.queueing.begun {
+	if e.queueing.hasWaited {
 		fields = append(fields, zap.Duration("queued-for", e.queueing.total), zap.Int("queue-position", e.queueing.position))
 	}
 	if !e.firstByte.IsZero() {
--- a/internal/caller/forward/retryafter.go
+++ b/internal/caller/forward/retryafter.go
@@ -12,29 +12,28 @@
 // succeed, but one that was blocked wrongly is cleared within seconds.
 const poisonRetryAfter = 3 * time.Second
 
-// refusals remembers the requests that this instance refused last. It is safe for
-// concurrent use.
-type refusals struct {
-	mu   sync.Mutex
-	last admission.Refusals
+// refusalHistory is an admission.RefusalHistory that is safe for concurrent use.
+type refusalHistory struct {
+	mu      sync.Mutex
+	history admission.RefusalHistory
 }
 
 // add records a refusal at now, and returns after how long its client should retry.
-func (r *refusals) add(refusal admission.Refusal, fingerprint uint64, now time.Time) time.Duration {
+func (r *refusalHistory) add(refusal admission.Refusal, fingerprint uint64, now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	refusal.PerSecond = r.last.PerSecond(now)
+	refusal.PerSecond = r.history.PerSecond(now)
 	retryAfter := refusal.RetryAfter(now)
-	r.last.Add(fingerprint, now.Add(retryAfter), now)
+	r.history.Add(fingerprint, now.Add(retryAfter), now)
 	return retryAfter
 }
 
 // retried reports whether a request was refused before, and its client waited for as long
 // as it was told.
-func (r *refusals) retried(fingerprint uint64, now time.Time) bool {
+func (r *refusalHistory) retried(fingerprint uint64, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.last.Retried(fingerprint, now)
+	return r.history.Retried(fingerprint, now)
 }
 
 // retryAfter returns after how long the client should retry the request, which is refused
@@ -48,13 +47,13 @@
 	if e.view.Table == nil || !e.view.Table.Prioritized() {
 		request.Urgency = admission.Urgencies - 1 // no client is to be preferred
 	}
-	refusal := admission.Refusal{Request: request, Servable: e.servableAfter(reason, now), Random: uniform(e.config.Random())}
-	return e.refusals.add(refusal, e.suspect.Fingerprint, now)
+	refusal := admission.Refusal{Request: request, Servable: e.servableAfterRefusal(reason, now), Random: uniform(e.config.Random())}
+	return e.recentRefusals.add(refusal, e.suspect.Fingerprint, now)
 }
 
-// servableAfter returns the time at which the request can be served that is refused at now
-// for a reason, or the zero time if it is unknown.
-func (e *exchange) servableAfter(reason Reason, now time.Time) time.Time {
+// servableAfterRefusal returns the time at which a request that is refused at now for a
+// reason can be served, or the zero time if it is unknown.
+func (e *exchange) servableAfterRefusal(reason Reason, now time.Time) time.Time {
 	switch reason {
 	case OverAllowance:
 		return now.Add(e.admission.RetryAfter)
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -166,7 +166,7 @@
 func (e *exchange) mayTryAgain(a *attempt) bool {
 	switch a.outcome {
 	case outcomeNotRun:
-		return e.failedOver || e.queueing.begun
+		return e.failedOver || e.queueing.hasWaited
 	case outcomeUnreachable:
 		return e.failedOver
 	}
--- a/internal/caller/forward/wait.go
+++ b/internal/caller/forward/wait.go
@@ -10,15 +10,14 @@
 
 // queueing is the state of a request that waits, or has waited, for a server.
 type queueing struct {
-	entry   *waiting // nil if the request is not, and was not just, in a queue
-	service string   // of the queue
+	entry   *queueEntry // nil if the request is not, and was not just, in a queue
+	service string      // of the queue
 	since   time.Time
-	// begun reports whether the request has waited. total is the time of the waits that
-	// have ended, and position the number of requests that were ahead when the
-	// last one began.
-	begun    bool
-	total    time.Duration
-	position int
+	// hasWaited reports whether the request has waited, so that servers that rejected it
+	// may be tried again.
+	hasWaited bool
+	total     time.Duration // of the waits that have ended
+	position  int           // number of requests that were ahead when the last wait began
 }
 
 // Outcomes of a wait for a server, as in the metrics.
@@ -43,7 +42,7 @@
 		e.leaveQueue(waitRefused) // the request has another service since the table changed
 	}
 	if q.entry == nil {
-		q.service, q.since, q.begun = e.service, now, true
+		q.service, q.since, q.hasWaited = e.service, now, true
 		q.entry, q.position = e.waiters.offer(e.service, request, holdUntil)
 	} else {
 		// No server could take it although some are usable.
@@ -80,18 +79,19 @@
 	if q.entry == nil {
 		return
 	}
-	e.waiters.finish(q.service, q.entry, outcome == waitSent)
+	e.waiters.endExamination(q.service, q.entry, outcome == waitSent)
 	q.entry = nil
 	waited := e.config.Now().Sub(q.since)
 	q.total += waited
 	e.metrics.queueWait.WithLabelValues(outcome).Observe(waited.Seconds())
 }
 
-// yields reports whether the request should wait although a server could take it: the
-// server of t is in doubt, or was until just now, as are all others then, and more urgent
-// requests wait. It yields until its hold ends.
+// yields reports whether the request should wait although a server could take it, because
+// more urgent requests wait. It yields only if the server of t is or was lately suspect:
+// all usable servers are suspect then, since others are chosen first. A request yields
+// until it may be held no longer.
 func (e *exchange) yields(t target) bool {
-	return !e.hasYielded && len(e.attempts) == 0 && e.view.Table.Prioritized() && t.server.Suspect(e.config.Now().Add(-recheckInterval)) && e.waiters.ahead(e.service, e.urgency)
+	return !e.hasYielded && len(e.attempts) == 0 && e.view.Table.Prioritized() && t.server.Suspect(e.config.Now().Add(-recheckInterval)) && e.waiters.hasMoreUrgent(e.service, e.urgency)
 }
 
 // requeue waits for a server after servers rejected the request as full, and reports
--- a/internal/caller/forward/waiters.go
+++ b/internal/caller/forward/waiters.go
@@ -14,9 +14,9 @@
 	// sent, in addition to those that events cause. Not all reasons for which a server
 	// becomes usable have an event.
 	recheckInterval = 20 * time.Millisecond
-	// maxTurn is the time after which another request is examined although the one whose
-	// turn it is has neither been sent nor returned.
-	maxTurn = 20 * time.Millisecond
+	// maxExamineTime is the time after which another request is examined although the
+	// current one has neither been sent nor returned to the queue.
+	maxExamineTime = 20 * time.Millisecond
 	// waitingRequestBytes is the memory of a waiting request besides a large body: its
 	// goroutine, its buffers and a small body.
 	waitingRequestBytes = 64 << 10
@@ -24,8 +24,8 @@
 	minWaiting = 64
 )
 
-// waiting is an entry of the queue of a service.
-type waiting = admission.Entry[chan signal]
+// queueEntry is a request in the queue of a service.
+type queueEntry = admission.Entry[chan signal]
 
 // signal tells a waiting request that it has left the queue.
 type signal uint8
@@ -63,20 +63,22 @@
 	requests *admission.Queue[chan signal]
 	// current is the request that is being examined, until examineUntil; nil if there
 	// is none.
-	current      *waiting
+	current      *queueEntry
 	examineUntil time.Time
-	conditions   conditions // as of the last check
+	checked      sendConditions // as of the last check
 	timer        *time.Timer
 }
 
-// conditions are what requests are checked against before they are sent. All that wait are
-// examined when it has changed.
-type conditions struct {
+// sendConditions are what requests are validated against before they are sent. All waiting
+// requests are examined when they change.
+type sendConditions struct {
 	table    *routes.Table
 	stopping bool
 }
 
-func (c *waitersConfig) conditions() conditions { return conditions{c.Table(), c.Stopping()} }
+func (c *waitersConfig) conditions() sendConditions {
+	return sendConditions{c.Table(), c.Stopping()}
+}
 
 func newWaiters(c waitersConfig) *waiters {
 	return &waiters{config: c, queues: make(map[string]*serviceQueue)}
@@ -95,12 +97,12 @@
 }
 
 // offer adds a request to the queue of a service, and returns its entry and its position.
-func (w *waiters) offer(service string, r admission.Request, holdUntil time.Time) (e *waiting, position int) {
+func (w *waiters) offer(service string, r admission.Request, holdUntil time.Time) (e *queueEntry, position int) {
 	now, current := w.config.Now(), w.config.conditions()
 	w.mu.Lock()
 	q := w.queue(service)
 	if q.requests.Len() == 0 {
-		q.conditions = current
+		q.checked = current
 	}
 	position = q.requests.Position(&r, now)
 	e, shed := q.requests.Offer(r, make(chan signal, 1), holdUntil, now)
@@ -114,16 +116,16 @@
 }
 
 // resume returns a request to the queue of a service that could not be sent.
-func (w *waiters) resume(service string, e *waiting, holdUntil time.Time) {
+func (w *waiters) resume(service string, e *queueEntry, holdUntil time.Time) {
 	w.mu.Lock()
 	w.queue(service).requests.Return(e, holdUntil)
 	w.count.Add(1)
 	w.mu.Unlock()
-	w.finish(service, e, false)
+	w.endExamination(service, e, false)
 }
 
 // remove takes a request out of the queue of a service, if it is still in it.
-func (w *waiters) remove(service string, e *waiting) {
+func (w *waiters) remove(service string, e *queueEntry) {
 	w.mu.Lock()
 	if w.queue(service).requests.Remove(e) {
 		w.count.Add(-1)
@@ -131,9 +133,9 @@
 	w.mu.Unlock()
 }
 
-// finish ends the examination of a request, and begins that of the next one. sent reports
-// whether it was sent.
-func (w *waiters) finish(service string, e *waiting, sent bool) {
+// endExamination ends the examination of a request, and begins that of the next one. sent
+// reports whether the request was sent.
+func (w *waiters) endExamination(service string, e *queueEntry, sent bool) {
 	now := w.config.Now()
 	w.mu.Lock()
 	q := w.queue(service)
@@ -147,8 +149,9 @@
 	w.check(service)
 }
 
-// ahead reports whether requests for a service wait that are more urgent.
-func (w *waiters) ahead(service string, urgency int) bool {
+// hasMoreUrgent reports whether requests for a service wait that are more urgent than
+// urgency.
+func (w *waiters) hasMoreUrgent(service string, urgency int) bool {
 	if w.count.Load() == 0 {
 		return false
 	}
@@ -199,8 +202,8 @@
 	defer w.mu.Unlock()
 	q := w.queue(service)
 	before := q.requests.Len()
-	if current != q.conditions {
-		q.conditions = current
+	if current != q.checked {
+		q.checked = current
 		q.examineAll()
 	}
 	for _, e := range q.requests.Expire(now) {
@@ -226,7 +229,7 @@
 // examineNext lets the next request be examined, if one is ready.
 func (q *serviceQueue) examineNext(now time.Time) {
 	if e := q.requests.Next(now); e != nil {
-		q.current, q.examineUntil = e, now.Add(maxTurn)
+		q.current, q.examineUntil = e, now.Add(maxExamineTime)
 		e.Value <- examine
 	}
 }
--- a/internal/caller/forward/waiters_test.go
+++ b/internal/caller/forward/waiters_test.go
@@ -125,7 +125,7 @@
 func TestWaitersAreExaminedOneAfterAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w, usableAt := testWaiters(admission.Config{MaxRequests: 10, MaxBytes: 100})
-		var entries []*waiting
+		var entries []*queueEntry
 		for u := range 3 {
 			now := time.Now()
 			e, position := w.offer("service", admission.Request{Urgency: 2 - u, Arrival: now, Deadline: now.Add(time.Hour)}, now.Add(time.Second))
@@ -136,7 +136,7 @@
 		}
 		*usableAt = time.Now().Add(5 * time.Millisecond)
 		w.checkAll()
-		expect := func(step string, want ...*waiting) {
+		expect := func(step string, want ...*queueEntry) {
 			t.Helper()
 			for i, e := range entries {
 				select {
@@ -154,17 +154,17 @@
 		expect("no server usable")
 		time.Sleep(5*time.Millisecond + time.Nanosecond)
 		expect("server usable", entries[2])
-		w.finish("service", entries[2], true)
+		w.endExamination("service", entries[2], true)
 		expect("first one sent", entries[1])
 		entries[1].Request.ReadyAt = time.Now().Add(300 * time.Millisecond)
 		w.resume("service", entries[1], time.Now().Add(time.Second))
 		expect("second one returned", entries[0])
-		w.finish("service", entries[0], true)
+		w.endExamination("service", entries[0], true)
 		time.Sleep(290 * time.Millisecond)
 		expect("second one not ready")
 		time.Sleep(20 * time.Millisecond)
 		expect("second one ready", entries[1])
-		w.finish("service", entries[1], false)
+		w.endExamination("service", entries[1], false)
 		if n := w.count.Load(); n != 0 {
 			t.Errorf("%d requests are left", n)
 		}
@@ -177,7 +177,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w, _ := testWaiters(admission.Config{MaxRequests: 2, MaxBytes: 100})
 		now := time.Now()
-		offer := func(urgency int) *waiting {
+		offer := func(urgency int) *queueEntry {
 			e, _ := w.offer("service", admission.Request{Urgency: urgency, Arrival: now, Deadline: now.Add(time.Hour)}, now.Add(95*time.Millisecond))
 			return e
 		}
--- a/internal/decide/admission/model_test.go
+++ b/internal/decide/admission/model_test.go
@@ -79,7 +79,7 @@
 	now      time.Time
 	events   events
 	queue    *Queue[*call]
-	refusals Refusals
+	refusals RefusalHistory
 	busy     [2]int // slots, slow ones last
 	value    float64
 	offered  map[string]float64 // in the burst, by kind and by workspace
--- a/internal/decide/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -34,22 +34,24 @@
 	bytes   int64
 }
 
-// class holds the waiting requests of one urgency.
+// class holds the waiting requests of one urgency. Its flow with the least start tag is
+// served next.
 type class[T any] struct {
 	share share
-	flows map[string]*flow[T]
-	// virtual is the virtual time: the work that had been sent of the flow that was
-	// served last, before that.
-	virtual float64
-	length  int
+	flows map[string]*flow[T] // by workspace
+	// virtualTime is the greatest start tag of a request that was sent. A flow that was
+	// empty starts there, so that it gets no share for the time when it had no requests.
+	virtualTime float64
+	length      int
 }
 
 // flow holds the waiting requests of one workspace and urgency.
 type flow[T any] struct {
 	workspace string
-	// sent is the work that was sent, in virtual time.
-	sent    float64
-	entries []*Entry[T]
+	// startTag is the start tag of the next request: that of the last one and its work,
+	// or the virtual time when the flow became busy, if that is greater.
+	startTag float64
+	entries  []*Entry[T]
 }
 
 // NewQueue returns an empty queue.
@@ -82,7 +84,7 @@
 	c := &q.classes[e.Request.Urgency]
 	f := c.flow(e.Request.Workspace)
 	if len(f.entries) == 0 {
-		f.sent = max(f.sent, c.virtual)
+		f.startTag = max(f.startTag, c.virtualTime)
 	}
 	f.entries = append(f.entries, e)
 	c.length++
@@ -113,7 +115,7 @@
 		if c.flows == nil {
 			c.flows = make(map[string]*flow[T])
 		}
-		f = &flow[T]{workspace: workspace, sent: c.virtual}
+		f = &flow[T]{workspace: workspace, startTag: c.virtualTime}
 		c.flows[workspace] = f
 	}
 	return f
@@ -122,7 +124,7 @@
 // prune forgets workspaces whose share would be that of a new one.
 func (c *class[T]) prune() {
 	for name, f := range c.flows {
-		if len(f.entries) == 0 && f.sent <= c.virtual {
+		if len(f.entries) == 0 && f.startTag <= c.virtualTime {
 			delete(c.flows, name)
 		}
 	}
@@ -181,6 +183,8 @@
 // Next removes and returns the request to send next, or nil if none is ready at now.
 func (q *Queue[T]) Next(now time.Time) *Entry[T] {
 	var best *Entry[T]
+	// best is the request of the most urgent class that has a ready one, until a less
+	// urgent class is found to be starved, and then that of the most starved one.
 	topShare, lowest := 0.0, math.Inf(1)
 	for u := range q.classes {
 		c := &q.classes[u]
@@ -210,8 +214,8 @@
 	c := &q.classes[e.Request.Urgency]
 	c.share.add(0, 1, now)
 	f := c.flow(e.Request.Workspace)
-	c.virtual = max(c.virtual, f.sent)
-	f.sent += max(1, e.Request.Work)
+	c.virtualTime = max(c.virtualTime, f.startTag)
+	f.startTag += max(1, e.Request.Work)
 }
 
 // next returns the request of the class to send next, or nil if none is ready.
@@ -219,11 +223,11 @@
 	least := math.Inf(1)
 	for _, f := range c.flows {
 		e := f.next(now)
-		if e == nil || f.sent > least {
+		if e == nil || f.startTag > least {
 			continue
 		}
-		if f.sent < least || e.Request.before(&best.Request, now) {
-			best, least = e, f.sent
+		if f.startTag < least || e.Request.before(&best.Request, now) {
+			best, least = e, f.startTag
 		}
 	}
 	return best
--- a/internal/decide/admission/request.go
+++ b/internal/decide/admission/request.go
@@ -46,7 +46,7 @@
 	}
 	freeHold := time.Duration(freeHoldFraction * float64(r.Objective.Sub(r.Arrival)))
 	end := r.Arrival.Add(freeHold)
-	latestStart := r.Objective.Add(-r.ServiceTime)
+	latestStart := r.lastOnTimeStart()
 	switch {
 	case servable.IsZero():
 	case servable.After(end) && servable.After(latestStart):
@@ -60,10 +60,14 @@
 // lastStart returns the time after which the request cannot be served before its deadline.
 func (r *Request) lastStart() time.Time { return r.Deadline.Add(-r.ServiceTime) }
 
+// lastOnTimeStart returns the time after which the request cannot meet its objective, if it
+// has one.
+func (r *Request) lastOnTimeStart() time.Time { return r.Objective.Add(-r.ServiceTime) }
+
 // Slack returns how long the request can still wait at now: until the start that meets its
 // objective, or, once that has passed, its deadline.
 func (r *Request) Slack(now time.Time) time.Duration {
-	if start := r.Objective.Add(-r.ServiceTime); !r.Objective.IsZero() && !now.After(start) {
+	if start := r.lastOnTimeStart(); !r.Objective.IsZero() && !now.After(start) {
 		return start.Sub(now)
 	}
 	return r.lastStart().Sub(now)
--- a/internal/decide/admission/retryafter.go
+++ b/internal/decide/admission/retryafter.go
@@ -48,7 +48,7 @@
 	base := r.Servable.Sub(now)
 	if r.Servable.IsZero() {
 		base = time.Duration(factor * float64(defaultRetryAfter))
-		if start := r.Request.Objective.Add(-r.Request.ServiceTime); start.After(now) {
+		if start := r.Request.lastOnTimeStart(); start.After(now) {
 			base = min(base, start.Sub(now)/2) // another instance may still meet the objective
 		}
 	}
@@ -65,14 +65,17 @@
 }
 
 const (
-	// refusalHalfLife is the age at which a refusal counts half in Refusals.PerSecond.
+	// refusalHalfLife is the age at which a refusal counts half in
+	// RefusalHistory.PerSecond.
 	refusalHalfLife = time.Second
 	// maxRefusals bounds the refused requests that are remembered.
 	maxRefusals = 1024
 )
 
-// Refusals remembers the requests that were refused last. The zero value is empty.
-type Refusals struct {
+// RefusalHistory remembers the requests that were refused last. The zero value is empty.
+type RefusalHistory struct {
+	// recent is the number of refusals as of updated, with weights that halve in
+	// refusalHalfLife.
 	recent  float64
 	updated time.Time
 	// retryAt holds the time, by fingerprint, from which on a retry is preferred, and
@@ -84,7 +87,7 @@
 
 // Add records that a request was refused at now, and when its client was told to retry
 // it. The fingerprint is 0 if it is unknown.
-func (r *Refusals) Add(fingerprint uint64, retryAt, now time.Time) {
+func (r *RefusalHistory) Add(fingerprint uint64, retryAt, now time.Time) {
 	r.recent = r.decayed(now) + 1
 	r.updated = now
 	if fingerprint == 0 {
@@ -109,7 +112,7 @@
 // Retried reports whether a request was refused before, and its client waited until the
 // time that it was told. Each refusal counts for one retry, so that a client that sends
 // equal requests all the time gains nothing by it.
-func (r *Refusals) Retried(fingerprint uint64, now time.Time) bool {
+func (r *RefusalHistory) Retried(fingerprint uint64, now time.Time) bool {
 	at, ok := r.retryAt[fingerprint]
 	if !ok || at.IsZero() || now.Before(at) {
 		return false
@@ -119,11 +122,12 @@
 }
 
 // PerSecond returns the number of refusals in about the last second.
-func (r *Refusals) PerSecond(now time.Time) float64 {
+func (r *RefusalHistory) PerSecond(now time.Time) float64 {
 	return r.decayed(now) * math.Ln2 / refusalHalfLife.Seconds()
 }
 
-func (r *Refusals) decayed(now time.Time) float64 {
+// decayed returns recent as of now.
+func (r *RefusalHistory) decayed(now time.Time) float64 {
 	if r.updated.IsZero() {
 		return 0
 	}
--- a/internal/decide/admission/rules_test.go
+++ b/internal/decide/admission/rules_test.go
@@ -85,7 +85,7 @@
 // Guards against clients that gain from a retry before the time that they were told, and
 // against a memory of refusals that grows without bound.
 func TestRefusalsRecogniseRetries(t *testing.T) {
-	var r Refusals
+	var r RefusalHistory
 	r.Add(7, at(300), at(0))
 	if r.Retried(7, at(299)) || !r.Retried(7, at(300)) || r.Retried(8, at(300)) {
 		t.Error("want only request 7 recognised, from 300 ms on")
--- a/internal/decide/backlog/ledger.go
+++ b/internal/decide/backlog/ledger.go
@@ -105,21 +105,41 @@
 func (l *Ledger) Add(c Claim, limit Backlog, now time.Time) (earlier Reading, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.servers[c.Server]
-	if s != nil {
+	if s := l.servers[c.Server]; s != nil {
 		l.expire(c.Server, s, now)
-		earlier.Backlog = s.backlog
 	}
 	key := prefixKey{c.Server, c.Prefix}
-	p := l.prefixes[key]
-	earlier.Cached = now.Before(p.cachedUntil)
-	if now.Before(p.holderUntil) {
-		earlier.Holder = p.holder
-	}
+	earlier = l.reading(key, now)
+	s := l.servers[c.Server] // expire removes a server without claims
 	if !earlier.Within(limit) || l.claims >= maxClaims || s != nil && s.claims[c.Request] != nil {
 		return earlier, false
 	}
-	if l.servers[c.Server] == nil { // expire removes a server without claims
+	l.add(c, now)
+	if c.Prefix != 0 {
+		p := l.prefixes[key]
+		p.cachedUntil = now.Add(prefixLifetime)
+		l.setPrefix(key, p)
+	}
+	return earlier, true
+}
+
+// reading returns what is known about a server and a prefix.
+func (l *Ledger) reading(key prefixKey, now time.Time) (r Reading) {
+	if s := l.servers[key.server]; s != nil {
+		r.Backlog = s.backlog
+	}
+	p := l.prefixes[key]
+	r.Cached = now.Before(p.cachedUntil)
+	if now.Before(p.holderUntil) {
+		r.Holder = p.holder
+	}
+	return r
+}
+
+// add adds a claim to those on its server.
+func (l *Ledger) add(c Claim, now time.Time) {
+	s := l.servers[c.Server]
+	if s == nil {
 		s = &server{claims: make(map[uint64]*claim)}
 		if l.servers == nil {
 			l.servers = make(map[string]*server)
@@ -133,16 +153,11 @@
 	s.backlog.Pending += tokens
 	s.backlog.Running++
 	l.claims++
-	if c.Prefix != 0 {
-		p.cachedUntil = now.Add(prefixLifetime)
-		l.setPrefix(key, p)
-	}
-	return earlier, true
 }
 
-// Hold records that a request with a prefix was sent to the server holder instead of
+// SetHolder records that a request with a prefix was sent to the server holder instead of
 // another.
-func (l *Ledger) Hold(server string, prefix uint64, holder string, now time.Time) {
+func (l *Ledger) SetHolder(server string, prefix uint64, holder string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := prefixKey{server, prefix}
@@ -236,6 +251,7 @@
 	c.tokens = 0
 }
 
+// remove removes a claim on s, and s if it has no other.
 func (l *Ledger) remove(id string, s *server, request uint64) {
 	c := s.claims[request]
 	if c == nil {
--- a/internal/decide/backlog/ledger_test.go
+++ b/internal/decide/backlog/ledger_test.go
@@ -81,7 +81,7 @@
 	var l Ledger
 	for n := range uint64(maxClaims + 1000) {
 		l.Add(Claim{Server: "a", Request: n, Prefix: n + 1, Deadline: epoch.Add(time.Hour)}, Unlimited, epoch)
-		l.Hold("b", n+1, "c", epoch)
+		l.SetHolder("b", n+1, "c", epoch)
 	}
 	if l.Len() > maxClaims || len(l.prefixes) > maxPrefixes {
 		t.Errorf("got %d claims and %d prefixes, want at most %d and %d", l.Len(), len(l.prefixes), maxClaims, maxPrefixes)
@@ -95,7 +95,7 @@
 	if r, _ := add(&l, "a", 1, 1, Backlog{-1, -1}, epoch); r.Cached || r.Holder != "" {
 		t.Errorf("unknown prefix: got %+v, want neither cached nor a holder", r)
 	}
-	l.Hold("a", 7, "b", epoch)
+	l.SetHolder("a", 7, "b", epoch)
 	if r, _ := add(&l, "a", 1, 1, Unlimited, epoch); r.Cached || r.Holder != "b" {
 		t.Errorf("prefix at another server: got %+v, want holder b", r)
 	}
--- a/internal/decide/coldstart/coldstart.go
+++ b/internal/decide/coldstart/coldstart.go
@@ -34,19 +34,20 @@
 	// Confirmed is when the list of instances that Owners is derived from was last
 	// known to be complete.
 	Confirmed time.Time
-	// FirstLive reports whether the first owner is live.
-	FirstLive bool
+	// SecondMaySend is true if Self is the second owner and believes that the first one
+	// is not live. It has no effect for other instances.
+	SecondMaySend bool
 	// LastSend is when the instance last sent to the server, or the zero time.
 	LastSend time.Time
 }
 
 // NextSend returns the time from which the instance may send a request to the server.
-// It returns false if the instance is not one that may.
+// It returns false if the instance is not an owner that may send now.
 func (q Query) NextSend(now time.Time) (at time.Time, ok bool) {
 	if now.Before(q.Owners.From) || now.Sub(q.Confirmed) > MaxRosterAge {
 		return time.Time{}, false
 	}
-	if q.Self != q.Owners.First && (q.Self != q.Owners.Second || q.FirstLive) {
+	if q.Self != q.Owners.First && (q.Self != q.Owners.Second || !q.SecondMaySend) {
 		return time.Time{}, false
 	}
 	return q.LastSend.Add(q.Limit.Interval()), true
--- a/internal/decide/coldstart/coldstart_test.go
+++ b/internal/decide/coldstart/coldstart_test.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		for id, owners := range i.owners {
-			q := Query{Limit: limit, Self: i.ID, Owners: owners, Confirmed: i.confirmed, FirstLive: !m.believesDead(m, i, owners.First), LastSend: i.lastSend[id]}
+			q := Query{Limit: limit, Self: i.ID, Owners: owners, Confirmed: i.confirmed, SecondMaySend: m.believesDead(m, i, owners.First), LastSend: i.lastSend[id]}
 			if q.MaySend(m.now) {
 				i.lastSend[id] = m.now
 				m.sent[id] = append(m.sent[id], m.now.Add(time.Duration(m.random.IntN(60))*time.Millisecond))
--- a/internal/decide/evacuation/evacuation.go
+++ b/internal/decide/evacuation/evacuation.go
@@ -88,18 +88,25 @@
 		states[c.Domain] = changed(known, c, now)
 	}
 	if u.Complete {
-		for _, domain := range slices.Sorted(maps.Keys(states)) {
-			known := states[domain]
-			if !known.evacuated || listed[domain] || known.revision > u.Revision {
-				continue
-			}
-			states[domain] = changed(known, Change{Domain: domain, Revision: u.Revision, Removed: true}, now)
-			transitions = append(transitions, Transition{domain, false, u.Revision})
-		}
+		transitions = append(transitions, returnUnlisted(states, listed, u.Revision, now)...)
 	}
 	return &Set{states: states}, transitions
 }
 
+// returnUnlisted changes states after a listing of all keys at a revision: domains that it
+// lacks are returned to service.
+func returnUnlisted(states map[string]state, listed map[string]bool, revision int64, now time.Time) (transitions []Transition) {
+	for _, domain := range slices.Sorted(maps.Keys(states)) {
+		known := states[domain]
+		if !known.evacuated || listed[domain] || known.revision > revision {
+			continue
+		}
+		states[domain] = changed(known, Change{Domain: domain, Revision: revision, Removed: true}, now)
+		transitions = append(transitions, Transition{domain, false, revision})
+	}
+	return transitions
+}
+
 // changed returns the state of a domain after a change of its key.
 func changed(known state, c Change, now time.Time) state {
 	next := state{revision: c.Revision, evacuated: !c.Removed}
--- a/internal/decide/speed/baselines.go
+++ b/internal/decide/speed/baselines.go
@@ -93,12 +93,14 @@
 		class = &baseline{mean: logDuration}
 		b.classes[s.Class] = class
 	}
+	// known reports whether the baseline is good enough to compare servers with.
 	known := class.samples >= minClassSamples
 	slowness := server.slowness(now)
 	deviation := logDuration - class.mean - slowness
 	if known {
 		deviation = min(max(deviation, -maxDeviation), maxDeviation)
 	}
+	// A duration that ended early shows something only if it is long already.
 	if s.Minimum && (!known || deviation <= 0) {
 		return
 	}
--- a/internal/entry/gateway/evacuation.go
+++ b/internal/entry/gateway/evacuation.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// maxReportedEvacuations bounds the odd evacuation keys that are logged.
+	// maxReportedEvacuations bounds the invalid evacuation keys that are logged.
 	maxReportedEvacuations = 64
-	// maxLoggedKeyBytes bounds an odd key in a log line.
+	// maxLoggedKeyBytes bounds an invalid key in a log line.
 	maxLoggedKeyBytes = 64
 )
 
@@ -31,7 +31,7 @@
 	}
 }
 
-// reportEvacuation logs what is odd about an evacuation key, once for each revision.
+// reportEvacuation logs why an evacuation key is invalid, once for each revision.
 func (f *Instance) reportEvacuation(item store.Item, message string, err error) {
 	reported, known := f.reportedEvacuations[item.Key]
 	if reported >= item.Revision || !known && len(f.reportedEvacuations) >= maxReportedEvacuations {
--- a/internal/operator/precheck/compare.go
+++ b/internal/operator/precheck/compare.go
@@ -29,6 +29,7 @@
 	return c.findings
 }
 
+// comparer collects the differences between two tables.
 type comparer struct {
 	collector
 	old, next *routes.Table
--- a/internal/operator/routes/routes.go
+++ b/internal/operator/routes/routes.go
@@ -71,7 +71,7 @@
 	Name string
 	// Scaling is nil if the number of servers is not scaled automatically.
 	Scaling *Scaling
-	// ColdRate is the number of requests that a server bears per second, over all
+	// ColdRate is the number of requests that a server can handle per second, over all
 	// instances, while it is cold; 0 means no limit.
 	ColdRate float64
 	// ColdTime is how long a server stays cold after its start.
--- a/internal/peer/claim/client.go
+++ b/internal/peer/claim/client.go
@@ -208,12 +208,12 @@
 	}
 }
 
-// Hold reports to the tracker of s that a request with a prefix was sent to another server.
-func (l *Client) Hold(s Server, prefix uint64, holder string) {
+// ReportHolder reports to the tracker of s that a request with a prefix was sent to another server.
+func (l *Client) ReportHolder(s Server, prefix uint64, holder string) {
 	switch tracker := l.config.Tracker(s); tracker {
 	case "":
 	case l.config.Instance:
-		l.ledger.Hold(s.Process, prefix, holder, l.config.Now())
+		l.ledger.SetHolder(s.Process, prefix, holder, l.config.Now())
 	default:
 		l.report(tracker, &peerpb.Progress{Server: s.Process, Prefix: prefix, Holder: holder})
 	}
@@ -288,7 +288,7 @@
 	for _, p := range r.GetProgress() {
 		switch {
 		case p.GetPrefix() != 0:
-			l.ledger.Hold(p.GetServer(), p.GetPrefix(), p.GetHolder(), l.config.Now())
+			l.ledger.SetHolder(p.GetServer(), p.GetPrefix(), p.GetHolder(), l.config.Now())
 		case p.GetEnded():
 			l.ledger.End(p.GetServer(), p.GetRequest())
 		default:
--- a/internal/peer/claim/client_test.go
+++ b/internal/peer/claim/client_test.go
@@ -79,7 +79,7 @@
 		t.Errorf("after the prompt: got %+v, want one request without pending tokens", r)
 	}
 	first.End()
-	n.clients["b"].Hold(someServer, 7, "other/1")
+	n.clients["b"].ReportHolder(someServer, 7, "other/1")
 	n.flush(t, "a")
 	n.flush(t, "b")
 	if r, _, _ := n.add(t, "a", backlog.Backlog{Pending: -1}); r.Running != 0 || r.Holder != "other/1" {
@@ -114,7 +114,7 @@
 	if _, _, err := n.add(t, "a", backlog.Unlimited); !errorx.IsOfType(err, NoTracker) || n.calls != 0 {
 		t.Errorf("no tracker: got error %v after %d calls, want %v after none", err, n.calls, NoTracker)
 	}
-	n.clients["a"].Hold(someServer, 7, "other/1")
+	n.clients["a"].ReportHolder(someServer, 7, "other/1")
 	var none *Claim
 	none.Processed()
 	none.End()
