--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -39,26 +39,35 @@
 	fullServerPause = 100 * time.Millisecond
 )
 
+// failedAttempts counts the failed attempts of a request.
+type failedAttempts struct {
+	runs            int // attempts in which a server may have run the request
+	rejections      int // attempts that a server rejected
+	connectFailures int // attempts of which no byte was sent
+	// lastReason is the reason to fail the request if there is no further attempt; empty
+	// if it is unknown so far.
+	lastReason Reason
+}
+
 // run makes attempts until one succeeds or no further one is allowed.
 func (e *exchange) run(ctx context.Context) {
-	var runs, rejections, connectFailures int
-	var lastReason Reason
+	var failed failedAttempts
 	for {
 		reason := e.revalidate()
 		if reason == StaleConfiguration && e.mustContinue() && waitForConfiguration(ctx) {
 			continue
 		}
 		if reason != "" {
-			e.giveUp(ctx, reason, runs)
+			e.giveUp(ctx, reason, failed.runs)
 			return
 		}
 		t, yields, ok := e.acquireServer(ctx)
 		if !ok {
-			if lastReason == "" {
-				lastReason = e.reasonForNoServer()
+			if failed.lastReason == "" {
+				failed.lastReason = e.reasonForNoServer()
 			}
 			if !e.waitForServer(ctx) {
-				e.giveUp(ctx, lastReason, runs)
+				e.giveUp(ctx, failed.lastReason, failed.runs)
 				return
 			}
 			continue
@@ -68,41 +77,44 @@
 			// validated again and chooses again.
 			e.hasYielded = !e.waitForServer(ctx)
 			if ctx.Err() != nil {
-				e.giveUp(ctx, NoServer, runs)
+				e.giveUp(ctx, NoServer, failed.runs)
 				return
 			}
 			continue
 		}
-		retry := false
-		switch result := e.send(ctx, t); result {
-		case outcomeAnswered:
+		result := e.send(ctx, t)
+		if result == outcomeAnswered {
 			return
-		case outcomeUnreachable:
-			connectFailures++
-			lastReason = ServersUnreachable
-			retry = (connectFailures < maxUnreachable || e.mustContinue()) && ctx.Err() == nil
-		case outcomeNotRun:
-			rejections++
-			lastReason = ServersFull
-			retry = ctx.Err() == nil && e.mayRetryRejected(ctx, rejections)
-		default:
-			runs++
-			lastReason = ResponseLost
-			switch result {
-			case outcomeInvalid:
-				lastReason = InvalidResponse
-			case outcomeDropped:
-				lastReason = ResponseDropped
-			}
-			retry = e.mayRetry(ctx, runs)
 		}
-		if !retry {
-			e.giveUp(ctx, lastReason, runs)
+		if !e.retryAfterFailure(ctx, result, &failed) {
+			e.giveUp(ctx, failed.lastReason, failed.runs)
 			return
 		}
 	}
 }
 
+// retryAfterFailure counts a failed attempt in f, and reports whether to make another one.
+func (e *exchange) retryAfterFailure(ctx context.Context, result outcome, f *failedAttempts) bool {
+	switch result {
+	case outcomeUnreachable:
+		f.connectFailures++
+		f.lastReason = ServersUnreachable
+		return (f.connectFailures < maxUnreachable || e.mustContinue()) && ctx.Err() == nil
+	case outcomeNotRun:
+		f.rejections++
+		f.lastReason = ServersFull
+		return ctx.Err() == nil && e.mayRetryRejected(ctx, f.rejections)
+	case outcomeInvalid:
+		f.lastReason = InvalidResponse
+	case outcomeDropped:
+		f.lastReason = ResponseDropped
+	default:
+		f.lastReason = ResponseLost
+	}
+	f.runs++
+	return e.mayRetry(ctx, f.runs)
+}
+
 // mayRetryRejected reports whether a request that servers rejected is sent again. If so, it
 // withdraws the retry from the budget.
 func (e *exchange) mayRetryRejected(ctx context.Context, rejections int) bool {
--- a/internal/operator/precheck/check.go
+++ b/internal/operator/precheck/check.go
@@ -17,6 +17,7 @@
 	return c.findings
 }
 
+// checker collects what is wrong with a table.
 type checker struct {
 	collector
 	table *routes.Table
@@ -33,6 +34,7 @@
 // matchKey is what a route is selected by.
 type matchKey struct{ host, prefix string }
 
+// routes reports routes that share a name or a match, and what is wrong with each.
 func (c *checker) routes() {
 	names, first := make(map[string]bool), make(map[matchKey]string)
 	for i := range c.table.Routes {
@@ -61,6 +63,7 @@
 	}
 }
 
+// times reports durations that exceed the timeout of the route.
 func (c *checker) times(path string, r *routes.Route) {
 	allowed := fmt.Sprintf("at most the timeout of %v", r.Timeout)
 	if r.Timeout > 0 && r.Objective > r.Timeout {
@@ -92,6 +95,7 @@
 	}
 }
 
+// retries reports settings of repeated requests that have no effect on the kind of route.
 func (c *checker) retries(path string, r *routes.Route) {
 	if r.Attempts > 1 && !r.Repeatable() {
 		c.add(Warning, path+".attempts", "1", "%d attempts, but the route is %s: a request that may have run is not repeated", r.Attempts, r.Kind)
@@ -101,6 +105,7 @@
 	}
 }
 
+// services reports services that share a name, and contradictory limits of scaling.
 func (c *checker) services() {
 	names := make(map[string]bool)
 	for i, s := range c.table.Services {
@@ -112,6 +117,7 @@
 	}
 }
 
+// workspaces reports workspaces and keys that are duplicate, missing or never match.
 func (c *checker) workspaces() {
 	if c.table.KeysRequired && len(c.table.Workspaces) == 0 {
 		c.add(Warning, "workspaces", "at least one workspace, or no list", "the list is empty: requests to routes that are not public are refused")
--- a/internal/operator/routes/table.go
+++ b/internal/operator/routes/table.go
@@ -130,6 +130,7 @@
 // that some requests are more urgent than others.
 func (t *Table) Prioritized() bool { return t.prioritized }
 
+// urgenciesDiffer computes Prioritized.
 func (t *Table) urgenciesDiffer() bool {
 	first := -1
 	differs := func(priority int) bool {
