--- a/internal/caller/connlimit/conn.go
+++ b/internal/caller/connlimit/conn.go
@@ -150,8 +150,9 @@
 	}
 }
 
-// refuseTimeout bounds the write of the instance's own response.
-const refuseTimeout = 100 * time.Millisecond
+// refuseTimeout bounds the write of the instance's own response. At 100 ms, an instance with
+// little processor time sometimes closed the connection without the response.
+const refuseTimeout = time.Second
 
 // refuse answers a request whose head is not complete, and lets nothing else be written.
 func (c *conn) refuse(reason Reason) {
