--- a/internal/decide/coldstart/coldstart_test.go
+++ b/internal/decide/coldstart/coldstart_test.go
@@ -88,7 +88,12 @@
 		if !i.running {
 			continue
 		}
-		for id, owners := range i.owners {
+		for _, s := range m.servers { // in order, so that a seed gives the same run
+			id := s.ID
+			owners, ok := i.owners[id]
+			if !ok {
+				continue
+			}
 			q := Query{Limit: limit, Self: i.ID, Owners: owners, Confirmed: i.confirmed, FirstLive: !m.believesDead(m, i, owners.First), LastSend: i.lastSend[id]}
 			if q.MaySend(m.now) {
 				i.lastSend[id] = m.now
