--- a/internal/peer/propagation/propagation_test.go
+++ b/internal/peer/propagation/propagation_test.go
@@ -116,12 +116,20 @@
 	first := put(t, o.store, "one", 0)
 	n := start(t, o)
 	tickUntil(t, o, n, "the instance to be ready with the first revision", n.Ready)
+	// The read before the watch would otherwise take the bad revisions.
+	tickUntil(t, o, n, "the watch", func() bool { return o.store.Calls().Watch > 0 })
 	second := put(t, o.store, "bad", first)
 	third := put(t, o.store, "panic", second)
 	tickUntil(t, o, n, "the watch to go on after a bad revision", func() bool { return o.store.Calls().Watch > 1 })
 	is.Equal(n.Current().Value, "one")
 	fourth := put(t, o.store, "two", third)
 	tickUntil(t, o, n, "the next good revision", func() bool { return n.Revision() == fourth })
+	// A change is reported after its revision is in effect.
+	tickUntil(t, o, n, "the report of the second change", func() bool {
+		n.changes.Lock()
+		defer n.changes.Unlock()
+		return len(n.changes.revisions) > 1
+	})
 	n.changes.Lock()
 	defer n.changes.Unlock()
 	is.Equal(n.changes.revisions, []int64{first, fourth})
