Skip work in claims without a holder, and remove two unused methods

After each claim, the process names of all servers were built and compared although the tracker named no holder of the prefix; a Worker now keeps its name, and the loop runs only for a holder. limit.Allowance.Cap and Low have had no caller since the allowances became pools.

--- a/internal/backend/pool/process.go
+++ b/internal/backend/pool/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -95,4 +94,4 @@
 }
 
 // Process identifies the process of the server among those that run under any ID.
-func (w *Worker) Process() string { return w.ID + "/" + strconv.FormatInt(w.Incarnation, 10) }
+func (w *Worker) Process() string { return w.processID }
--- a/internal/backend/pool/worker.go
+++ b/internal/backend/pool/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,8 @@
 	// Speed is the speed of the process relative to the servers of its service.
 	Speed speed.Server
 
+	processID string // result of Process
+
 	// coldLimit is the limit for cold servers of the server's service.
 	coldLimit atomic.Pointer[coldstart.Limit]
 
@@ -77,7 +80,7 @@
 }
 
 func newWorker(s Registration, state *processState, shared *sharedState, now time.Time) *Worker {
-	w := &Worker{Registration: s, joined: now, state: state, shared: shared}
+	w := &Worker{Registration: s, processID: s.ID + "/" + strconv.FormatInt(s.Incarnation, 10), joined: now, state: state, shared: shared}
 	w.setColdLimit()
 	w.Transport = tcp.NewTransport(tcp.Config{DialTimeout: dialTimeout, IdleTimeout: idleTimeout})
 	return w
--- a/internal/caller/forward/choose.go
+++ b/internal/caller/forward/choose.go
@@ -167,6 +167,9 @@
 		known.CachedTokens = max(known.CachedTokens, shared)
 		return
 	}
+	if r.Holder == "" {
+		return
+	}
 	for j, s := range c.servers {
 		if s.Process() == r.Holder {
 			known.Uncached = true
--- a/internal/decide/limit/allowance.go
+++ b/internal/decide/limit/allowance.go
@@ -67,22 +67,6 @@
 	return time.Duration(math.Ceil((max(1, need) - a.level) / a.rate * float64(time.Second)))
 }
 
-// Cap lowers the level to a fraction of the burst if it is higher.
-func (a *Allowance) Cap(fraction float64, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.refill(now)
-	a.level = min(a.level, fraction*a.burst)
-}
-
-// Low reports whether less than half of the burst is left.
-func (a *Allowance) Low(now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.refill(now)
-	return a.rate > 0 && a.level < a.burst/2
-}
-
 // Spend deducts units, even if fewer are left.
 func (a *Allowance) Spend(units float64, now time.Time) {
 	a.mu.Lock()
