Count retry withdrawals, relay calls and the age of the copy

The hypotheses on changes that are not in force and on repeats beyond the budget could not be told apart by metrics: no counter showed what the budget granted, by how many instances its slack is divided, why a call to a peer brought no changes, or how old the copy is. The relay of the store is now a type of its own, so that a model can use it. No decision changes.

--- a/internal/entry/gateway/budgets.go
+++ b/internal/entry/gateway/budgets.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"errors"
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"wasabiworks.example/wasabiworks/internal/decide/retry"
 )
 
@@ -12,6 +15,18 @@
 type retryBudgets struct {
 	config   retry.SharedConfig
 	services sync.Map // service name to *retry.SharedBudget
+	events   *prometheus.CounterVec
+}
+
+// newRetryBudgets returns the budgets after registering their metrics.
+func newRetryBudgets(c retry.SharedConfig, r prometheus.Registerer) (*retryBudgets, error) {
+	b := &retryBudgets{config: c, events: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "forward_retry_budget_total", Help: "Requests that earn retries, and retries that the budget granted or refused, by service.",
+	}, []string{"service", "event"})}
+	counted := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "forward_retry_budget_instances", Help: "Number of instances among which the slack of the retry budget is divided.",
+	}, func() float64 { return float64(c.Instances()) })
+	return b, errors.Join(r.Register(b.events), r.Register(counted))
 }
 
 // budget returns the budget of a service, which is created on first use.
@@ -24,10 +39,21 @@
 }
 
 // Deposit implements forward.Budget.
-func (b *retryBudgets) Deposit(service string) { b.budget(service).Deposit() }
+func (b *retryBudgets) Deposit(service string) {
+	b.budget(service).Deposit()
+	b.events.WithLabelValues(service, "request").Inc()
+}
 
 // Withdraw implements forward.Budget.
-func (b *retryBudgets) Withdraw(service string) bool { return b.budget(service).Withdraw() }
+func (b *retryBudgets) Withdraw(service string) bool {
+	granted := b.budget(service).Withdraw()
+	event := "refused"
+	if granted {
+		event = "granted"
+	}
+	b.events.WithLabelValues(service, event).Inc()
+	return granted
+}
 
 // RetryLimit limits the retries of all instances together at one service.
 type RetryLimit struct {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -171,9 +171,7 @@
 	refusing   atomic.Bool
 	ending     context.Context
 	endClients context.CancelFunc
-	// relayAvoidUntil is the time, by instance ID, until which a peer is not asked
-	// to relay the store. Only the follower's goroutine uses it.
-	relayAvoidUntil map[string]time.Time
+	relay      *relaySource
 	// serverRevisions are the store revisions of the servers' entries, by server
 	// ID. Only apply and the methods that it calls use them.
 	serverRevisions map[string]int64
@@ -238,15 +236,25 @@
 	}
 	f := &Instance{
 		config: c, now: boottime.Now, registry: c.Registry, pool: pool.New(),
-		relayAvoidUntil: make(map[string]time.Time), serverRevisions: make(map[string]int64), reportedEvacuations: make(map[string]int64), registered: make(map[string]membership.Member),
+		serverRevisions: make(map[string]int64), reportedEvacuations: make(map[string]int64), registered: make(map[string]membership.Member),
 		ownAddresses: listenAddresses(c.Clients, c.Ready, c.Peer, c.Operations),
 	}
 	f.ending, f.endClients = context.WithCancel(context.Background())
-	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay, MaxRelayAge: maxRelayAge, Now: f.now, Log: c.Log})
+	f.relay, err = newRelaySource(relaySource{
+		instance: c.ID, now: f.now,
+		watch: func(ctx context.Context, peer string, r *peerpb.WatchRequest) (*peerpb.WatchReply, error) {
+			return f.exchange.Watch(ctx, peer, r)
+		},
+	}, f.registry)
+	if err != nil {
+		return nil, err
+	}
+	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay.get, MaxRelayAge: maxRelayAge, Now: f.now, Log: c.Log})
+	f.relay.follower = f.follower
 	if err := f.initCluster(); err != nil {
 		return nil, err
 	}
-	if err := errors.Join(f.registerEvacuationMetrics(), f.registerColdMetrics()); err != nil {
+	if err := errors.Join(f.registerEvacuationMetrics(), f.registerColdMetrics(), f.registerCopyMetrics()); err != nil {
 		return nil, err
 	}
 	if f.burn, err = burn.New(burn.Config{Registry: f.registry}); err != nil {
@@ -255,12 +263,16 @@
 	if f.connections, err = f.newConnectionGroups(); err != nil {
 		return nil, err
 	}
+	budgets, err := newRetryBudgets(retry.SharedConfig{
+		Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instanceCount, Now: f.now,
+	}, f.registry)
+	if err != nil {
+		return nil, err
+	}
 	f.handler, err = forward.New(forward.Config{
 		Headers: c.Format.Headers, FailureDomain: c.FailureDomain, View: f.view, Pool: f.pool,
 		Allowances: f.allowances, Usage: f.usage, Poison: poisonFilter{f}, Versions: f.mover, Claims: f.claims,
-		Budget: &retryBudgets{config: retry.SharedConfig{
-			Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instanceCount, Now: f.now,
-		}},
+		Budget:           budgets,
 		MaxResponseBytes: c.MaxResponseBytes, Requests: f.connections.requests, MemoryBytes: 2 * f.connections.shares.ResponseBytes, OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
 		Refusing: f.refusing.Load, Ending: f.ending,
 	})
@@ -278,6 +290,7 @@
 		ID: c.ID, Incarnation: incarnation, FailureDomain: c.FailureDomain, PeerAddress: c.Peer.Addr().String(),
 		OperationsAddress: c.Operations.Addr().String(), Capacity: c.Capacity,
 	}})
+	f.relay.members = f.members
 	if f.allowances, err = f.newAllowances(); err != nil {
 		return err
 	}
@@ -308,7 +321,7 @@
 		Members: f.members, MinRemotePeriod: remotePeriod,
 		Sources:    []exchange.Source{counters, f.crashes},
 		Sinks:      []exchange.Sink{counters, f.crashes},
-		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.serveWatch, Spend: f.serveSpend, Claim: f.claims.ServeClaim, Progress: f.claims.ServeProgress},
+		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.relay.serve, Spend: f.serveSpend, Claim: f.claims.ServeClaim, Progress: f.claims.ServeProgress},
 		Registerer: f.registry,
 		Logger:     c.Log,
 	})
