Give no retry slack to a process in its first window

Cause: a process used a third of its share of the slack in its first window, whatever the process before it on that machine had used, and divided the slack by the instances whose entries it found. After several kills within a window the thirds add up; after the entries lapsed (the store was away, or came back from a copy) a starting process counts few instances, and takes up to a third of the whole slack for itself.

Evidence: both tests fail on the code before.

Now a process has no slack in its first window. Slack that was used before a restart and slack after it are then a window apart, so that no window holds both, and by the end of the first window the entries are back. Retries earned by requests are not affected. The window counts from the start of the process rather than from its first request, so that a fleet that has run before traffic begins has all of its slack.

--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -18,6 +18,9 @@
 	Window       time.Duration
 	// Instances returns the number of instances that share the budget.
 	Instances func() int
+	// Started is when the process started, on the clock of Now; the default is the time of
+	// NewSharedBudget.
+	Started time.Time
 	Now       func() time.Time
 	// Random returns a number in [0, 1); the default is a random one.
 	Random func() float64
@@ -32,15 +35,13 @@
 	drawWindows = 4
 	// minSlackFraction is the fraction of the slack that instances use at least.
 	minSlackFraction = 0.25
-	// initialFraction is the fraction of its share of the slack that an instance uses
-	// in its first window. All instances may have been killed at once after they
-	// used theirs.
-	initialFraction = 1.0 / 3
 )
 
 // SharedBudget is one instance's part of the fleet's budget. In a window the
 // instance may send Ratio retries for each of its own requests, and an equal share
-// of the slack. Parts of a retry are rounded at random, so that many instances with
+// of the slack. In the first window of a process there is no slack: the process that ran
+// before on the same machine may have used it, and the number of instances may not be known
+// yet. Parts of a retry are rounded at random, so that many instances with
 // less than one retry each use their parts together, and hardly more. The methods
 // are safe for concurrent use.
 type SharedBudget struct {
@@ -50,7 +51,6 @@
 	partEnd  time.Time // end of the current part
 	earned   [parts]float64
 	spent    [parts + 1]float64 // one part more, so that it covers a whole window
-	firstEnd time.Time          // end of the first window
 	drawEnd  time.Time          // when rounding is drawn again
 	rounding float64            // in [0, 1)
 }
@@ -61,8 +61,11 @@
 		c.Random = rand.Float64
 	}
 	now := c.Now()
+	if c.Started.IsZero() {
+		c.Started = now
+	}
 	return &SharedBudget{
-		config: c, partEnd: now.Add(c.Window / parts), firstEnd: now.Add(c.Window), rounding: c.Random(),
+		config: c, partEnd: now.Add(c.Window / parts), rounding: c.Random(),
 		// Instances that start together draw at different times.
 		drawEnd: now.Add(time.Duration(c.Random() * float64(drawWindows*c.Window))),
 	}
@@ -92,12 +95,11 @@
 // half the square root of the number of instances from the sum of their parts, and
 // twice that is kept free.
 func (s *SharedBudget) slackShare() float64 {
-	n := float64(max(1, s.config.Instances()))
-	share := max(usableFraction*s.config.Slack-math.Sqrt(n), minSlackFraction*s.config.Slack) / n
-	if s.config.Now().Before(s.firstEnd) {
-		share *= initialFraction
+	if s.config.Now().Sub(s.config.Started) < s.config.Window {
+		return 0
 	}
-	return share
+	n := float64(max(1, s.config.Instances()))
+	return max(usableFraction*s.config.Slack-math.Sqrt(n), minSlackFraction*s.config.Slack) / n
 }
 
 // advance begins new parts, and draws the rounding again, if the current ones have
--- a/internal/decide/retry/shared_test.go
+++ b/internal/decide/retry/shared_test.go
@@ -1,7 +1,9 @@
 package retry
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -120,3 +122,109 @@
 		}
 	}
 }
+
+// fleetModel is a model of instances that share a budget and are killed together.
+type fleetModel struct {
+	now       time.Time
+	random    *rand.Rand
+	config    SharedConfig
+	instances int
+	// counted is the number of instances that a process counts.
+	counted           func(startedAt time.Time) int
+	requests, retries []time.Time
+}
+
+// start returns the budgets of processes that all start now.
+func (m *fleetModel) start() []*SharedBudget {
+	budgets, startedAt := make([]*SharedBudget, m.instances), m.now
+	for i := range budgets {
+		c := m.config
+		c.Instances, c.Started = func() int { return m.counted(startedAt) }, startedAt
+		budgets[i] = NewSharedBudget(c)
+	}
+	return budgets
+}
+
+// serve lets requests come for d, each of which wants retries until the budget refuses one.
+func (m *fleetModel) serve(budgets []*SharedBudget, perSecond int, d time.Duration) {
+	for end := m.now.Add(d); m.now.Before(end); m.now = m.now.Add(time.Second / time.Duration(perSecond)) {
+		b := budgets[m.random.IntN(len(budgets))]
+		b.Deposit()
+		m.requests = append(m.requests, m.now)
+		for range 3 {
+			if b.Withdraw() {
+				m.retries = append(m.retries, m.now)
+			}
+		}
+	}
+}
+
+// worstExcess returns by how many retries the worst window exceeds the fleet's bound, in
+// which the requests are those of the window, the one before it, or the one half a window
+// before it, whichever has most.
+func (m *fleetModel) worstExcess() (worst float64) {
+	in := func(times []time.Time, from time.Time) float64 {
+		first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+		last, _ := slices.BinarySearchFunc(times, from.Add(m.config.Window), time.Time.Compare)
+		return float64(last - first)
+	}
+	worst = math.Inf(-1)
+	for _, from := range m.retries {
+		requests := max(in(m.requests, from), in(m.requests, from.Add(-m.config.Window)), in(m.requests, from.Add(-m.config.Window/2)))
+		worst = max(worst, in(m.retries, from)-m.config.Ratio*requests-m.config.Slack)
+	}
+	return worst
+}
+
+func newFleetModel(seed uint64, instances int, slack float64) *fleetModel {
+	m := &fleetModel{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 41)), instances: instances}
+	m.counted = func(time.Time) int { return instances }
+	m.config = SharedConfig{Ratio: 0.2, Slack: slack, Window: 10 * time.Second, Now: func() time.Time { return m.now }, Random: m.random.Float64}
+	return m
+}
+
+// fleetSizes are numbers of instances with the slack that they share.
+var fleetSizes = []struct {
+	instances int
+	slack     float64
+}{{9, 58}, {76, 192}, {295, 630}}
+
+// Guards against processes that use the slack of the fleet again after each of several kills
+// within one window.
+func TestSlackIsNotUsedAgainAfterKills(t *testing.T) {
+	for _, size := range fleetSizes {
+		for seed := range uint64(20) {
+			m := newFleetModel(seed, size.instances, size.slack)
+			perSecond := size.instances * (1 + m.random.IntN(10))
+			m.serve(m.start(), perSecond, 15*time.Second)
+			for range 5 {
+				m.serve(m.start(), perSecond, time.Duration(500+m.random.IntN(1500))*time.Millisecond)
+			}
+			m.serve(m.start(), perSecond, 15*time.Second)
+			if excess := m.worstExcess(); excess > 0 {
+				t.Errorf("%d instances, seed %d, %d requests a second: %.0f retries beyond the bound", size.instances, seed, perSecond, excess)
+			}
+		}
+	}
+}
+
+// Guards against processes that start while most entries of instances have lapsed, and take
+// large parts of the slack because they count few instances.
+func TestSlackIsKeptWhileProcessesCountFewInstances(t *testing.T) {
+	for _, size := range fleetSizes {
+		for seed := range uint64(20) {
+			m := newFleetModel(seed, size.instances, size.slack)
+			perSecond := size.instances * (1 + m.random.IntN(10))
+			m.serve(m.start(), perSecond, 15*time.Second)
+			// The entries are written again within six seconds.
+			m.counted = func(startedAt time.Time) int {
+				written := float64(m.now.Sub(startedAt)) / float64(6*time.Second)
+				return max(1, int(min(1, written)*float64(m.instances)))
+			}
+			m.serve(m.start(), perSecond, 25*time.Second)
+			if excess := m.worstExcess(); excess > 0 {
+				t.Errorf("%d instances, seed %d, %d requests a second: %.0f retries beyond the bound", size.instances, seed, perSecond, excess)
+			}
+		}
+	}
+}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -264,7 +264,7 @@
 		return nil, err
 	}
 	budgets, err := newRetryBudgets(retry.SharedConfig{
-		Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instanceCount, Now: f.now,
+		Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instanceCount, Started: f.now(), Now: f.now,
 	}, f.registry)
 	if err != nil {
 		return nil, err
