Charge a repeat to the service that its route has moved to

Cause: the budget of the service that had failed was charged for the next attempt. If the route moved to another service between the two attempts, the repeat arrived there, beyond the budget of that service (BUDGET).

A request whose service changes after an attempt that may have reached a server now withdraws its next attempt from the budget of the new service, or ends.

--- a/internal/caller/forward/failover.go
+++ b/internal/caller/forward/failover.go
@@ -166,3 +166,14 @@
 	}
 	return true
 }
+
+// chargeNewService withdraws the next attempt from the budget of the request's service, if
+// its route moved there after an attempt at another service. It reports whether the request
+// may be sent.
+func (e *exchange) chargeNewService(ctx context.Context) bool {
+	if !e.retryUncharged {
+		return true
+	}
+	e.retryUncharged = false
+	return e.withdrawRetry(ctx)
+}
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -166,6 +166,7 @@
 	// retry; 0 if it was told none.
 	toldToRetryAfter time.Duration
 	retryReserved    bool // the next attempt was withdrawn from the retry budget
+	retryUncharged   bool // the next attempt is to be withdrawn from the budget of a new service
 	hasYielded       bool // the request waited for more urgent ones as long as it may
 	failedOver       bool // an attempt at a silent server was ended for another server
 	stream           streamProgress
@@ -275,6 +276,7 @@
 		e.view, e.route, e.urgency = v, r, routes.Urgency(r, workspace)
 		if !r.Includes(e.service) {
 			e.pickService()
+			e.retryReserved, e.retryUncharged = false, e.reachedServer()
 		}
 	}
 	return ""
--- a/internal/caller/forward/run.go
+++ b/internal/caller/forward/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
@@ -61,6 +62,10 @@
 			e.giveUp(ctx, reason, failed.runs)
 			return
 		}
+		if !e.chargeNewService(ctx) {
+			e.giveUp(ctx, failed.lastReason, failed.runs)
+			return
+		}
 		t, yields, ok := e.acquireServer(ctx)
 		if !ok {
 			if failed.lastReason == "" {
@@ -161,6 +166,11 @@
 	e.fail(reason)
 }
 
+// reachedServer reports whether an attempt may have reached a server.
+func (e *exchange) reachedServer() bool {
+	return slices.ContainsFunc(e.attempts, func(a attempt) bool { return a.outcome != outcomeUnreachable })
+}
+
 // tried reports whether there was an attempt at server s before that rules out another one.
 // Servers that did not run the request may be tried again once this instance has ended
 // an attempt, and those that rejected it once it has waited.
