Ask further peers for changes when the first ones are cut off too

What callers saw: a confirmed change of the configuration is not in force in time on some instances, for as long as the store rejects them (CONFIG), and their requests with keys are refused.

Cause: an instance that the store rejects gets the changes from peers. It asked two a round and avoided each for 1 s after it said that it has no changes. With the call to the store that times out, a round takes longer than that, so that each round asked the same two. If the store rejected both, and the strongest instances of a failure domain are often rejected together, the instance and all that follow it got nothing.

A peer that replies at once costs little, so up to eight are asked; two that do not reply still end the round.

--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -21,7 +21,7 @@
 	// Started is when the process started, on the clock of Now; the default is the time of
 	// NewSharedBudget.
 	Started time.Time
-	Now       func() time.Time
+	Now     func() time.Time
 	// Random returns a number in [0, 1); the default is a random one.
 	Random func() float64
 }
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -31,9 +31,13 @@
 	relayMargin = 400 * time.Millisecond
 	// defaultMaxRelayAge is the default of Config.MaxRelayAge.
 	defaultMaxRelayAge = 2500 * time.Millisecond
-	// maxRelayAttempts is the number of peers that are called before the store.
-	// The second peer is called with no wait and must reply at once.
-	maxRelayAttempts = 2
+	// maxSilentPeers is the number of peers that do not reply before the store is
+	// called, and maxRelayAttempts the number of peers that are called at most. All but
+	// the first are called with no wait and must reply at once. If the store rejects a
+	// third of the instances, one in 6,000 finds none of maxRelayAttempts peers that has
+	// the changes.
+	maxSilentPeers   = 2
+	maxRelayAttempts = 8
 	// relayCooldown is how long the store is called directly after all relay
 	// attempts have failed, unless the peers replied at once.
 	relayCooldown = 3 * time.Second
@@ -255,23 +259,25 @@
 		// at once.
 		return 0, 0, false
 	}
-	maxWait, silent := relayWait, false
+	maxWait, silent := relayWait, 0
 	if f.Confirmed().IsZero() {
 		maxWait = 0
 	}
-	for range maxRelayAttempts {
+	for attempt := 0; attempt < maxRelayAttempts && silent < maxSilentPeers; attempt++ {
 		r, err := f.callPeer(ctx, from, maxWait)
-		silent = silent || !errors.Is(err, ErrRelayGap)
 		if err == nil {
 			return f.applyRelayed(r, from, sent), len(r.Items), true
 		}
 		if errors.Is(err, ErrNoRelay) || ctx.Err() != nil {
 			return 0, 0, false
 		}
-		f.config.Log.Info("follower's call to a relay peer failed", zap.Error(err), zap.Int64("revision", from))
+		f.config.Log.Debug("follower's call to a relay peer failed", zap.Error(err), zap.Int64("revision", from))
+		if !errors.Is(err, ErrRelayGap) {
+			silent++
+		}
 		sent, maxWait = f.config.Now(), 0
 	}
-	if silent {
+	if silent > 0 {
 		f.directUntil = f.config.Now().Add(relayCooldown)
 	}
 	return 0, 0, false
