List the items of a peer that has no changes from long enough ago

What callers saw: instances that the store rejects keep an old configuration, or none, although their peers have the newest one (CONFIG).

Cause: a peer passes on changes only. One that has listed the store itself, after a restart or because the history was dropped, has no changes from before that, so that an instance behind it got nothing from any peer until the store served it again. An instance that started meanwhile could not get a configuration at all. Besides, instances that the store rejects waited for each other: a peer that could not help said so only after half a second, and each was asked again a second later, however many times it had said so.

A follower keeps the latest items, and a peer that has a current copy but not the changes says so. The asking instance then lists the items of that peer in pages. A peer that cannot help says so at once, and is avoided for twice as long each time, up to 5 s. Builds before this one answer the new call as not implemented and are treated as peers that fail.

--- a/internal/entry/gateway/fleet_test.go
+++ b/internal/entry/gateway/fleet_test.go
@@ -280,10 +280,10 @@
 	self := i.member
 	self.Incarnation = time.Now().UnixNano()
 	p.members = membership.NewTable(membership.Config{Hubs: hubsPerDomain, Self: self})
-	p.relay, _ = newRelaySource(relaySource{instance: self.ID, members: p.members, watch: i.watchPeer, now: time.Now}, prometheus.NewRegistry()) // a new registry rejects nothing
+	p.relay, _ = newRelaySource(relaySource{instance: self.ID, members: p.members, watch: i.watchPeer, list: i.listPeer, now: time.Now}, prometheus.NewRegistry()) // a new registry rejects nothing
 	p.follower = follow.New(follow.Config{
 		Store: &fleetClient{fleet: i.fleet.store, instance: self.ID}, Wait: watchWait, MaxRelayAge: maxRelayAge,
-		Relay: p.relay.get, Now: time.Now, Apply: p.apply,
+		Relay: p.relay.get, RelayList: p.relay.getPage, Now: time.Now, Apply: p.apply,
 	})
 	p.relay.follower = p.follower
 	i.process.Store(p)
@@ -343,7 +343,17 @@
 	if p == nil {
 		return nil, errNoProcess
 	}
-	return p.relay.serve(ctx, r)
+	return p.relay.serveWatch(ctx, r)
+}
+
+// listPeer calls List at another instance.
+func (i *fleetInstance) listPeer(ctx context.Context, peer string, r *peerpb.ListRequest) (*peerpb.ListReply, error) {
+	wait.For(ctx, 3*time.Millisecond)
+	p := i.fleet.byID[peer].process.Load()
+	if p == nil {
+		return nil, errNoProcess
+	}
+	return p.relay.serveList(ctx, r)
 }
 
 // acknowledged is a configuration that the store acknowledged.
@@ -519,3 +529,9 @@
 func TestChangesReachInstancesThatTheStoreRejects(t *testing.T) {
 	fleetDay{rejects: true}.playSeeds(t, 76, 4, 5)
 }
+
+// Guards against changes that do not reach instances behind the history that their peers
+// have, while the store rejects them.
+func TestChangesReachInstancesBehindTheLogsOfPeers(t *testing.T) {
+	fleetDay{rejects: true, kills: true, drops: true}.playSeeds(t, 76, 2)
+}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -245,11 +245,14 @@
 		watch: func(ctx context.Context, peer string, r *peerpb.WatchRequest) (*peerpb.WatchReply, error) {
 			return f.exchange.Watch(ctx, peer, r)
 		},
+		list: func(ctx context.Context, peer string, r *peerpb.ListRequest) (*peerpb.ListReply, error) {
+			return f.exchange.List(ctx, peer, r)
+		},
 	}, f.registry)
 	if err != nil {
 		return nil, err
 	}
-	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay.get, MaxRelayAge: maxRelayAge, Now: f.now, Log: c.Log})
+	f.follower = follow.New(follow.Config{Store: c.Store, Wait: watchWait, Apply: f.apply, Relay: f.relay.get, RelayList: f.relay.getPage, MaxRelayAge: maxRelayAge, Now: f.now, Log: c.Log})
 	f.relay.follower = f.follower
 	if err := f.initCluster(); err != nil {
 		return nil, err
@@ -321,7 +324,7 @@
 		Members: f.members, MinRemotePeriod: remotePeriod,
 		Sources:    []exchange.Source{counters, f.crashes},
 		Sinks:      []exchange.Sink{counters, f.crashes},
-		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.relay.serve, Spend: f.serveSpend, Claim: f.claims.ServeClaim, Progress: f.claims.ServeProgress},
+		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.relay.serveWatch, List: f.relay.serveList, Spend: f.serveSpend, Claim: f.claims.ServeClaim, Progress: f.claims.ServeProgress},
 		Registerer: f.registry,
 		Logger:     c.Log,
 	})
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -18,70 +18,119 @@
 
 // relayAvoidTime is how long a peer is not asked again after it failed to relay the
 // store, and relayGapAvoidTime the same for one that replied but cannot reach the
-// store itself.
+// store itself. Each consecutive reply of that kind doubles it up to relayAvoidTime, so that
+// an instance gets past many such peers.
 const (
 	relayAvoidTime    = 5 * time.Second
 	relayGapAvoidTime = time.Second
 )
 
+// avoidedPeer is a peer that is not asked until a time, because of its last replies.
+type avoidedPeer struct {
+	until time.Time
+	gaps  int // consecutive replies without changes
+}
+
 // relaySource gets the changes of the store from peers, and serves them to peers.
 type relaySource struct {
 	instance string
 	members  *membership.Table
 	follower *follow.Follower
-	// watch calls Watch at a peer.
+	// watch and list call Watch and List at a peer.
 	watch func(ctx context.Context, peer string, r *peerpb.WatchRequest) (*peerpb.WatchReply, error)
+	list  func(ctx context.Context, peer string, r *peerpb.ListRequest) (*peerpb.ListReply, error)
 	now   func() time.Time
-	// avoidUntil is the time, by instance ID, until which a peer is not asked. Only the
-	// follower's goroutine uses it.
-	avoidUntil map[string]time.Time
+	// avoided are the peers that failed lately, by instance ID. Only the follower's
+	// goroutine uses it.
+	avoided map[string]avoidedPeer
 	calls      *prometheus.CounterVec
 }
 
 // newRelaySource returns a relaySource after registering its metrics. The caller sets the
 // follower.
 func newRelaySource(s relaySource, r prometheus.Registerer) (*relaySource, error) {
-	s.avoidUntil = make(map[string]time.Time)
+	s.avoided = make(map[string]avoidedPeer)
 	s.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "follower_relay_calls_total", Help: "Calls for the store's changes at peers by outcome.",
 	}, []string{"outcome"})
 	return &s, r.Register(s.calls)
 }
 
-// get gets store changes from the peer that this instance follows. A peer that
-// fails is skipped for a while, so that the other instances agree on the next
-// watcher instead of each calling the store. An instance whose own calls to the
-// store fail does not watch it for the others but follows one of them.
-func (s *relaySource) get(ctx context.Context, after int64, wait time.Duration) (r follow.RelayReply, err error) {
+// call calls the peer that this instance follows. A peer that fails is skipped for a while,
+// so that the other instances agree on the next watcher instead of each calling the store.
+// An instance whose own calls to the store fail does not watch it for the others but
+// follows one of them.
+func (s *relaySource) call(peerCall func(peer string) error) error {
 	now := s.now()
 	failing := s.follower.Failing() && now.Sub(s.follower.LastFailure()) < relayAvoidTime
 	watcher := s.members.Upstream(time.Now(), func(id string) bool {
-		return now.Before(s.avoidUntil[id]) || failing && id == s.instance
+		return now.Before(s.avoided[id].until) || failing && id == s.instance
 	})
 	if watcher == "" {
-		return follow.RelayReply{}, follow.ErrNoRelay
+		return follow.ErrNoRelay
 	}
-	defer func() {
-		s.calls.WithLabelValues(relayOutcome(err)).Inc()
+	err := peerCall(watcher)
+	s.calls.WithLabelValues(relayOutcome(err)).Inc()
+	switch {
+	case err == nil || errors.Is(err, follow.ErrRelayBehind):
+		delete(s.avoided, watcher)
+	case errors.Is(err, follow.ErrRelayGap):
+		gaps := s.avoided[watcher].gaps
+		s.avoided[watcher] = avoidedPeer{now.Add(min(relayAvoidTime, relayGapAvoidTime<<min(gaps, 10))), gaps + 1}
+	default:
+		s.avoided[watcher] = avoidedPeer{until: now.Add(relayAvoidTime)}
+	}
+	return err
+}
+
+// get gets store changes from a peer.
+func (s *relaySource) get(ctx context.Context, after int64, wait time.Duration) (r follow.RelayReply, err error) {
+	err = s.call(func(peer string) error {
+		reply, err := s.watch(ctx, peer, &peerpb.WatchRequest{After: after, Wait: wait.Milliseconds()})
 		switch {
-		case errors.Is(err, follow.ErrRelayGap):
-			s.avoidUntil[watcher] = now.Add(relayGapAvoidTime)
 		case err != nil:
-			s.avoidUntil[watcher] = now.Add(relayAvoidTime)
+			return err
+		case reply.GetBehind():
+			return follow.ErrRelayBehind
+		case reply.GetGap():
+			return follow.ErrRelayGap
 		}
-	}()
-	reply, err := s.watch(ctx, watcher, &peerpb.WatchRequest{After: after, Wait: wait.Milliseconds()})
-	if err != nil {
-		return follow.RelayReply{}, err
-	}
-	if reply.GetGap() {
-		return follow.RelayReply{}, follow.ErrRelayGap
+		r = follow.RelayReply{Items: itemsFromWire(reply.GetItems()), Next: reply.GetRevision(), Age: milliseconds(reply.GetAge()), Waited: milliseconds(reply.GetWaited())}
+		return nil
+	})
+	return r, err
+}
+
+// getPage gets a page of the store's items from a peer.
+func (s *relaySource) getPage(ctx context.Context, after string) (p follow.RelayPage, err error) {
+	err = s.call(func(peer string) error {
+		reply, err := s.list(ctx, peer, &peerpb.ListRequest{AfterKey: after})
+		switch {
+		case err != nil:
+			return err
+		case reply.GetUnavailable():
+			return follow.ErrRelayGap
+		}
+		p = follow.RelayPage{Items: itemsFromWire(reply.GetItems()), More: reply.GetMore(), Next: reply.GetRevision(), Age: milliseconds(reply.GetAge())}
+		return nil
+	})
+	return p, err
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func itemsFromWire(wire []*peerpb.StoreItem) (items []store.Item) {
+	for _, i := range wire {
+		items = append(items, store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Removed: i.GetRemoved()})
 	}
-	r = follow.RelayReply{Next: reply.GetRevision(), Age: time.Duration(reply.GetAge()) * time.Millisecond, Waited: time.Duration(reply.GetWaited()) * time.Millisecond}
-	for _, i := range reply.GetItems() {
-		r.Items = append(r.Items, store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Removed: i.GetRemoved()})
+	return items
+}
+
+func itemsToWire(items []store.Item) (wire []*peerpb.StoreItem) {
+	for _, i := range items {
+		wire = append(wire, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
 	}
-	return r, nil
+	return wire
 }
 
 // relayOutcome returns the outcome of a call to a peer as a label of the metrics.
@@ -91,20 +140,27 @@
 		return "ok"
 	case errors.Is(err, follow.ErrRelayGap):
 		return "gap"
+	case errors.Is(err, follow.ErrRelayBehind):
+		return "behind"
 	}
 	return "failed"
 }
 
-// serve serves the watch of a peer that follows the store through this instance.
-func (s *relaySource) serve(ctx context.Context, q *peerpb.WatchRequest) (*peerpb.WatchReply, error) {
-	maxWait := min(max(0, time.Duration(q.GetWait())*time.Millisecond), maxRelayWait)
-	r, ok := s.follower.Serve(ctx, q.GetAfter(), maxWait)
-	if !ok {
-		return &peerpb.WatchReply{Gap: true}, nil
+// serveWatch serves the watch of a peer that follows the store through this instance.
+func (s *relaySource) serveWatch(ctx context.Context, q *peerpb.WatchRequest) (*peerpb.WatchReply, error) {
+	maxWait := min(max(0, milliseconds(q.GetWait())), maxRelayWait)
+	r, err := s.follower.Serve(ctx, q.GetAfter(), maxWait)
+	if err != nil {
+		return &peerpb.WatchReply{Gap: true, Behind: errors.Is(err, follow.ErrRelayBehind)}, nil
 	}
-	reply := &peerpb.WatchReply{Revision: r.Next, Age: r.Age.Milliseconds(), Waited: r.Waited.Milliseconds()}
-	for _, i := range r.Items {
-		reply.Items = append(reply.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
+	return &peerpb.WatchReply{Items: itemsToWire(r.Items), Revision: r.Next, Age: r.Age.Milliseconds(), Waited: r.Waited.Milliseconds()}, nil
+}
+
+// serveList serves a page of the items to a peer.
+func (s *relaySource) serveList(_ context.Context, q *peerpb.ListRequest) (*peerpb.ListReply, error) {
+	p, err := s.follower.ServeList(q.GetAfterKey())
+	if err != nil {
+		return &peerpb.ListReply{Unavailable: true}, nil
 	}
-	return reply, nil
+	return &peerpb.ListReply{Items: itemsToWire(p.Items), More: p.More, Revision: p.Next, Age: p.Age.Milliseconds()}, nil
 }
--- a/internal/entry/gateway/relay_test.go
+++ b/internal/entry/gateway/relay_test.go
@@ -74,8 +74,8 @@
 							if j == i {
 								return follow.RelayReply{}, follow.ErrNoRelay
 							}
-							r, ok := other.Serve(ctx, after, maxWait)
-							if !ok {
+							r, err := other.Serve(ctx, after, maxWait)
+							if err != nil {
 								avoidUntil[j] = time.Now().Add(relayGapAvoidTime)
 								return follow.RelayReply{}, follow.ErrRelayGap
 							}
--- a/internal/peer/exchange/call.go
+++ b/internal/peer/exchange/call.go
@@ -44,6 +44,11 @@
 	return call[*peerpb.WatchReply](ctx, n, id, func(c clients) endpoint.Endpoint { return c.watch }, r)
 }
 
+// List requests a page of the keys of the store that a member knows.
+func (n *Node) List(ctx context.Context, id string, r *peerpb.ListRequest) (*peerpb.ListReply, error) {
+	return call[*peerpb.ListReply](ctx, n, id, func(c clients) endpoint.Endpoint { return c.list }, r)
+}
+
 // Spend asks a member to admit a use of a workspace's allowance.
 func (n *Node) Spend(ctx context.Context, id string, r *peerpb.SpendRequest) (*peerpb.SpendReply, error) {
 	return call[*peerpb.SpendReply](ctx, n, id, func(c clients) endpoint.Endpoint { return c.spend }, r)
--- a/internal/peer/exchange/transport.go
+++ b/internal/peer/exchange/transport.go
@@ -26,6 +26,7 @@
 	Handover Method[*peerpb.HandoverRequest, *peerpb.HandoverReply]
 	Usage    Method[*peerpb.UsageRequest, *peerpb.UsageReply]
 	Watch    Method[*peerpb.WatchRequest, *peerpb.WatchReply]
+	List     Method[*peerpb.ListRequest, *peerpb.ListReply]
 	Spend    Method[*peerpb.SpendRequest, *peerpb.SpendReply]
 	Claim    Method[*peerpb.ClaimRequest, *peerpb.ClaimReply]
 	Progress Method[*peerpb.ProgressRequest, *peerpb.ProgressReply]
@@ -34,7 +35,7 @@
 // server adapts go-kit handlers to the generated service interface.
 type server struct {
 	peerpb.UnimplementedPeerServer
-	exchange, pull, reserve, complete, handover, usage, watch, spend, claim, progress kitgrpc.Handler
+	exchange, pull, reserve, complete, handover, usage, watch, list, spend, claim, progress kitgrpc.Handler
 }
 
 func newServer(exchange Method[*peerpb.Digest, *peerpb.Digest], s Services, m *metrics) *server {
@@ -46,6 +47,7 @@
 		handover: newHandler("Handover", s.Handover, m),
 		usage:    newHandler("Usage", s.Usage, m),
 		watch:    newHandler("Watch", s.Watch, m),
+		list:     newHandler("List", s.List, m),
 		spend:    newHandler("Spend", s.Spend, m),
 		claim:    newHandler("Claim", s.Claim, m),
 		progress: newHandler("Progress", s.Progress, m),
@@ -80,6 +82,10 @@
 	return callHandler[*peerpb.WatchReply](ctx, s.watch, r)
 }
 
+func (s *server) List(ctx context.Context, r *peerpb.ListRequest) (*peerpb.ListReply, error) {
+	return callHandler[*peerpb.ListReply](ctx, s.list, r)
+}
+
 func (s *server) Spend(ctx context.Context, r *peerpb.SpendRequest) (*peerpb.SpendReply, error) {
 	return callHandler[*peerpb.SpendReply](ctx, s.spend, r)
 }
@@ -130,7 +136,7 @@
 
 // clients are the go-kit endpoints of one connection.
 type clients struct {
-	exchange, pull, reserve, complete, handover, usage, watch, spend, claim, progress endpoint.Endpoint
+	exchange, pull, reserve, complete, handover, usage, watch, list, spend, claim, progress endpoint.Endpoint
 }
 
 func newClients(c *grpc.ClientConn, m *metrics) clients {
@@ -142,6 +148,7 @@
 		handover: newClient(c, "Handover", peerpb.HandoverReply{}, m),
 		usage:    newClient(c, "Usage", peerpb.UsageReply{}, m),
 		watch:    newClient(c, "Watch", peerpb.WatchReply{}, m),
+		list:     newClient(c, "List", peerpb.ListReply{}, m),
 		spend:    newClient(c, "Spend", peerpb.SpendReply{}, m),
 		claim:    newClient(c, "Claim", peerpb.ClaimReply{}, m),
 		progress: newClient(c, "Progress", peerpb.ProgressReply{}, m),
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -33,11 +33,14 @@
 	defaultMaxRelayAge = 2500 * time.Millisecond
 	// maxSilentPeers is the number of peers that do not reply before the store is
 	// called, and maxRelayAttempts the number of peers that are called at most. All but
-	// the first are called with no wait and must reply at once. If the store rejects a
-	// third of the instances, one in 6,000 finds none of maxRelayAttempts peers that has
-	// the changes.
+	// the first are called with no wait and must reply at once. The store may reject most
+	// instances of a failure domain, and these are asked first.
 	maxSilentPeers   = 2
-	maxRelayAttempts = 8
+	maxRelayAttempts = 16
+	// relayListTimeout bounds a call for a page of a peer's items, which may be large.
+	relayListTimeout = 2 * time.Second
+	// maxRelayPages bounds a listing in case a peer always reports more pages.
+	maxRelayPages = 1000
 	// relayCooldown is how long the store is called directly after all relay
 	// attempts have failed, unless the peers replied at once.
 	relayCooldown = 3 * time.Second
@@ -63,10 +66,25 @@
 	Age, Waited time.Duration
 }
 
+// RelayPage is a page of a peer's items in the order of their keys. The pages are not one
+// snapshot.
+type RelayPage struct {
+	Items []store.Item
+	More  bool
+	// Next is the revision up to which the peer has all changes.
+	Next int64
+	// Age is the time since the peer's copy was last known to be complete.
+	Age time.Duration
+}
+
 // ErrRelayGap means that a peer replied, but has not all changes after the requested
 // revision or cannot reach the store itself.
 var ErrRelayGap = errors.New("peer is missing changes or cannot reach the store")
 
+// ErrRelayBehind means that a peer has a current copy, but not all changes after the
+// requested revision. Its items can be listed.
+var ErrRelayBehind = errors.New("peer is missing changes and has a current copy")
+
 // ErrNoRelay means that there is no peer to read the store through; the caller must
 // call the store directly.
 var ErrNoRelay = errors.New("no peer to read the store through")
@@ -86,6 +104,9 @@
 	// returns ErrNoRelay if the instance must call the store itself. If Relay is
 	// nil, the instance always calls the store.
 	Relay func(ctx context.Context, after int64, maxWait time.Duration) (RelayReply, error)
+	// RelayList returns the items of a peer after a key. It returns errors as Relay does.
+	// It is required if Relay is set.
+	RelayList func(ctx context.Context, after string) (RelayPage, error)
 	// MaxRelayAge is the greatest accepted age of a peer's copy; the default is
 	// 2.5 s. A copy is confirmed as of the beginning of a watch, so that it is up to
 	// two waits old although all is well.
@@ -104,6 +125,7 @@
 	// failing is set while the last call to the store failed.
 	failing atomic.Bool
 	changes changeLog
+	copy    itemCopy
 	// directUntil is the time until which the store is called directly. Only Run
 	// uses it.
 	directUntil time.Time
@@ -213,9 +235,24 @@
 		f.config.Log.Info("first listing of the store failed", zap.Error(err))
 		return 0
 	}
+	f.applyListing(items, next)
+	return next
+}
+
+// applyListing applies a listing of all items, which has all changes up to the revision next.
+func (f *Follower) applyListing(items []store.Item, next int64) {
 	f.config.Apply(Change{Items: items, Complete: true, Revision: next})
+	f.copy.replace(items)
 	f.changes.reset(next)
-	return next
+}
+
+// applyChanges applies changes up to the revision next.
+func (f *Follower) applyChanges(items []store.Item, next int64) {
+	if len(items) > 0 {
+		f.config.Apply(Change{Items: items})
+	}
+	f.copy.apply(items)
+	f.changes.add(items, next)
 }
 
 // updateFromStore makes one call to the store and applies the result. It lists all
@@ -228,8 +265,7 @@
 		if err != nil {
 			return 0, 0, err
 		}
-		f.config.Apply(Change{Items: items, Complete: true, Revision: next})
-		f.changes.reset(next)
+		f.applyListing(items, next)
 		return next, len(items), nil
 	}
 	items, next, err := f.config.Store.Watch(ctx, f.config.Prefix, from, maxWait)
@@ -241,17 +277,14 @@
 	if err != nil {
 		return from, 0, err
 	}
-	if len(items) > 0 {
-		f.config.Apply(Change{Items: items})
-	}
-	f.changes.add(items, next)
+	f.applyChanges(items, next)
 	return next, len(items), nil
 }
 
 // updateFromPeer gets changes from a peer instead of the store. The result ok is
 // false if the store must be called.
 func (f *Follower) updateFromPeer(ctx context.Context, from int64, sent time.Time) (next int64, count int, ok bool) {
-	if f.config.Relay == nil || from == 0 || sent.Before(f.directUntil) {
+	if f.config.Relay == nil || sent.Before(f.directUntil) || from == 0 && !f.Failing() {
 		return 0, 0, false
 	}
 	if f.Confirmed().IsZero() && !f.Failing() {
@@ -264,9 +297,9 @@
 		maxWait = 0
 	}
 	for attempt := 0; attempt < maxRelayAttempts && silent < maxSilentPeers; attempt++ {
-		r, err := f.callPeer(ctx, from, maxWait)
+		next, count, err := f.changesFromPeer(ctx, from, maxWait, sent)
 		if err == nil {
-			return f.applyRelayed(r, from, sent), len(r.Items), true
+			return next, count, true
 		}
 		if errors.Is(err, ErrNoRelay) || ctx.Err() != nil {
 			return 0, 0, false
@@ -283,6 +316,22 @@
 	return 0, 0, false
 }
 
+// changesFromPeer gets the changes after a revision from a peer, or all of its items if from
+// is 0 or the peer does not have these changes.
+func (f *Follower) changesFromPeer(ctx context.Context, from int64, maxWait time.Duration, sent time.Time) (next int64, count int, err error) {
+	if from == 0 {
+		return f.listFromPeer(ctx)
+	}
+	r, err := f.callPeer(ctx, from, maxWait)
+	if errors.Is(err, ErrRelayBehind) {
+		return f.listFromPeer(ctx)
+	}
+	if err != nil {
+		return 0, 0, err
+	}
+	return f.applyRelayed(r, from, sent), len(r.Items), nil
+}
+
 // callPeer makes one call to a peer and rejects a copy that is too old.
 func (f *Follower) callPeer(ctx context.Context, from int64, maxWait time.Duration) (RelayReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxWait+relayMargin)
@@ -297,31 +346,95 @@
 // applyRelayed applies the reply to a call that was sent to a peer at the time
 // sent.
 func (f *Follower) applyRelayed(r RelayReply, from int64, sent time.Time) (next int64) {
-	if len(r.Items) > 0 {
-		f.config.Apply(Change{Items: r.Items})
-	}
-	f.changes.add(r.Items, r.Next)
+	f.applyChanges(r.Items, r.Next)
 	// The age is as of the time of the reply. That time is known only to be at
 	// least Waited after sent: the reply may have been in transit, or this machine
 	// suspended, for any time since.
-	if asOf := sent.Add(r.Waited - r.Age).UnixNano(); asOf > f.confirmed.Load() {
-		f.confirmed.Store(asOf)
-	}
-	f.changes.wakeWaiting()
+	f.confirm(sent.Add(r.Waited - r.Age))
 	return max(from, r.Next)
 }
 
+// confirm records that the copy is complete as of a time, and tells the peers that wait.
+func (f *Follower) confirm(asOf time.Time) {
+	f.confirmed.Store(max(f.confirmed.Load(), asOf.UnixNano()))
+	f.changes.wakeWaiting()
+}
+
+// listFromPeer lists the items of a peer. The listing has all changes up to the revision
+// that the first page names.
+func (f *Follower) listFromPeer(ctx context.Context) (next int64, count int, err error) {
+	sent := f.config.Now()
+	var items []store.Item
+	var first RelayPage
+	for n := range maxRelayPages {
+		after := ""
+		if n > 0 {
+			after = items[len(items)-1].Key
+		}
+		page, err := f.callPeerForPage(ctx, after)
+		if err != nil {
+			return 0, 0, err
+		}
+		if n == 0 {
+			first = page
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			f.applyListing(items, first.Next)
+			f.confirm(sent.Add(-first.Age))
+			f.config.Log.Info("follower listed the items of a peer", zap.Int64("revision", first.Next), zap.Int("items", len(items)))
+			return first.Next, len(items), nil
+		}
+	}
+	return 0, 0, fmt.Errorf("%w: its listing has too many pages", ErrRelayGap)
+}
+
+// callPeerForPage calls a peer for a page of its items, and rejects a copy that is too old.
+func (f *Follower) callPeerForPage(ctx context.Context, after string) (RelayPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayListTimeout)
+	defer cancel()
+	page, err := f.config.RelayList(ctx, after)
+	if err == nil && page.Age > f.config.MaxRelayAge {
+		err = fmt.Errorf("%w: its copy is %v old", ErrRelayGap, page.Age)
+	}
+	return page, err
+}
+
+// canServe reports whether the copy may be passed on: it has been confirmed since the failure
+// whose time LastFailure returns, and Failing is false. Otherwise the instance follows a peer,
+// which may be the caller.
+func (f *Follower) canServe() bool {
+	confirmed := f.Confirmed()
+	return !f.Failing() && !confirmed.IsZero() && !f.LastFailure().After(confirmed)
+}
+
 // Serve returns the changes after a revision for a peer. If there are none, it
 // waits up to maxWait for the next confirmation of the copy, which also brings new
-// changes. The result ok is false if changes are missing from the log, if the copy
-// has not been confirmed since the failure whose time LastFailure returns, or if
-// Failing is true: the instance then follows a peer, which may be the caller.
-func (f *Follower) Serve(ctx context.Context, after int64, maxWait time.Duration) (r RelayReply, ok bool) {
+// changes. It returns ErrRelayGap if the copy may not be passed on, and ErrRelayBehind if
+// it may but the log does not reach back to the revision.
+func (f *Follower) Serve(ctx context.Context, after int64, maxWait time.Duration) (RelayReply, error) {
 	start := f.config.Now()
+	if !f.canServe() {
+		return RelayReply{}, ErrRelayGap
+	}
 	items, next, ok := f.changes.waitAfter(ctx, after, maxWait)
 	now := f.config.Now()
-	if !ok || f.Failing() || f.Confirmed().IsZero() || f.LastFailure().After(f.Confirmed()) {
-		return RelayReply{}, false
+	switch {
+	case !f.canServe():
+		return RelayReply{}, ErrRelayGap
+	case !ok:
+		return RelayReply{}, ErrRelayBehind
+	}
+	return RelayReply{Items: items, Next: next, Age: now.Sub(f.Confirmed()), Waited: now.Sub(start)}, nil
+}
+
+// ServeList returns a page of the items after a key for a peer. It returns ErrRelayGap if
+// the copy may not be passed on.
+func (f *Follower) ServeList(after string) (RelayPage, error) {
+	next := f.changes.end()
+	items, more := f.copy.page(after)
+	if !f.canServe() {
+		return RelayPage{}, ErrRelayGap
 	}
-	return RelayReply{Items: items, Next: next, Age: now.Sub(f.Confirmed()), Waited: now.Sub(start)}, true
+	return RelayPage{Items: items, More: more, Next: next, Age: f.config.Now().Sub(f.Confirmed())}, nil
 }
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -78,7 +78,8 @@
 		keys  int
 	}{{9, false, 0}, {10, true, 2}, {11, true, 1}, {13, true, 0}, {20, true, 0}}
 	for _, tt := range tests {
-		r, ok := f.Serve(t.Context(), tt.after, 0)
+		r, err := f.Serve(t.Context(), tt.after, 0)
+		ok := err == nil
 		if ok != tt.ok || len(r.Items) != tt.keys {
 			t.Errorf("after %d: got %d items and %v, want %d and %v", tt.after, len(r.Items), ok, tt.keys, tt.ok)
 		}
@@ -87,7 +88,7 @@
 		}
 	}
 	f.lastFailure.Store(c.read().Add(time.Second).UnixNano())
-	if _, ok := f.Serve(t.Context(), 10, 0); ok {
+	if _, err := f.Serve(t.Context(), 10, 0); err == nil {
 		t.Error("an instance whose store is unavailable serves its copy")
 	}
 }
@@ -114,7 +115,8 @@
 	f.changes.add(items, revision)
 	after := int64(10)
 	for received := 0; received < len(items); {
-		r, ok := f.Serve(t.Context(), after, 0)
+		r, err := f.Serve(t.Context(), after, 0)
+		ok := err == nil
 		if !ok || len(r.Items) == 0 {
 			t.Fatalf("after %d: got %d items and %v, want the next changes", after, len(r.Items), ok)
 		}
@@ -339,7 +341,7 @@
 		go f.Run(ctx)
 		time.Sleep(100 * time.Millisecond) // the copy is confirmed
 		start := time.Now()
-		if _, ok := f.Serve(ctx, 5, 5*time.Second); ok {
+		if _, err := f.Serve(ctx, 5, 5*time.Second); err == nil {
 			t.Error("an instance that has lost the store serves its copy")
 		}
 		if took := time.Since(start); took > batchDelay+failAfter {
--- a/internal/platform/follow/log.go
+++ b/internal/platform/follow/log.go
@@ -21,6 +21,9 @@
 	itemOverhead = 32
 )
 
+// replySize returns the size of an item in a reply to a peer.
+func replySize(item store.Item) int { return len(item.Key) + len(item.Value) + itemOverhead }
+
 // changeLog holds the latest changes of the store for peers. With the zero value,
 // waitAfter reports ok as false until reset is called.
 type changeLog struct {
@@ -60,6 +63,13 @@
 	}
 }
 
+// end returns the revision up to which the log has all changes.
+func (l *changeLog) end() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.next
+}
+
 // wakeWaiting wakes all callers of waitAfter, after a confirmation of the copy or a
 // failed call to the store.
 func (l *changeLog) wakeWaiting() {
@@ -106,7 +116,7 @@
 		if item.Revision <= after {
 			continue
 		}
-		if size += len(item.Key) + len(item.Value) + itemOverhead; size > maxReplyBytes && len(items) > 0 {
+		if size += replySize(item); size > maxReplyBytes && len(items) > 0 {
 			return items, items[len(items)-1].Revision, l.wake, true
 		}
 		items = append(items, item)
