End watches and leases of a history that the store has lost

What callers saw: a confirmed change of the configuration is not in force, for as long as no other change follows, or a server that left goes on getting requests (CONFIG, DRAIN).

Cause: a store that comes back from a copy gives revisions and lease IDs out again. A watch from a revision that it has passed again brings no error and none of the changes up to there; a copy of the lost history was handed from peer to peer, and confirmed; entries under lower revisions were dropped; the renewal of a lost lease could succeed on another instance's lease. Nothing read the header that tells the eras apart. The class is a comparison of numbers of different histories.

Revisions and lease IDs are now positions, ordered by era and then by number; package store alone knows how. What belongs to an earlier era has ended there: a watch is compacted, a lease has ended, a condition does not hold. A reply of an earlier era changes nothing, and a peer of an earlier era is no source. The stand-in of the store learns to come back from a copy. A store that does not say its era is served as before.

--- a/internal/bench/metastore/store.go
+++ b/internal/bench/metastore/store.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -61,6 +63,15 @@
 	changed   chan struct{}
 	faults    Faults
 	calls     map[string]int
+	era       int64 // 0: replies do not say it
+}
+
+// Copy is a copy of a Store's state.
+type Copy struct {
+	revision, compacted, nextLease int64
+	items                          map[string]Item
+	history                        []Item
+	leases                         map[int64]lease
 }
 
 // New returns an empty store.
@@ -78,6 +89,31 @@
 	s.faults = f
 }
 
+// Copy returns a copy of the state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, s.compacted, s.nextLease, maps.Clone(s.items), slices.Clone(s.history), maps.Clone(s.leases)}
+}
+
+// Restore returns to the state of a copy and begins a new era: revisions and lease IDs that
+// were given out since are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.compacted, s.nextLease = c.revision, c.compacted, c.nextLease
+	s.items, s.history, s.leases = maps.Clone(c.items), slices.Clone(c.history), maps.Clone(c.leases)
+	s.notifyWatches()
+}
+
+// BeginEras lets the replies say the era of the store, which is 1 then.
+func (s *Store) BeginEras() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = 1
+}
+
 // EndLeases ends all leases and removes their keys without notifying the
 // holders.
 func (s *Store) EndLeases() {
@@ -196,8 +232,11 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
-	f := s.faults
+	f, era := s.faults, s.era
 	s.mu.Unlock()
+	if era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+	}
 	switch {
 	case f.NoResponse:
 		// The server detects the end of the connection only after the request
@@ -282,10 +321,13 @@
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64) // 0 doesn't wait
 	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer end.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		s.expire()
-		if after < s.compacted {
+		if after < s.compacted || after > s.revision || s.era != era {
 			s.mu.Unlock()
 			return http.StatusGone, nil
 		}
--- a/internal/entry/gateway/copymetrics.go
+++ b/internal/entry/gateway/copymetrics.go
@@ -6,8 +6,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// registerCopyMetrics registers the version of the configuration in force and the age of the
-// copy of the store.
+// registerCopyMetrics registers the version of the configuration in force, and the age and
+// the era of the copy of the store.
 func (f *Instance) registerCopyMetrics() error {
 	version := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "forward_configuration_version", Help: "Version of the configuration in force; 0 if there is none.",
@@ -26,5 +26,8 @@
 		}
 		return f.now().Sub(confirmed).Seconds()
 	})
-	return errors.Join(f.registry.Register(version), f.registry.Register(age))
+	era := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "follower_store_era", Help: "Latest era of the store that the copy belonged to; it rises when the store comes back from a copy.",
+	}, func() float64 { return float64(f.follower.Era()) })
+	return errors.Join(f.registry.Register(version), f.registry.Register(age), f.registry.Register(era))
 }
--- a/internal/entry/gateway/fleet_test.go
+++ b/internal/entry/gateway/fleet_test.go
@@ -144,11 +144,11 @@
 	s.changed = make(chan struct{})
 }
 
-// fleetClient is the store as one instance sees it.
+// fleetClient makes the calls of one instance to the store.
 type fleetClient struct {
-	store.Store // for the methods that a Follower does not call
-	fleet       *fleetStore
-	instance    string
+	store.Client // for the methods that a Follower does not call
+	fleet        *fleetStore
+	instance     string
 }
 
 // admit waits for as long as a rejected call takes, which is at most timeout.
@@ -168,57 +168,49 @@
 	return ctx.Err()
 }
 
-// List implements store.Store.
-func (c *fleetClient) List(ctx context.Context, _ string) ([]store.Item, int64, error) {
+// List implements store.Client.
+func (c *fleetClient) List(ctx context.Context, _ string, stale bool) (items []store.Item, next, era int64, err error) {
 	if err := c.admit(ctx, 900*time.Millisecond); err != nil {
-		return nil, 0, err
+		return nil, 0, 0, err
 	}
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
-	return slices.Collect(maps.Values(c.fleet.items)), c.fleet.revision, nil
-}
-
-// ListStale implements store.Store.
-func (c *fleetClient) ListStale(ctx context.Context, _ string) ([]store.Item, int64, error) {
-	if err := c.admit(ctx, 900*time.Millisecond); err != nil {
-		return nil, 0, err
-	}
-	c.fleet.mu.Lock()
-	defer c.fleet.mu.Unlock()
-	if len(c.fleet.copies) == 0 {
-		return slices.Collect(maps.Values(c.fleet.items)), c.fleet.revision, nil
+	if !stale || len(c.fleet.copies) == 0 {
+		return slices.Collect(maps.Values(c.fleet.items)), c.fleet.revision, c.fleet.era, nil
 	}
 	old := c.fleet.copyFrom(fleetStaleAge)
-	return slices.Collect(maps.Values(old.items)), old.revision, nil
+	return slices.Collect(maps.Values(old.items)), old.revision, c.fleet.era, nil
 }
 
-// Watch implements store.Store.
-func (c *fleetClient) Watch(ctx context.Context, _ string, after int64, maxWait time.Duration) ([]store.Item, int64, error) {
+// Watch implements store.Client.
+func (c *fleetClient) Watch(ctx context.Context, _ string, after int64, maxWait time.Duration) (items []store.Item, next, era int64, err error) {
 	if err := c.admit(ctx, maxWait+storeTimeout); err != nil {
-		return nil, 0, err
+		return nil, 0, 0, err
 	}
 	end := time.After(maxWait)
 	for {
 		c.fleet.mu.Lock()
+		era = c.fleet.era
 		if c.fleet.away || c.fleet.rejects[c.instance] != served {
 			c.fleet.mu.Unlock()
-			return nil, 0, store.ErrUnavailable // the watch is cut
+			return nil, 0, 0, store.ErrUnavailable // the watch is cut
 		}
 		if after < c.fleet.compacted || after > c.fleet.revision {
 			c.fleet.mu.Unlock()
-			return nil, 0, store.ErrCompacted
+			return nil, 0, era, store.ErrCompacted
 		}
 		from, _ := slices.BinarySearchFunc(c.fleet.history, after+1, func(i store.Item, r int64) int { return int(i.Revision - r) })
-		items, revision, changed := slices.Clone(c.fleet.history[from:]), c.fleet.revision, c.fleet.changed
+		items, next = slices.Clone(c.fleet.history[from:]), c.fleet.revision
+		changed := c.fleet.changed
 		c.fleet.mu.Unlock()
 		if len(items) > 0 {
-			return items, revision, nil
+			return items, next, era, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, 0, 0, ctx.Err()
 		case <-end:
-			return nil, revision, nil
+			return nil, next, era, nil
 		case <-changed:
 		}
 	}
@@ -282,7 +274,7 @@
 	p.members = membership.NewTable(membership.Config{Hubs: hubsPerDomain, Self: self})
 	p.relay, _ = newRelaySource(relaySource{instance: self.ID, members: p.members, watch: i.watchPeer, list: i.listPeer, now: time.Now}, prometheus.NewRegistry()) // a new registry rejects nothing
 	p.follower = follow.New(follow.Config{
-		Store: &fleetClient{fleet: i.fleet.store, instance: self.ID}, Wait: watchWait, MaxRelayAge: maxRelayAge,
+		Store: store.WithEras(&fleetClient{fleet: i.fleet.store, instance: self.ID}), Wait: watchWait, MaxRelayAge: maxRelayAge,
 		Relay: p.relay.get, RelayList: p.relay.getPage, Now: time.Now, Apply: p.apply,
 	})
 	p.relay.follower = p.follower
@@ -535,3 +527,19 @@
 func TestChangesReachInstancesBehindTheLogsOfPeers(t *testing.T) {
 	fleetDay{rejects: true, kills: true, drops: true}.playSeeds(t, 76, 2)
 }
+
+// Guards against changes that are not seen because the store came back from a copy and gave
+// their revisions out again.
+func TestChangesReachInstancesAfterTheStoreIsRestored(t *testing.T) {
+	fleetDay{drills: true}.playSeeds(t, 76, 1)
+}
+
+// Guards against changes that arrive late while several kinds of disruption overlap, in small
+// and large fleets.
+func TestChangesReachInstancesBesideAllDisruptions(t *testing.T) {
+	for _, instances := range []int{9, 76} {
+		t.Run(strconv.Itoa(instances), func(t *testing.T) {
+			fleetDay{rejects: true, kills: true, drops: true, drills: true}.playSeeds(t, instances)
+		})
+	}
+}
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -43,7 +43,7 @@
 	// avoided are the peers that failed lately, by instance ID. Only the follower's
 	// goroutine uses it.
 	avoided map[string]avoidedPeer
-	calls      *prometheus.CounterVec
+	calls   *prometheus.CounterVec
 }
 
 // newRelaySource returns a relaySource after registering its metrics. The caller sets the
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -126,6 +126,8 @@
 	failing atomic.Bool
 	changes changeLog
 	copy    itemCopy
+	// era is the latest era of the store that the copy belonged to.
+	era atomic.Int64
 	// directUntil is the time until which the store is called directly. Only Run
 	// uses it.
 	directUntil time.Time
@@ -150,6 +152,9 @@
 // failed or its history was found compacted, or the zero time.
 func (f *Follower) LastFailure() time.Time { return loadTime(&f.lastFailure) }
 
+// Era returns the latest era of the store that the copy belonged to.
+func (f *Follower) Era() int64 { return f.era.Load() }
+
 // Failing reports whether the last call to the store failed. The copy may be up to
 // date all the same, through peers.
 func (f *Follower) Failing() bool { return f.failing.Load() }
@@ -241,6 +246,9 @@
 
 // applyListing applies a listing of all items, which has all changes up to the revision next.
 func (f *Follower) applyListing(items []store.Item, next int64) {
+	if era := store.Era(next); era > f.era.Load() {
+		f.config.Log.Info("store began a new era", zap.Int64("era", era), zap.Int64("previous-era", f.era.Swap(era)), zap.Int("items", len(items)))
+	}
 	f.config.Apply(Change{Items: items, Complete: true, Revision: next})
 	f.copy.replace(items)
 	f.changes.reset(next)
@@ -337,12 +345,24 @@
 	ctx, cancel := context.WithTimeout(ctx, maxWait+relayMargin)
 	defer cancel()
 	r, err := f.config.Relay(ctx, from, maxWait)
-	if err == nil && r.Age > f.config.MaxRelayAge {
-		err = fmt.Errorf("%w: its copy is %v old", ErrRelayGap, r.Age)
+	if err == nil {
+		err = f.checkPeer(r.Next, r.Age)
 	}
 	return r, err
 }
 
+// checkPeer returns an error if a peer's copy, which has all changes up to the revision next,
+// is too old or of an earlier era.
+func (f *Follower) checkPeer(next int64, age time.Duration) error {
+	switch {
+	case age > f.config.MaxRelayAge:
+		return fmt.Errorf("%w: its copy is %v old", ErrRelayGap, age)
+	case store.Era(next) < f.era.Load():
+		return fmt.Errorf("%w: its copy is of era %d of the store", ErrRelayGap, store.Era(next))
+	}
+	return nil
+}
+
 // applyRelayed applies the reply to a call that was sent to a peer at the time
 // sent.
 func (f *Follower) applyRelayed(r RelayReply, from int64, sent time.Time) (next int64) {
@@ -394,8 +414,8 @@
 	ctx, cancel := context.WithTimeout(ctx, relayListTimeout)
 	defer cancel()
 	page, err := f.config.RelayList(ctx, after)
-	if err == nil && page.Age > f.config.MaxRelayAge {
-		err = fmt.Errorf("%w: its copy is %v old", ErrRelayGap, page.Age)
+	if err == nil {
+		err = f.checkPeer(page.Next, page.Age)
 	}
 	return page, err
 }
@@ -420,7 +440,7 @@
 	items, next, ok := f.changes.waitAfter(ctx, after, maxWait)
 	now := f.config.Now()
 	switch {
-	case !f.canServe():
+	case !f.canServe() || store.Era(after) > f.Era():
 		return RelayReply{}, ErrRelayGap
 	case !ok:
 		return RelayReply{}, ErrRelayBehind
