Let no two instances hold the duty after the store has lost a lease

Cause: a holder believes in its lease until the next renewal, up to a second later. If the store came back from a copy without that lease, another instance acquired the duty at once, and both acted.

An instance that sees a new era of the store acquires the duty only when any lease of an earlier one would have ended, and a holder gives it up as soon as it sees one. The fencing token stays higher than all before, because it is a position.

--- a/internal/peer/duty/holder.go
+++ b/internal/peer/duty/holder.go
@@ -64,6 +64,10 @@
 	suspended     bool
 	currentHolder string // last seen value of the key
 	seenRevision  int64  // last seen store revision of the key (the fencing token) or of its removal
+	// era is the latest era of the store that was seen, and freeAt when the leases of the
+	// earlier eras have ended, also those that the store does not know any more.
+	era    int64
+	freeAt time.Time
 }
 
 // New returns a holder; the caller must call Run.
@@ -95,6 +99,7 @@
 		return
 	}
 	h.mu.Lock()
+	h.observeEra(item.Revision)
 	removed := item.Revision > h.seenRevision
 	if removed {
 		h.currentHolder, h.seenRevision = "", item.Revision
@@ -115,6 +120,7 @@
 func (h *Holder) Learn(currentHolder string, fence int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.observeEra(fence)
 	if fence <= h.seenRevision {
 		return
 	}
@@ -122,6 +128,29 @@
 	h.config.Log.Info("duty holder changed", zap.String("holder", currentHolder), zap.Int64("fence", fence))
 }
 
+// observeEra records the era of a revision or lease of the store, and reports whether it is a
+// new one. A holder of an earlier era may not know yet that the store has lost its lease, and
+// acts until the lease would have ended. The caller holds h.mu.
+func (h *Holder) observeEra(position int64) (isNew bool) {
+	era := store.Era(position)
+	if era <= h.era {
+		return false
+	}
+	h.era, h.freeAt = era, h.config.Now().Add(leaseTTL)
+	if h.fence != 0 {
+		h.config.Log.Warn("store began a new era; duty lost", zap.Int64("fence", h.fence), zap.Int64("era", era))
+		h.fence, h.leaseID, h.suspended = 0, 0, false
+	}
+	return true
+}
+
+// timeUntilFree returns how long the leases of earlier eras of the store may still last.
+func (h *Holder) timeUntilFree() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.freeAt.Sub(h.config.Now())
+}
+
 // Run tries to acquire and hold the duty until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
 	defer h.resign()
@@ -132,10 +161,8 @@
 			continue
 		}
 		if current, _ := h.Current(); current == "" {
-			if h.waitForTurn(ctx) {
-				h.acquire(ctx)
-			}
-			if h.holdsDuty() {
+			isNewEra := h.waitForTurn(ctx) && h.acquire(ctx)
+			if isNewEra || h.holdsDuty() {
 				continue
 			}
 		}
@@ -156,7 +183,7 @@
 		if h.config.Rank != nil {
 			delay += time.Duration(h.config.Rank()) * rankDelay
 		}
-		rest := delay - h.config.Now().Sub(start)
+		rest := max(delay-h.config.Now().Sub(start), h.timeUntilFree())
 		if rest <= 0 {
 			return true
 		}
@@ -202,13 +229,21 @@
 }
 
 // acquire tries to write the key under a new lease. The revision of the write
-// is the fencing token: it increases from holder to holder.
-func (h *Holder) acquire(ctx context.Context) {
+// is the fencing token: it increases from holder to holder. If the store turns out to be in
+// a new era, acquire returns true and must be called again.
+func (h *Holder) acquire(ctx context.Context) (isNewEra bool) {
 	sentAt := h.config.Now()
 	leaseID, granted, err := h.config.Store.GrantLease(ctx, leaseTTL)
 	if err != nil {
 		h.config.Log.Debug("duty lease grant failed", zap.Error(err))
-		return
+		return false
+	}
+	h.mu.Lock()
+	isNewEra = h.observeEra(leaseID)
+	h.mu.Unlock()
+	if isNewEra {
+		h.endUnused(ctx, leaseID)
+		return true
 	}
 	value := h.config.Instance + " " + strconv.FormatInt(leaseID, 10)
 	revision, err := h.config.Store.Commit(ctx, store.Commit{
@@ -223,16 +258,22 @@
 		}
 	}
 	if err != nil {
-		if endErr := h.config.Store.EndLease(ctx, leaseID); endErr != nil {
-			h.config.Log.Debug("ending unused duty lease failed; lease will expire", zap.Int64("lease", leaseID), zap.Error(endErr))
-		}
-		return
+		h.endUnused(ctx, leaseID)
+		return false
 	}
 	h.mu.Lock()
 	h.leaseID, h.fence, h.leaseEnd = leaseID, revision, sentAt.Add(min(leaseTTL, granted))
 	h.currentHolder, h.seenRevision = value, revision
 	h.mu.Unlock()
 	h.config.Log.Info("duty acquired", zap.Int64("fence", revision))
+	return false
+}
+
+// endUnused ends a lease that was granted in vain.
+func (h *Holder) endUnused(ctx context.Context, leaseID int64) {
+	if err := h.config.Store.EndLease(ctx, leaseID); err != nil {
+		h.config.Log.Debug("ending unused duty lease failed; lease will expire", zap.Int64("lease", leaseID), zap.Error(err))
+	}
 }
 
 // renew extends the lease. After an error, the known end of the lease does not
