--- a/internal/entry/gateway/fleet_test.go
+++ b/internal/entry/gateway/fleet_test.go
@@ -203,7 +203,7 @@
 		items, next = slices.Clone(c.fleet.history[from:]), c.fleet.revision
 		changed := c.fleet.changed
 		c.fleet.mu.Unlock()
-		if len(items) > 0 {
+		if len(items) > 0 || maxWait == 0 {
 			return items, next, era, nil
 		}
 		select {
--- a/internal/platform/follow/log.go
+++ b/internal/platform/follow/log.go
@@ -86,7 +86,7 @@
 // does not reach back to the revision.
 func (l *changeLog) waitAfter(ctx context.Context, after int64, maxWait time.Duration) (items []store.Item, next int64, ok bool) {
 	items, next, wake, ok := l.changesAfter(after)
-	if !ok || len(items) > 0 {
+	if !ok || len(items) > 0 || maxWait <= 0 {
 		return items, next, ok
 	}
 	t := time.NewTimer(maxWait)
--- a/internal/platform/wait/wait.go
+++ b/internal/platform/wait/wait.go
@@ -7,6 +7,9 @@
 
 // For blocks for the duration d or until ctx ends, whichever is first.
 func For(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
