Keep lease IDs as the store gives them out

The holder of the duty acquires it in a new era at once and acts once any lease of an earlier era would have ended.

--- a/internal/peer/duty/holder.go
+++ b/internal/peer/duty/holder.go
@@ -65,7 +65,8 @@
 	currentHolder string // last seen value of the key
 	seenRevision  int64  // last seen store revision of the key (the fencing token) or of its removal
 	// era is the latest era of the store that was seen, and freeAt when the leases of the
-	// earlier eras have ended, also those that the store does not know any more.
+	// earlier eras have ended, also those that the store does not know any more. Until
+	// then this instance does not act.
 	era    int64
 	freeAt time.Time
 }
@@ -79,7 +80,8 @@
 func (h *Holder) Fence() (fence int64, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.fence, h.fence != 0 && h.config.Now().Before(h.leaseEnd.Add(-expiryMargin))
+	now := h.config.Now()
+	return h.fence, h.fence != 0 && now.Before(h.leaseEnd.Add(-expiryMargin)) && !now.Before(h.freeAt)
 }
 
 // Current returns the last seen holder of the duty and its fencing token. The
@@ -128,27 +130,19 @@
 	h.config.Log.Info("duty holder changed", zap.String("holder", currentHolder), zap.Int64("fence", fence))
 }
 
-// observeEra records the era of a revision or lease of the store, and reports whether it is a
-// new one. A holder of an earlier era may not know yet that the store has lost its lease, and
-// acts until the lease would have ended. The caller holds h.mu.
-func (h *Holder) observeEra(position int64) (isNew bool) {
-	era := store.Era(position)
+// observeEra records the era of a revision. A holder of an earlier era may not know yet that
+// the store has lost its lease, and acts until the lease would have ended. The caller holds
+// h.mu.
+func (h *Holder) observeEra(revision int64) {
+	era := store.Era(revision)
 	if era <= h.era {
-		return false
+		return
 	}
 	h.era, h.freeAt = era, h.config.Now().Add(leaseTTL)
 	if h.fence != 0 {
 		h.config.Log.Warn("store began a new era; duty lost", zap.Int64("fence", h.fence), zap.Int64("era", era))
 		h.fence, h.leaseID, h.suspended = 0, 0, false
 	}
-	return true
-}
-
-// timeUntilFree returns how long the leases of earlier eras of the store may still last.
-func (h *Holder) timeUntilFree() time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.freeAt.Sub(h.config.Now())
 }
 
 // Run tries to acquire and hold the duty until ctx ends.
@@ -161,8 +155,10 @@
 			continue
 		}
 		if current, _ := h.Current(); current == "" {
-			isNewEra := h.waitForTurn(ctx) && h.acquire(ctx)
-			if isNewEra || h.holdsDuty() {
+			if h.waitForTurn(ctx) {
+				h.acquire(ctx)
+			}
+			if h.holdsDuty() {
 				continue
 			}
 		}
@@ -183,7 +179,7 @@
 		if h.config.Rank != nil {
 			delay += time.Duration(h.config.Rank()) * rankDelay
 		}
-		rest := max(delay-h.config.Now().Sub(start), h.timeUntilFree())
+		rest := delay - h.config.Now().Sub(start)
 		if rest <= 0 {
 			return true
 		}
@@ -229,21 +225,13 @@
 }
 
 // acquire tries to write the key under a new lease. The revision of the write
-// is the fencing token: it increases from holder to holder. If the store turns out to be in
-// a new era, acquire returns true and must be called again.
-func (h *Holder) acquire(ctx context.Context) (isNewEra bool) {
+// is the fencing token: it increases from holder to holder.
+func (h *Holder) acquire(ctx context.Context) {
 	sentAt := h.config.Now()
 	leaseID, granted, err := h.config.Store.GrantLease(ctx, leaseTTL)
 	if err != nil {
 		h.config.Log.Debug("duty lease grant failed", zap.Error(err))
-		return false
-	}
-	h.mu.Lock()
-	isNewEra = h.observeEra(leaseID)
-	h.mu.Unlock()
-	if isNewEra {
-		h.endUnused(ctx, leaseID)
-		return true
+		return
 	}
 	value := h.config.Instance + " " + strconv.FormatInt(leaseID, 10)
 	revision, err := h.config.Store.Commit(ctx, store.Commit{
@@ -258,22 +246,17 @@
 		}
 	}
 	if err != nil {
-		h.endUnused(ctx, leaseID)
-		return false
+		if endErr := h.config.Store.EndLease(ctx, leaseID); endErr != nil {
+			h.config.Log.Debug("ending unused duty lease failed; lease will expire", zap.Int64("lease", leaseID), zap.Error(endErr))
+		}
+		return
 	}
 	h.mu.Lock()
+	h.observeEra(revision)
 	h.leaseID, h.fence, h.leaseEnd = leaseID, revision, sentAt.Add(min(leaseTTL, granted))
 	h.currentHolder, h.seenRevision = value, revision
 	h.mu.Unlock()
 	h.config.Log.Info("duty acquired", zap.Int64("fence", revision))
-	return false
-}
-
-// endUnused ends a lease that was granted in vain.
-func (h *Holder) endUnused(ctx context.Context, leaseID int64) {
-	if err := h.config.Store.EndLease(ctx, leaseID); err != nil {
-		h.config.Log.Debug("ending unused duty lease failed; lease will expire", zap.Int64("lease", leaseID), zap.Error(err))
-	}
 }
 
 // renew extends the lease. After an error, the known end of the lease does not
