Divide the limit that a server names among the instances

What servers saw: one that names in its answers how many requests a second it takes from all instances together got more (LIMIT).

Cause: nothing read the header. The class: a state of a server that its answers tell to one instance and that binds all of them.

The limit belongs to the process of the server. An instance that reads it in an answer tells the others in an urgent exchange of digests. Few instances then send to the server, chosen by rendezvous hash among the live ones, those of its failure domain first: one more for each request a second that the server takes, with nine tenths of the limit divided evenly among them. Retries and continued streams are sent in the same way as first attempts, so they count.

--- a/internal/backend/pool/cold.go
+++ b/internal/backend/pool/cold.go
@@ -65,8 +65,7 @@
 // ColdSends returns the number of requests that this instance has sent to cold servers.
 func (p *Pool) ColdSends() int64 { return p.shared.coldSends.Load() }
 
-// coldState holds what a server process reported about its cold time, and when this
-// instance last sent to it. Times are on the clock of package boottime, in nanoseconds.
+// coldState holds what a server process reported about its cold time. Times are on the clock of package boottime, in nanoseconds.
 type coldState struct {
 	// entryUntil is the end of the cold time according to the entry at entryRevision.
 	// Only Put writes these.
@@ -75,7 +74,6 @@
 	// responseUntil is the end according to the responses, the last of which with a cold
 	// time arrived at respondedAt.
 	responseUntil, respondedAt atomic.Int64
-	lastSend                   atomic.Int64
 	owners                     atomic.Pointer[knownOwners]
 }
 
@@ -164,7 +162,7 @@
 		known = &knownOwners{c.Rosters, c.Rosters.Owners(coldstart.Server{ID: w.ID, FailureDomain: w.FailureDomain})}
 		state.owners.Store(known)
 	}
-	q := coldstart.Query{Limit: l, Self: c.Self, Owners: known.owners, Confirmed: c.Confirmed(), LastSend: time.Unix(0, state.lastSend.Load())}
+	q := coldstart.Query{Limit: l, Self: c.Self, Owners: known.owners, Confirmed: c.Confirmed(), LastSend: time.Unix(0, w.state.lastSend.Load())}
 	q.SecondMaySend = c.Self == q.Owners.Second && !c.IsLive(q.Owners.First)
 	return q
 }
@@ -188,28 +186,6 @@
 	return w.coldUntil(l)
 }
 
-// Acquire reports whether a request may be sent to the server at now. It is called
-// directly before each request, since a server that was chosen may accept none by
-// then. Of concurrent calls for a cold server one succeeds.
-func (w *Worker) Acquire(now time.Time) bool {
-	l, state := *w.coldLimit.Load(), &w.state.cold
-	last := state.lastSend.Load()
-	if !w.Accepts(now) {
-		return false
-	}
-	if !w.isCold(l, now) {
-		if l.Rate > 0 {
-			storeMax(&state.lastSend, now.UnixNano())
-		}
-		return true
-	}
-	if !state.lastSend.CompareAndSwap(last, max(last, now.UnixNano())) {
-		return false
-	}
-	w.shared.coldSends.Add(1)
-	return true
-}
-
 // Ramps reports whether a request should go to another server, because this one was cold
 // until lately. random returns a random number; it is called only for such a server.
 func (w *Worker) Ramps(now time.Time, random func() uint64) bool {
--- /dev/null
+++ b/internal/backend/pool/paced.go
@@ -0,0 +1,96 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/decide/pacing"
+)
+
+// otherSenderDelay is the time after which a client should come back if only other instances
+// may send to a server now.
+const otherSenderDelay = time.Second
+
+// Senders are the live instances, among which the requests to servers that limit them are
+// divided. It is not modified after it is passed to SetSenders.
+type Senders struct {
+	// Self is the ID of this instance.
+	Self string
+	Live []pacing.Instance
+}
+
+// pacedSends is how this instance may send to a server process, by senders and a rate.
+type pacedSends struct {
+	senders *Senders
+	rate    float64
+	// allowed is false if only other instances may send.
+	allowed  bool
+	interval time.Duration
+}
+
+// SetSenders replaces the live instances. Before the first call, this instance takes itself
+// for the only one.
+func (p *Pool) SetSenders(s *Senders) { p.shared.senders.Store(s) }
+
+// Limits returns the limits that servers name.
+func (p *Pool) Limits() *pacing.Limits { return &p.shared.limits }
+
+// PacedSends returns the number of requests that this instance has sent to servers that
+// limit them.
+func (p *Pool) PacedSends() int64 { return p.shared.pacedSends.Load() }
+
+// RecordLimit records that a response which arrived at now, to a request sent at sentAt, names
+// a limit in requests per second, or none if rate is 0. Both times are on the wall clock. It
+// reports whether the limit has changed.
+func (w *Worker) RecordLimit(rate float64, sentAt, now time.Time) (changed bool) {
+	return w.shared.limits.Observe(w.processID, rate, sentAt, now)
+}
+
+// Limited reports whether the server limits the requests of all instances.
+func (w *Worker) Limited() bool {
+	_, limited := w.shared.limits.Rate(w.processID)
+	return limited
+}
+
+// paced returns how this instance may send to the server, and false if the server has no
+// limit.
+func (w *Worker) paced() (pacedSends, bool) {
+	rate, limited := w.shared.limits.Rate(w.processID)
+	if !limited {
+		return pacedSends{}, false
+	}
+	senders := w.shared.senders.Load()
+	if known := w.state.paced.Load(); known != nil && known.senders == senders && known.rate == rate {
+		return *known, true
+	}
+	s := pacedSends{senders: senders, rate: rate}
+	if senders == nil {
+		_, s.interval = pacing.Senders(pacing.Server{}, rate, []pacing.Instance{{}})
+		s.allowed = true
+	} else {
+		var ids []string
+		ids, s.interval = pacing.Senders(pacing.Server{Process: w.processID, FailureDomain: w.FailureDomain}, rate, senders.Live)
+		s.allowed = slices.Contains(ids, senders.Self)
+	}
+	w.state.paced.Store(&s)
+	return s, true
+}
+
+// admitsPaced reports whether the server's limit permits a request at now.
+func (w *Worker) admitsPaced(now time.Time) bool {
+	s, limited := w.paced()
+	return !limited || s.allowed && now.UnixNano() >= w.state.lastSend.Load()+int64(s.interval)
+}
+
+// pacedRetryAt returns the time before which the server's limit permits no request of this
+// instance, or the zero time.
+func (w *Worker) pacedRetryAt(now time.Time) time.Time {
+	s, limited := w.paced()
+	switch {
+	case !limited:
+		return time.Time{}
+	case !s.allowed:
+		return now.Add(otherSenderDelay)
+	}
+	return time.Unix(0, w.state.lastSend.Load()).Add(s.interval)
+}
--- a/internal/backend/pool/process.go
+++ b/internal/backend/pool/process.go
@@ -27,6 +27,9 @@
 	leaving atomic.Bool  // never reset
 	retryAt atomic.Int64 // on the clock of package boottime, in nanoseconds
 	cold    coldState
+	// lastSend is when this instance last sent a request there, as retryAt.
+	lastSend atomic.Int64
+	paced    atomic.Pointer[pacedSends]
 }
 
 // MarkLeaving records that the process of the server is leaving, for good. It
@@ -41,15 +44,42 @@
 // as of now, which may have passed.
 func (w *Worker) RetryAt(now time.Time) time.Time {
 	at := time.Unix(0, w.state.retryAt.Load())
-	if cold := w.coldRetryAt(now); cold.After(at) {
-		return cold
+	for _, other := range []time.Time{w.coldRetryAt(now), w.pacedRetryAt(now)} {
+		if other.After(at) {
+			at = other
+		}
 	}
 	return at
 }
 
 // Accepts reports whether the server may get new requests at now.
 func (w *Worker) Accepts(now time.Time) bool {
-	return w.Usable() && now.UnixNano() >= w.state.retryAt.Load() && w.admitsCold(now)
+	return w.Usable() && now.UnixNano() >= w.state.retryAt.Load() && w.admitsCold(now) && w.admitsPaced(now)
+}
+
+// Acquire reports whether a request may be sent to the server at now. It is called
+// directly before each request, since a server that was chosen may accept none by
+// then. Of concurrent calls for a server that is cold or limited one succeeds.
+func (w *Worker) Acquire(now time.Time) bool {
+	last := w.state.lastSend.Load()
+	if !w.Accepts(now) {
+		return false
+	}
+	cold, limited := w.Cold(now), w.Limited()
+	if !cold && !limited {
+		storeMax(&w.state.lastSend, now.UnixNano())
+		return true
+	}
+	if !w.state.lastSend.CompareAndSwap(last, max(last, now.UnixNano())) {
+		return false
+	}
+	if cold {
+		w.shared.coldSends.Add(1)
+	}
+	if limited {
+		w.shared.pacedSends.Add(1)
+	}
+	return true
 }
 
 // processStates holds the states of the registered processes and of those that
--- a/internal/backend/pool/shared.go
+++ b/internal/backend/pool/shared.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"wasabiworks.example/wasabiworks/internal/decide/evacuation"
+	"wasabiworks.example/wasabiworks/internal/decide/pacing"
 )
 
 // sharedState is the state that all Workers of a Pool share: what the use of a server
@@ -12,6 +13,10 @@
 	domains   atomic.Pointer[evacuation.Set]
 	cold      atomic.Pointer[ColdStart]
 	coldSends atomic.Int64
+
+	limits     pacing.Limits
+	senders    atomic.Pointer[Senders]
+	pacedSends atomic.Int64
 }
 
 // EvacuatedDomains returns the evacuated failure domains. The result may be nil, which
--- a/internal/bench/metastore/store.go
+++ b/internal/bench/metastore/store.go
@@ -79,7 +79,7 @@
 
 // NewWithClock returns an empty store whose leases expire by the given clock.
 func NewWithClock(now func() time.Time) *Store {
-	return &Store{now: now, revision: 1, items: make(map[string]Item), leases: make(map[int64]lease), nextLease: 100, changed: make(chan struct{}), calls: make(map[string]int)}
+	return &Store{now: now, revision: 1, items: make(map[string]Item), leases: make(map[int64]lease), nextLease: 1 << 50, changed: make(chan struct{}), calls: make(map[string]int)}
 }
 
 // SetFaults replaces the faults.
--- a/internal/caller/forward/availability.go
+++ b/internal/caller/forward/availability.go
@@ -8,17 +8,20 @@
 	"go.uber.org/zap"
 
 	"wasabiworks.example/wasabiworks/internal/backend/pool"
+	"wasabiworks.example/wasabiworks/internal/decide/pacing"
 )
 
 // recordAvailability records what the headers of a response say about the
 // availability of the server. They hold whatever request the response belongs to,
-// because they describe the process at the other end of the connection.
-func (e *exchange) recordAvailability(server *pool.Worker, r *http.Response) {
+// because they describe the process at the other end of the connection. sentAt is when the
+// request was sent.
+func (e *exchange) recordAvailability(server *pool.Worker, r *http.Response, sentAt time.Time) {
 	if r.Header.Get(e.config.Headers.Leaving) == "1" && server.MarkLeaving() {
 		e.config.Log.Info("backend server says that it is leaving", zap.String("server", server.ID),
 			zap.String("address", server.Address), zap.Int64("incarnation", server.Incarnation))
 	}
 	e.recordColdTime(server, r)
+	e.recordLimit(server, r, sentAt)
 	if r.StatusCode != http.StatusServiceUnavailable {
 		return
 	}
@@ -39,6 +42,29 @@
 	}
 }
 
+// recordLimit records how many requests the server takes from all instances.
+func (e *exchange) recordLimit(server *pool.Worker, r *http.Response, sentAt time.Time) {
+	rate, now := parseLimit(r.Header.Get(e.config.Headers.Limit)), time.Now()
+	if !server.RecordLimit(rate, now.Add(sentAt.Sub(e.config.Now())), now) {
+		return
+	}
+	e.config.OnLimitChange()
+	e.config.Log.Info("limit of backend server changed", zap.String("server", server.ID), zap.Int64("incarnation", server.Incarnation), zap.Float64("per-second", rate))
+}
+
+// minLimit is the rate that stands for a limit of 0, in requests per second.
+const minLimit = 1e-3
+
+// parseLimit returns the limit in a header that holds a number of requests per second, or 0
+// for any other value.
+func parseLimit(s string) float64 {
+	rate, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(rate >= 0 && rate <= pacing.MaxRate) { // false for NaN
+		return 0
+	}
+	return max(rate, minLimit)
+}
+
 // parseMillis returns the time in a header that holds a number of milliseconds with or
 // without a fraction, or 0 for any other value. The result has at most one hour.
 func parseMillis(s string) time.Duration {
--- a/internal/caller/forward/config.go
+++ b/internal/caller/forward/config.go
@@ -146,7 +146,7 @@
 }
 
 // Config configures a Handler. All fields are required except Registerer, Log,
-// OnRequestEnd, Refusing and Ending.
+// OnLimitChange, OnRequestEnd, Refusing and Ending.
 type Config struct {
 	Headers       Headers
 	FailureDomain string
@@ -159,6 +159,9 @@
 	Versions      Versions
 	// Claims tells how much work servers have from all instances; it may be nil.
 	Claims *claim.Client
+	// OnLimitChange is called when the limit that a server names has changed; the default
+	// does nothing.
+	OnLimitChange func()
 	// OnRequestEnd is called at the end of each request; it may be nil.
 	OnRequestEnd func(Result)
 	// Now returns the time on the boot clock.
--- a/internal/caller/forward/handler.go
+++ b/internal/caller/forward/handler.go
@@ -54,6 +54,9 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
+	if c.OnLimitChange == nil {
+		c.OnLimitChange = func() {}
+	}
 	if c.MaxResponseBytes == 0 {
 		c.MaxResponseBytes = defaultMaxResponse
 	}
--- a/internal/caller/forward/headers.go
+++ b/internal/caller/forward/headers.go
@@ -28,6 +28,9 @@
 	Leaving string
 	// Cold is for how long the responding server stays cold, in milliseconds.
 	Cold string
+	// Limit is the number of requests per second that the responding server takes from
+	// all instances together.
+	Limit string
 	// Tokens lists the number of prompt tokens and the maximum number of output
 	// tokens, separated by a comma.
 	Tokens string
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -119,7 +119,7 @@
 	defer response.Body.Close()
 	a.status, a.newConn = response.StatusCode, sent.NewConn()
 	server.Received(e.config.Now())
-	e.recordAvailability(server, response)
+	e.recordAvailability(server, response, now)
 	return e.handleResponse(a, response, uncachedTokens)
 }
 
--- a/internal/decide/coldstart/coldstart.go
+++ b/internal/decide/coldstart/coldstart.go
@@ -1,6 +1,10 @@
 package coldstart
 
-import "time"
+import (
+	"time"
+
+	"wasabiworks.example/wasabiworks/internal/decide/pacing"
+)
 
 // Limit bounds the requests to the cold servers of a service.
 type Limit struct {
@@ -18,12 +22,7 @@
 const ownerShare = 0.75
 
 // Interval returns the least time between two requests of one owner.
-func (l Limit) Interval() time.Duration {
-	return time.Duration(min(float64(maxInterval), float64(time.Second)/(ownerShare*l.Rate)))
-}
-
-// maxInterval bounds Interval, which a tiny rate would overflow.
-const maxInterval = time.Hour
+func (l Limit) Interval() time.Duration { return pacing.Interval(ownerShare * l.Rate) }
 
 // Query asks whether an instance may send to a cold server.
 type Query struct {
--- /dev/null
+++ b/internal/decide/pacing/pacing.go
@@ -0,0 +1,63 @@
+package pacing
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabiworks.example/wasabiworks/internal/decide/membership"
+)
+
+const (
+	// usedShare is the part of a server's limit that the instances use. The rest is for
+	// instances that do not agree on who sends while members come and go.
+	usedShare = 0.9
+	// senderRate is the number of requests per second for which a server gets one more
+	// sender. With one sender for many requests, a server would idle whenever that
+	// instance has none for it; with many for a few, each would keep requests waiting.
+	senderRate = 1.0
+	// minRate is the least rate, in requests per second, at which a server is sent
+	// requests, so that its senders learn when its limit ends.
+	minRate = 0.25
+	// MaxRate is the highest rate that counts as a limit, in requests per second.
+	MaxRate = 1e6
+	// maxInterval bounds Interval, which a tiny rate would overflow.
+	maxInterval = time.Hour
+)
+
+// Interval returns the time between two requests at a rate per second.
+func Interval(rate float64) time.Duration {
+	return time.Duration(min(float64(maxInterval), float64(time.Second)/rate))
+}
+
+// Instance is a live instance.
+type Instance struct{ ID, FailureDomain string }
+
+// Server is the process of a backend server.
+type Server struct{ Process, FailureDomain string }
+
+// Senders returns the instances that may send requests to a server which takes rate requests
+// per second from all instances, and the least time between two requests of one of them.
+// Instances of the server's failure domain come first; among equals the rendezvous hash
+// decides, so that a change of the instances changes few senders.
+func Senders(s Server, rate float64, live []Instance) (senders []string, interval time.Duration) {
+	rate = max(rate, minRate)
+	n := min(len(live), int(math.Ceil(rate/senderRate)))
+	var inside, outside []string
+	for _, i := range live {
+		if i.FailureDomain == s.FailureDomain {
+			inside = append(inside, i.ID)
+		} else {
+			outside = append(outside, i.ID)
+		}
+	}
+	// The prefix keeps the choice independent of those of other owners.
+	key := xxhash.Sum64String("pacing/" + s.Process)
+	senders = membership.Owners(key, inside, min(n, len(inside)))
+	if rest := n - len(senders); rest > 0 {
+		senders = slices.Concat(senders, membership.Owners(key, outside, rest))
+	}
+	return senders, Interval(usedShare * rate / float64(max(1, n)))
+}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"wasabiworks.example/wasabiworks/internal/peer/duty"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+	"wasabiworks.example/wasabiworks/internal/peer/serverlimit"
 	"wasabiworks.example/wasabiworks/internal/peer/usage"
 	"wasabiworks.example/wasabiworks/internal/platform/boottime"
 	"wasabiworks.example/wasabiworks/internal/platform/follow"
@@ -257,7 +258,7 @@
 	if err := f.initCluster(); err != nil {
 		return nil, err
 	}
-	if err := errors.Join(f.registerEvacuationMetrics(), f.registerColdMetrics(), f.registerCopyMetrics()); err != nil {
+	if err := errors.Join(f.registerEvacuationMetrics(), f.registerColdMetrics(), f.registerCopyMetrics(), f.registerPacingMetrics()); err != nil {
 		return nil, err
 	}
 	if f.burn, err = burn.New(burn.Config{Registry: f.registry}); err != nil {
@@ -276,7 +277,7 @@
 		Headers: c.Format.Headers, FailureDomain: c.FailureDomain, View: f.view, Pool: f.pool,
 		Allowances: f.allowances, Usage: f.usage, Poison: poisonFilter{f}, Versions: f.mover, Claims: f.claims,
 		Budget:           budgets,
-		MaxResponseBytes: c.MaxResponseBytes, Requests: f.connections.requests, MemoryBytes: 2 * f.connections.shares.ResponseBytes, OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
+		MaxResponseBytes: c.MaxResponseBytes, Requests: f.connections.requests, MemoryBytes: 2 * f.connections.shares.ResponseBytes, OnLimitChange: f.exchange.Notify, OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
 		Refusing: f.refusing.Load, Ending: f.ending,
 	})
 	return f, err
@@ -320,10 +321,11 @@
 	})
 	f.counters.SetDomain(c.FailureDomain)
 	counters := exchange.Evidence{Table: &f.counters, Domain: c.FailureDomain, Self: c.ID, Hub: f.members.IsHub}
+	limits := serverlimit.Reports{Limits: f.pool.Limits(), Now: time.Now}
 	f.exchange, err = exchange.New(exchange.Config{
 		Members: f.members, MinRemotePeriod: remotePeriod,
-		Sources:    []exchange.Source{counters, f.crashes},
-		Sinks:      []exchange.Sink{counters, f.crashes},
+		Sources:    []exchange.Source{counters, f.crashes, limits},
+		Sinks:      []exchange.Sink{counters, f.crashes, limits},
 		Services:   exchange.Services{Usage: f.usage.Serve, Watch: f.relay.serveWatch, List: f.relay.serveList, Spend: f.serveSpend, Claim: f.claims.ServeClaim, Progress: f.claims.ServeProgress},
 		Registerer: f.registry,
 		Logger:     c.Log,
@@ -371,6 +373,7 @@
 	wg.Go(func() { f.collectAllowances(workCtx) })
 	wg.Go(func() { f.exchangeWithPeers(workCtx) })
 	wg.Go(func() { f.chooseTrackers(workCtx) })
+	wg.Go(func() { f.updateSenders(workCtx) })
 	wg.Go(func() { f.claims.Run(workCtx) })
 	var dutyDone sync.WaitGroup
 	dutyDone.Go(func() { f.duty.Run(dutyCtx) })
--- /dev/null
+++ b/internal/peer/serverlimit/doc.go
@@ -0,0 +1,3 @@
+// Package serverlimit replicates between instances the limits that backend servers name in
+// their responses.
+package serverlimit
