--- a/internal/backend/pool/paced.go
+++ b/internal/backend/pool/paced.go
@@ -24,8 +24,8 @@
 	senders *Senders
 	rate    float64
 	// allowed is false if only other instances may send.
-	allowed  bool
-	interval time.Duration
+	allowed bool
+	pace    pacing.Pace
 }
 
 // SetSenders replaces the live instances. Before the first call, this instance takes itself
@@ -65,21 +65,39 @@
 	}
 	s := pacedSends{senders: senders, rate: rate}
 	if senders == nil {
-		_, s.interval = pacing.Senders(pacing.Server{}, rate, []pacing.Instance{{}})
+		_, s.pace = pacing.Senders(pacing.Server{}, rate, []pacing.Instance{{}})
 		s.allowed = true
 	} else {
 		var ids []string
-		ids, s.interval = pacing.Senders(pacing.Server{Process: w.processID, FailureDomain: w.FailureDomain}, rate, senders.Live)
+		ids, s.pace = pacing.Senders(pacing.Server{Process: w.processID, FailureDomain: w.FailureDomain}, rate, senders.Live)
 		s.allowed = slices.Contains(ids, senders.Self)
 	}
 	w.state.paced.Store(&s)
 	return s, true
 }
 
+// acquirePaced takes a request from what the server's limit permits at now. It returns false
+// if another request was faster.
+func (w *Worker) acquirePaced(now time.Time) bool {
+	s, limited := w.paced()
+	if !limited {
+		return true
+	}
+	used := w.state.paceUsed.Load()
+	if !s.allowed || now.Before(s.pace.Next(time.Unix(0, used))) {
+		return false
+	}
+	if !w.state.paceUsed.CompareAndSwap(used, s.pace.Use(time.Unix(0, used), now).UnixNano()) {
+		return false
+	}
+	w.shared.pacedSends.Add(1)
+	return true
+}
+
 // admitsPaced reports whether the server's limit permits a request at now.
 func (w *Worker) admitsPaced(now time.Time) bool {
 	s, limited := w.paced()
-	return !limited || s.allowed && now.UnixNano() >= w.state.lastSend.Load()+int64(s.interval)
+	return !limited || s.allowed && !now.Before(s.pace.Next(time.Unix(0, w.state.paceUsed.Load())))
 }
 
 // pacedRetryAt returns the time before which the server's limit permits no request of this
@@ -92,5 +110,5 @@
 	case !s.allowed:
 		return now.Add(otherSenderDelay)
 	}
-	return time.Unix(0, w.state.lastSend.Load()).Add(s.interval)
+	return s.pace.Next(time.Unix(0, w.state.paceUsed.Load()))
 }
--- a/internal/backend/pool/process.go
+++ b/internal/backend/pool/process.go
@@ -27,9 +27,10 @@
 	leaving atomic.Bool  // never reset
 	retryAt atomic.Int64 // on the clock of package boottime, in nanoseconds
 	cold    coldState
-	// lastSend is when this instance last sent a request there, as retryAt.
-	lastSend atomic.Int64
-	paced    atomic.Pointer[pacedSends]
+	// lastSend is when this instance last sent a request there, and paceUsed the time up to
+	// which it has used its part of the server's limit, both as retryAt.
+	lastSend, paceUsed atomic.Int64
+	paced              atomic.Pointer[pacedSends]
 }
 
 // MarkLeaving records that the process of the server is leaving, for good. It
@@ -62,23 +63,17 @@
 // then. Of concurrent calls for a server that is cold or limited one succeeds.
 func (w *Worker) Acquire(now time.Time) bool {
 	last := w.state.lastSend.Load()
-	if !w.Accepts(now) {
+	if !w.Accepts(now) || !w.acquirePaced(now) {
 		return false
 	}
-	cold, limited := w.Cold(now), w.Limited()
-	if !cold && !limited {
+	if !w.Cold(now) {
 		storeMax(&w.state.lastSend, now.UnixNano())
 		return true
 	}
 	if !w.state.lastSend.CompareAndSwap(last, max(last, now.UnixNano())) {
 		return false
 	}
-	if cold {
-		w.shared.coldSends.Add(1)
-	}
-	if limited {
-		w.shared.pacedSends.Add(1)
-	}
+	w.shared.coldSends.Add(1)
 	return true
 }
 
--- a/internal/decide/pacing/pacing.go
+++ b/internal/decide/pacing/pacing.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// usedShare is the part of a server's limit that the instances use. The rest is for
-	// instances that do not agree on who sends while members come and go.
-	usedShare = 0.9
+	// catchUp is the part of the interval by which a sender may be ahead of its rate, so that
+	// a server does not lose the requests of a sender that had none in time.
+	catchUp = 0.5
 	// senderRate is the number of requests per second for which a server gets one more
 	// sender. With one sender for many requests, a server would idle whenever that
 	// instance has none for it; with many for a few, each would keep requests waiting.
@@ -38,11 +38,31 @@
 // Server is the process of a backend server.
 type Server struct{ Process, FailureDomain string }
 
+// Pace limits the requests of one sender to one server.
+type Pace struct {
+	// Interval is the mean time between two requests.
+	Interval time.Duration
+}
+
+// Next returns the earliest time of the next request, if the sender has used its rate up to
+// the time used.
+func (p Pace) Next(used time.Time) time.Time {
+	return used.Add(-time.Duration(catchUp * float64(p.Interval)))
+}
+
+// Use returns the time up to which the sender has used its rate after a request at now.
+func (p Pace) Use(used, now time.Time) time.Time {
+	if used.Before(now) {
+		used = now
+	}
+	return used.Add(p.Interval)
+}
+
 // Senders returns the instances that may send requests to a server which takes rate requests
-// per second from all instances, and the least time between two requests of one of them.
+// per second from all instances, and the pace of each of them.
 // Instances of the server's failure domain come first; among equals the rendezvous hash
 // decides, so that a change of the instances changes few senders.
-func Senders(s Server, rate float64, live []Instance) (senders []string, interval time.Duration) {
+func Senders(s Server, rate float64, live []Instance) (senders []string, pace Pace) {
 	rate = max(rate, minRate)
 	n := min(len(live), int(math.Ceil(rate/senderRate)))
 	var inside, outside []string
@@ -59,5 +79,5 @@
 	if rest := n - len(senders); rest > 0 {
 		senders = slices.Concat(senders, membership.Owners(key, outside, rest))
 	}
-	return senders, Interval(usedShare * rate / float64(max(1, n)))
+	return senders, Pace{Interval: Interval(rate / float64(max(1, n)))}
 }
--- a/internal/decide/pacing/pacing_test.go
+++ b/internal/decide/pacing/pacing_test.go
@@ -16,17 +16,17 @@
 	id       Instance
 	limits   Limits
 	downTill time.Time
-	lastSend time.Time
+	used     time.Time
 	// toldAt is when it last passed on a response with the limit for the first time since its
 	// start, or the zero time.
 	toldAt time.Time
 	// unknown are the instances that it does not take for live.
 	unknown map[string]bool
-	// allowed and interval are how it may send, by what it took for live when the number of
+	// allowed and pace are how it may send, by what it took for live when the number of
 	// the model's views was one less than view.
-	allowed  bool
-	interval time.Duration
-	view     int
+	allowed bool
+	pace    Pace
+	view    int
 }
 
 // modelDemand is how many requests for the server each instance has a second.
@@ -58,11 +58,11 @@
 		if i.view != m.views+1 {
 			m.choose(i, rate)
 		}
-		if !i.allowed || m.now.Sub(i.lastSend) < i.interval {
+		if !i.allowed || m.now.Before(i.pace.Next(i.used)) {
 			return
 		}
+		i.used = i.pace.Use(i.used, m.now)
 	}
-	i.lastSend = m.now
 	if !i.toldAt.IsZero() && m.now.Sub(i.toldAt) >= 500*time.Millisecond {
 		m.arrivals = append(m.arrivals, m.now)
 	}
@@ -82,7 +82,7 @@
 		}
 	}
 	var senders []string
-	senders, i.interval = Senders(Server{"server", "domain-0"}, rate, live)
+	senders, i.pace = Senders(Server{"server", "domain-0"}, rate, live)
 	i.allowed, i.view = slices.Contains(senders, i.id.ID), m.views+1
 }
 
