Restore the records of moves that the store has lost

Cause: after the store came back from a copy, the operator's order is written again under a new revision, and the record of its move may be missing or older. The order counted as a new one, whose move began again from the start, also to a version that had been rolled back; the status that the operator reads was gone.

An order that is written again in a new era is the same order, and one that the copy still has although it was replaced is ignored. A record keeps the later of the known state and that of the copy; the holder of the duty writes it again with the status. The record says under which revision the order was seen last, so that instances that start later take it for the same.

--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -40,6 +40,7 @@
 	if !c.Complete {
 		return
 	}
+	f.mover.applyListing(c)
 	if !dutyHeld {
 		f.duty.Apply(store.Item{Key: dutyKey, Revision: c.Revision, Removed: true})
 	}
--- a/internal/entry/gateway/moverecord.go
+++ b/internal/entry/gateway/moverecord.go
@@ -50,6 +50,17 @@
 	// Baseline is the version that served before the first move that is not done. It is
 	// never rejected, also if it was ordered back and another order followed.
 	Baseline string `json:"baseline"`
+	// Order is the revision under which the holder of the duty saw the order last.
+	Order int64 `json:"order"`
+}
+
+// follows reports whether r is a later state of its service's move, or of a later move, than
+// other, which a copy of the store has.
+func (r *moveRecord) follows(other moveRecord) bool {
+	if r.ID != other.ID {
+		return r.Start.After(other.Start)
+	}
+	return other.State == MoveRunning && r.State != MoveRunning
 }
 
 // rejectedVersions holds versions; those that are not used are empty.
@@ -119,6 +130,7 @@
 		case r.State == MoveDone && (a.newAbsent || a.decision.Phase == move.RolledBack) && now.Before(r.Finish):
 			r.State = MoveRolledBack // the old servers stop only at the report
 		}
+		r.Order = o.seenRevision
 		if r != stored.moveRecord || stored.overwritten {
 			m.storeRecord(ctx, r, stored.revision)
 			continue
--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -15,10 +15,14 @@
 	"wasabiworks.example/wasabiworks/internal/caller/forward"
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
 	"wasabiworks.example/wasabiworks/internal/decide/move"
+	"wasabiworks.example/wasabiworks/internal/platform/follow"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
 	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
+// maxPastOrders bounds the orders of a service that are remembered after they were replaced.
+const maxPastOrders = 8
+
 // movePeriod is the time between two evaluations of the evidence.
 const movePeriod = 200 * time.Millisecond
 
@@ -58,9 +62,11 @@
 
 	mu             sync.Mutex
 	orders         map[string]receivedOrder // by service
-	records        map[string]storedMove    // by service
-	reportedStatus map[string]string        // status last written for the operator, by service
+	pastOrders     map[string][]receivedOrder
+	records        map[string]storedMove // by service
+	reportedStatus map[string]string     // status last written for the operator, by service
 	presence       move.Presence
+	era            int64 // of the last listing of the store
 }
 
 // receivedOrder is an order, its revision in the store and when this instance
@@ -69,6 +75,9 @@
 	MoveOrder
 	revision   int64
 	receivedAt time.Time
+	// seenRevision is the revision under which the order was seen last: the operator
+	// writes it again after the store came back from a copy.
+	seenRevision int64
 }
 
 // storedMove is the record of a move and its revision in the store.
@@ -81,7 +90,7 @@
 }
 
 func newMover(f *Instance) *mover {
-	m := &mover{instance: f, orders: make(map[string]receivedOrder), records: make(map[string]storedMove), reportedStatus: make(map[string]string)}
+	m := &mover{instance: f, orders: make(map[string]receivedOrder), pastOrders: make(map[string][]receivedOrder), records: make(map[string]storedMove), reportedStatus: make(map[string]string)}
 	m.active.Store(new(map[string]activeMove))
 	return m
 }
@@ -99,10 +108,27 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if known, ok := m.orders[o.Service]; ok && known.revision >= item.Revision {
+	known, ok := m.orders[o.Service]
+	if ok && known.seenRevision >= item.Revision {
 		return
 	}
-	m.orders[o.Service] = receivedOrder{MoveOrder: o, revision: item.Revision, receivedAt: time.Now()}
+	if ok && store.Era(item.Revision) > store.Era(known.seenRevision) {
+		if o == known.MoveOrder {
+			known.seenRevision = item.Revision
+			m.orders[o.Service] = known
+			return
+		}
+		if isPast := func(past receivedOrder) bool {
+			return past.MoveOrder == o && store.Revision(past.revision) == store.Revision(item.Revision)
+		}; slices.ContainsFunc(m.pastOrders[o.Service], isPast) {
+			return // the copy does not have the order that replaced this one
+		}
+	}
+	if ok {
+		past := append(m.pastOrders[o.Service], known)
+		m.pastOrders[o.Service] = past[max(0, len(past)-maxPastOrders):]
+	}
+	m.orders[o.Service] = receivedOrder{MoveOrder: o, revision: item.Revision, receivedAt: time.Now(), seenRevision: item.Revision}
 	m.instance.config.Log.Info("move order received", zap.String("service", o.Service), zap.String("to", o.To), zap.Duration("within", o.Within), zap.Int64("revision", item.Revision))
 }
 
@@ -122,7 +148,11 @@
 	m.mu.Lock()
 	known := m.records[service]
 	if item.Revision > known.revision {
-		m.records[service] = storedMove{moveRecord: r, revision: item.Revision}
+		next := storedMove{moveRecord: r, revision: item.Revision}
+		if store.Era(item.Revision) > store.Era(known.revision) && known.follows(r) {
+			next = storedMove{moveRecord: known.moveRecord, revision: item.Revision, overwritten: true}
+		}
+		m.records[service] = next
 	}
 	m.mu.Unlock()
 	if known.ID != r.ID || known.State != r.State {
@@ -132,6 +162,36 @@
 	}
 }
 
+// applyListing applies a listing of all items of the store. In a new era, records that the
+// store has lost are written again, and so is the status of each move.
+func (m *mover) applyListing(c follow.Change) {
+	listed := make(map[string]bool)
+	for _, item := range c.Items {
+		if service, ok := strings.CutPrefix(item.Key, movesPrefix); ok {
+			listed[service] = true
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	first := m.era == 0
+	if store.Era(c.Revision) <= m.era {
+		return
+	}
+	if m.era = store.Era(c.Revision); first || len(m.records) == 0 {
+		return
+	}
+	clear(m.reportedStatus)
+	lost := 0
+	for service, known := range m.records {
+		if !listed[service] && store.Era(known.revision) < m.era {
+			known.revision, known.overwritten = 0, true
+			m.records[service] = known
+			lost++
+		}
+	}
+	m.instance.config.Log.Info("move records kept in a new era of the store", zap.Int64("era", m.era), zap.Int("lost", lost))
+}
+
 // markOverwritten notes that the store holds an invalid record of a service's move.
 // The known record remains in effect.
 func (m *mover) markOverwritten(service string, revision int64) {
@@ -166,7 +226,7 @@
 	next := make(map[string]activeMove)
 	for service, o := range m.orders {
 		r, ok := m.records[service]
-		isNew := !ok || r.ID != moveID(o)
+		isNew := !ok || r.ID != moveID(o) && r.Order != o.seenRevision
 		baseline, rejected := r.Baseline, r.Rejected
 		if isNew {
 			baseline, rejected = r.following(o.To, m.servingVersion(service, o.To))
--- a/internal/platform/store/era.go
+++ b/internal/platform/store/era.go
@@ -21,6 +21,10 @@
 // Positions are ordered by era first. The era is 0 for a store that does not say it.
 func Era(position int64) int64 { return position >> revisionBits }
 
+// Revision returns the revision of the store that a position holds. An item that a store has
+// kept in a copy has the same one in each era.
+func Revision(position int64) int64 { return position & (1<<revisionBits - 1) }
+
 // position returns the position of a revision in an era. The revision 0, which stands for
 // none, stays 0.
 func position(era, revision int64) (int64, error) {
@@ -42,9 +46,6 @@
 	return (era-1)%maxEra + 1
 }
 
-// revisionOf returns the revision of the store that a position holds.
-func revisionOf(position int64) int64 { return position & (1<<revisionBits - 1) }
-
 // Client makes the calls of a Store, with the revisions that the store itself uses. Each
 // method also returns the era of the reply, which is 0 if there was none or it does not say
 // it. An error may come with an era.
@@ -175,7 +176,7 @@
 	if s.isPast(after) {
 		return nil, 0, fmt.Errorf("%w: revision is of an earlier era", ErrCompacted)
 	}
-	items, next, era, err := s.client.Watch(ctx, prefix, revisionOf(after), wait)
+	items, next, era, err := s.client.Watch(ctx, prefix, Revision(after), wait)
 	era, past := s.observe(era, ErrUnavailable)
 	if past != nil {
 		return nil, 0, past
@@ -199,7 +200,7 @@
 			return 0, fmt.Errorf("%w: revision of %q is of an earlier era", ErrConflict, v.Key)
 		}
 		depends = depends || v.Revision != 0
-		local.Conditions = append(local.Conditions, Condition{v.Key, revisionOf(v.Revision)})
+		local.Conditions = append(local.Conditions, Condition{v.Key, Revision(v.Revision)})
 	}
 	for _, v := range c.Puts {
 		if s.hasEnded(v.Lease) {
