Read the other items of a reply with a revision out of range

Since revisions are positions, one item whose revision was negative or too large failed the whole listing or watch, again and again. Such a revision counts as missing again, as other odd fields do.

--- a/internal/platform/store/era.go
+++ b/internal/platform/store/era.go
@@ -127,23 +127,20 @@
 	if err != nil {
 		return Item{}, err
 	}
-	return itemIn(era, item)
+	return itemIn(era, item), nil
 }
 
-// itemIn returns an item with its position in an era.
-func itemIn(era int64, item Item) (Item, error) {
-	var err error
-	item.Revision, err = position(era, item.Revision)
-	return item, err
+// itemIn returns an item with its position in an era. A revision that is out of range counts
+// as missing, because an error would keep all other items of the reply from being read.
+func itemIn(era int64, item Item) Item {
+	item.Revision, _ = position(era, item.Revision)
+	return item
 }
 
 // itemsIn returns items, and the revision to continue from, with positions in an era.
 func itemsIn(era int64, items []Item, next int64) ([]Item, int64, error) {
 	for i := range items {
-		var err error
-		if items[i], err = itemIn(era, items[i]); err != nil {
-			return nil, 0, err
-		}
+		items[i] = itemIn(era, items[i])
 	}
 	next, err := position(era, next)
 	return items, next, err
