Write the sums of usage again that the store has lost

Cause: a window's sums are stored before they are reported, so that a successor reports the same. A store that came back from a copy lacks the newest ones; the next holder summed up what it had itself and reported the window again, with other counts.

A follower tells what the first listing of a new era lacks. The instance that watches for the fleet, and after it the hubs, write the sums again unless somebody has, before a new holder of the duty acts.

--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -41,6 +41,7 @@
 		return
 	}
 	f.mover.applyListing(c)
+	f.restoreUsage(c)
 	if !dutyHeld {
 		f.duty.Apply(store.Item{Key: dutyKey, Revision: c.Revision, Removed: true})
 	}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -207,6 +207,7 @@
 	trackers    atomic.Pointer[map[string][]string]
 	crashes     crash.Reports
 	crashChecks sync.WaitGroup // counts running checks of whether a server has crashed
+	restores    sync.WaitGroup // counts running writes of items that the store has lost
 	// counters are shared by all instances: the units that workspaces spent, and
 	// the outcomes of requests at the old and the new version of each move.
 	counters evidence.Table
@@ -415,6 +416,7 @@
 	err = errors.Join(err, clients.Close(), ready.Close(), operation.Close())
 	wg.Wait()
 	f.crashChecks.Wait()
+	f.restores.Wait()
 	f.config.Log.Info("instance stopped", zap.Error(err))
 	return err
 }
--- a/internal/platform/follow/copy.go
+++ b/internal/platform/follow/copy.go
@@ -40,6 +40,30 @@
 	}
 }
 
+// missing returns the items of the copy that items lacks.
+func (c *itemCopy) missing(items []store.Item) (lost []store.Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	present := make(map[string]bool, len(items))
+	for _, item := range items {
+		present[item.Key] = true
+	}
+	for _, key := range slices.Sorted(maps.Keys(c.items)) {
+		if !present[key] {
+			lost = append(lost, c.items[key])
+		}
+	}
+	return lost
+}
+
+// has reports whether the copy has an item with the key.
+func (c *itemCopy) has(key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.items[key]
+	return ok
+}
+
 // page returns the items after a key in the order of their keys, up to maxReplyBytes, and
 // whether there are more.
 func (c *itemCopy) page(after string) (items []store.Item, more bool) {
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -54,6 +54,9 @@
 	// other item no longer exists. Revision is set only if Complete is set.
 	Complete bool
 	Revision int64
+	// Lost are the items that the copy had and that the first listing of a new era of the
+	// store lacks.
+	Lost []store.Item
 }
 
 // RelayReply is a peer's reply with the changes since the requested revision.
@@ -155,6 +158,9 @@
 // Era returns the latest era of the store that the copy belonged to.
 func (f *Follower) Era() int64 { return f.era.Load() }
 
+// Knows reports whether the copy has an item with the key.
+func (f *Follower) Knows(key string) bool { return f.copy.has(key) }
+
 // Failing reports whether the last call to the store failed. The copy may be up to
 // date all the same, through peers.
 func (f *Follower) Failing() bool { return f.failing.Load() }
@@ -246,10 +252,12 @@
 
 // applyListing applies a listing of all items, which has all changes up to the revision next.
 func (f *Follower) applyListing(items []store.Item, next int64) {
+	var lost []store.Item
 	if era := store.Era(next); era > f.era.Load() {
-		f.config.Log.Info("store began a new era", zap.Int64("era", era), zap.Int64("previous-era", f.era.Swap(era)), zap.Int("items", len(items)))
+		lost = f.copy.missing(items)
+		f.config.Log.Info("store began a new era", zap.Int64("era", era), zap.Int64("previous-era", f.era.Swap(era)), zap.Int("items", len(items)), zap.Int("lost", len(lost)))
 	}
-	f.config.Apply(Change{Items: items, Complete: true, Revision: next})
+	f.config.Apply(Change{Items: items, Complete: true, Revision: next, Lost: lost})
 	f.copy.replace(items)
 	f.changes.reset(next)
 }
