--- a/internal/decide/coldstart/coldstart_test.go
+++ b/internal/decide/coldstart/coldstart_test.go
@@ -43,7 +43,7 @@
 	m := &model{random: rand.New(rand.NewPCG(seed, 1)), now: epoch, listed: make(map[string]bool), sent: make(map[string][]time.Time)}
 	m.believesDead = func(m *model, _ *modelInstance, id string) bool { return !m.find(id).running }
 	for n := range instances {
-		i := &modelInstance{Instance: Instance{fmt.Sprint("edge-", n), fmt.Sprint("zone-", n%domains)}, running: true, lastSend: make(map[string]time.Time)}
+		i := &modelInstance{Instance: Instance{ID: fmt.Sprint("edge-", n), FailureDomain: fmt.Sprint("zone-", n%domains)}, running: true, lastSend: make(map[string]time.Time)}
 		m.instances = append(m.instances, i)
 		m.listed[i.ID] = true
 	}
@@ -232,7 +232,7 @@
 // Guards against a starting instance that uses a cold server before it knows the others,
 // and against one whose list is old.
 func TestInstanceWithoutConfirmedListSendsNothing(t *testing.T) {
-	rosters := (*Rosters)(nil).Replace([]Instance{{"a", "z"}}, epoch)
+	rosters := (*Rosters)(nil).Replace([]Instance{{ID: "a", FailureDomain: "z"}}, epoch)
 	owners := rosters.Owners(Server{"s", "z"})
 	tests := []struct {
 		name      string
@@ -252,11 +252,11 @@
 			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
 		}
 	}
-	after := rosters.Replace([]Instance{{"a", "z"}, {"b", "z"}, {"c", "y"}}, epoch.Add(time.Hour))
+	after := rosters.Replace([]Instance{{ID: "a", FailureDomain: "z"}, {ID: "b", FailureDomain: "z"}, {ID: "c", FailureDomain: "y"}}, epoch.Add(time.Hour))
 	if from := after.Owners(Server{"s", "z"}).From; from.Before(epoch.Add(time.Hour + MaxRosterAge)) {
 		t.Errorf("changed owners: got them in effect from %v, want %v after the change", from, MaxRosterAge)
 	}
-	if again := after.Replace([]Instance{{"c", "y"}, {"b", "z"}, {"a", "z"}}, epoch.Add(2*time.Hour)); again != after {
+	if again := after.Replace([]Instance{{ID: "c", FailureDomain: "y"}, {ID: "b", FailureDomain: "z"}, {ID: "a", FailureDomain: "z"}}, epoch.Add(2*time.Hour)); again != after {
 		t.Error("the same list in another order counts as a change")
 	}
 }
--- a/internal/decide/coldstart/roster.go
+++ b/internal/decide/coldstart/roster.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wasabiworks.example/wasabiworks/internal/decide/membership"
+	"wasabiworks.example/wasabiworks/internal/decide/pacing"
 )
 
 // MaxRosterAge is the age of its list of instances up to which an instance sends to cold
@@ -16,7 +17,7 @@
 const MaxRosterAge = 3 * time.Second
 
 // Instance is an instance in the list of all instances.
-type Instance struct{ ID, FailureDomain string }
+type Instance = pacing.Instance
 
 // Server is a backend server.
 type Server struct{ ID, FailureDomain string }
@@ -85,14 +86,7 @@
 
 // ownersAmong returns the owners of a server among instances.
 func ownersAmong(instances []Instance, s Server) (o Owners) {
-	var inside, outside []string
-	for _, i := range instances {
-		if i.FailureDomain == s.FailureDomain {
-			inside = append(inside, i.ID)
-		} else {
-			outside = append(outside, i.ID)
-		}
-	}
+	inside, outside := pacing.ByDomain(instances, s.FailureDomain)
 	if len(inside) == 0 {
 		inside, outside = outside, nil
 	}
--- a/internal/decide/pacing/pacing.go
+++ b/internal/decide/pacing/pacing.go
@@ -32,9 +32,21 @@
 	return time.Duration(min(float64(maxInterval), float64(time.Second)/rate))
 }
 
-// Instance is a live instance.
+// Instance is an instance and its failure domain.
 type Instance struct{ ID, FailureDomain string }
 
+// ByDomain returns the IDs of the instances inside and outside of a failure domain.
+func ByDomain(instances []Instance, domain string) (inside, outside []string) {
+	for _, i := range instances {
+		if i.FailureDomain == domain {
+			inside = append(inside, i.ID)
+		} else {
+			outside = append(outside, i.ID)
+		}
+	}
+	return inside, outside
+}
+
 // Server is the process of a backend server.
 type Server struct{ Process, FailureDomain string }
 
@@ -65,14 +77,7 @@
 func Senders(s Server, rate float64, live []Instance) (senders []string, pace Pace) {
 	rate = max(rate, minRate)
 	n := min(len(live), int(math.Ceil(rate/senderRate)))
-	var inside, outside []string
-	for _, i := range live {
-		if i.FailureDomain == s.FailureDomain {
-			inside = append(inside, i.ID)
-		} else {
-			outside = append(outside, i.ID)
-		}
-	}
+	inside, outside := ByDomain(live, s.FailureDomain)
 	// The prefix keeps the choice independent of those of other owners.
 	key := xxhash.Sum64String("pacing/" + s.Process)
 	senders = membership.Owners(key, inside, min(n, len(inside)))
--- a/internal/decide/retry/shared_test.go
+++ b/internal/decide/retry/shared_test.go
@@ -183,6 +183,21 @@
 	return m
 }
 
+// eachFleet calls play with fleets of several sizes and seeds, and reports those that exceed the
+// bound.
+func eachFleet(t *testing.T, play func(m *fleetModel, perSecond int)) {
+	for _, size := range fleetSizes {
+		for seed := range uint64(20) {
+			m := newFleetModel(seed, size.instances, size.slack)
+			perSecond := size.instances * (1 + m.random.IntN(10))
+			play(m, perSecond)
+			if excess := m.worstExcess(); excess > 0 {
+				t.Errorf("%d instances, seed %d, %d requests a second: %.0f retries beyond the bound", size.instances, seed, perSecond, excess)
+			}
+		}
+	}
+}
+
 // fleetSizes are numbers of instances with the slack that they share.
 var fleetSizes = []struct {
 	instances int
@@ -192,39 +207,25 @@
 // Guards against processes that use the slack of the fleet again after each of several kills
 // within one window.
 func TestSlackIsNotUsedAgainAfterKills(t *testing.T) {
-	for _, size := range fleetSizes {
-		for seed := range uint64(20) {
-			m := newFleetModel(seed, size.instances, size.slack)
-			perSecond := size.instances * (1 + m.random.IntN(10))
-			m.serve(m.start(), perSecond, 15*time.Second)
-			for range 5 {
-				m.serve(m.start(), perSecond, time.Duration(500+m.random.IntN(1500))*time.Millisecond)
-			}
-			m.serve(m.start(), perSecond, 15*time.Second)
-			if excess := m.worstExcess(); excess > 0 {
-				t.Errorf("%d instances, seed %d, %d requests a second: %.0f retries beyond the bound", size.instances, seed, perSecond, excess)
-			}
+	eachFleet(t, func(m *fleetModel, perSecond int) {
+		m.serve(m.start(), perSecond, 15*time.Second)
+		for range 5 {
+			m.serve(m.start(), perSecond, time.Duration(500+m.random.IntN(1500))*time.Millisecond)
 		}
-	}
+		m.serve(m.start(), perSecond, 15*time.Second)
+	})
 }
 
 // Guards against processes that start while most entries of instances have lapsed, and take
 // large parts of the slack because they count few instances.
 func TestSlackIsKeptWhileProcessesCountFewInstances(t *testing.T) {
-	for _, size := range fleetSizes {
-		for seed := range uint64(20) {
-			m := newFleetModel(seed, size.instances, size.slack)
-			perSecond := size.instances * (1 + m.random.IntN(10))
-			m.serve(m.start(), perSecond, 15*time.Second)
-			// The entries are written again within six seconds.
-			m.counted = func(startedAt time.Time) int {
-				written := float64(m.now.Sub(startedAt)) / float64(6*time.Second)
-				return max(1, int(min(1, written)*float64(m.instances)))
-			}
-			m.serve(m.start(), perSecond, 25*time.Second)
-			if excess := m.worstExcess(); excess > 0 {
-				t.Errorf("%d instances, seed %d, %d requests a second: %.0f retries beyond the bound", size.instances, seed, perSecond, excess)
-			}
+	eachFleet(t, func(m *fleetModel, perSecond int) {
+		m.serve(m.start(), perSecond, 15*time.Second)
+		// The entries are written again within six seconds.
+		m.counted = func(startedAt time.Time) int {
+			written := float64(m.now.Sub(startedAt)) / float64(6*time.Second)
+			return max(1, int(min(1, written)*float64(m.instances)))
 		}
-	}
+		m.serve(m.start(), perSecond, 25*time.Second)
+	})
 }
--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/netip"
@@ -11,6 +12,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/platform/follow"
 	"wasabiworks.example/wasabiworks/internal/platform/store"
+	"wasabiworks.example/wasabiworks/internal/platform/wait"
 )
 
 // apply applies a change of the store. Only the follower's goroutine calls it.
@@ -178,3 +180,13 @@
 	}
 	return time.Time{}
 }
+
+// expireServers periodically removes servers that did not register again in
+// time, until ctx ends.
+func (f *Instance) expireServers(ctx context.Context) {
+	wait.Every(ctx, expiryCheckPeriod, func() {
+		for _, id := range f.pool.Expire(f.now()) {
+			f.config.Log.Info("server removed", zap.String("server", id), zap.String("reason", "entry was not registered again"))
+		}
+	})
+}
--- a/internal/entry/gateway/apply_test.go
+++ b/internal/entry/gateway/apply_test.go
@@ -58,7 +58,7 @@
 	return &Instance{
 		config: Config{Format: Format{ServersPrefix: "servers/", DecodeServer: decode}, Log: zap.NewNop()},
 		now:    time.Now, pool: pool.New(), follower: follow.New(follow.Config{}), serverRevisions: make(map[string]int64),
-		registered: make(map[string]membership.Member), members: membership.NewTable(membership.Config{}), duty: duty.New(duty.Config{Log: zap.NewNop()}),
+		registered: make(map[string]membership.Member), members: membership.NewTable(membership.Config{}), duty: duty.New(duty.Config{Log: zap.NewNop()}), mover: newMover(nil),
 	}
 }
 
--- a/internal/entry/gateway/restore.go
+++ b/internal/entry/gateway/restore.go
@@ -33,8 +33,11 @@
 			lost = append(lost, item)
 		}
 	}
+	if len(lost) == 0 {
+		return
+	}
 	rank := f.dutyRank()
-	if len(lost) == 0 || rank > maxRestoreRank {
+	if rank > maxRestoreRank {
 		return
 	}
 	f.restores.Go(func() {
