--- a/internal/peer/duty/holder.go
+++ b/internal/peer/duty/holder.go
@@ -80,8 +80,11 @@
 func (h *Holder) Fence() (fence int64, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.fence == 0 {
+		return 0, false
+	}
 	now := h.config.Now()
-	return h.fence, h.fence != 0 && now.Before(h.leaseEnd.Add(-expiryMargin)) && !now.Before(h.freeAt)
+	return h.fence, now.Before(h.leaseEnd.Add(-expiryMargin)) && !now.Before(h.freeAt)
 }
 
 // Current returns the last seen holder of the duty and its fencing token. The
