Take a move record without an order for that of no order

A record that another writer has overwritten, seen by an instance that knew none before, has no order, and matched an order that had none either: the move was recorded without an ID. In the program an order always has a revision, so this showed in TestOverwrittenMoveRecordIsRestored only, which has failed since.

--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -226,7 +226,7 @@
 	next := make(map[string]activeMove)
 	for service, o := range m.orders {
 		r, ok := m.records[service]
-		isNew := !ok || r.ID != moveID(o) && r.Order != o.seenRevision
+		isNew := !ok || r.ID != moveID(o) && (r.Order == 0 || r.Order != o.seenRevision)
 		baseline, rejected := r.Baseline, r.Rejected
 		if isNew {
 			baseline, rejected = r.following(o.To, m.servingVersion(service, o.To))
