--- a/internal/caller/forward/limit_test.go
+++ b/internal/caller/forward/limit_test.go
@@ -50,8 +50,10 @@
 		}
 	})
 	f := newForwarderWith(t, func(c *Config) { c.Headers.Limit = "Limit" }, 1000, 2*time.Second, limited)
-	if r := call(t, f, http.MethodGet, "/read/", "first"); r.status != http.StatusOK {
-		t.Fatalf("got status %d, want 200", r.status)
+	for _, id := range []string{"tells the limit", "uses it"} {
+		if r := call(t, f, http.MethodGet, "/read/", id); r.status != http.StatusOK {
+			t.Fatalf("request that %s: got status %d, want 200", id, r.status)
+		}
 	}
 	var wg sync.WaitGroup
 	for i := range 10 {
