Let a fresh process retry, and count the instances whose entries lapsed

What callers saw: in the ten seconds after a start an instance hardly repeated any request, since it had no slack.

So that a fresh process does not count few instances because the others' entries lapsed, the holder of the duty stores the number of instances, under no lease. The tests of the bound are unchanged and pass, and a new one lets a whole fleet start fresh twice.

--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -21,7 +21,10 @@
 	// Started is when the process started, on the clock of Now; the default is the time of
 	// NewSharedBudget.
 	Started time.Time
-	Now     func() time.Time
+	// Fresh reports whether no process ran on this machine in the window before Started;
+	// nil means that this is not known.
+	Fresh func() bool
+	Now   func() time.Time
 	// Random returns a number in [0, 1); the default is a random one.
 	Random func() float64
 }
@@ -33,15 +36,18 @@
 	// drawWindows is the number of windows after which the rounding is drawn again.
 	// In any window, a quarter of the instances then have two draws.
 	drawWindows = 4
+	// freshFraction is the fraction of its share of the slack that a fresh process uses in its
+	// first window. A process that ended in a planned stop, or whose entry lapsed, may have
+	// used its share.
+	freshFraction = 1.0 / 3
 	// minSlackFraction is the fraction of the slack that instances use at least.
 	minSlackFraction = 0.25
 )
 
 // SharedBudget is one instance's part of the fleet's budget. In a window the
 // instance may send Ratio retries for each of its own requests, and an equal share
-// of the slack. In the first window of a process there is no slack: the process that ran
-// before on the same machine may have used it, and the number of instances may not be known
-// yet. Parts of a retry are rounded at random, so that many instances with
+// of the slack. In the first window of a process there is no slack, because the process that
+// ran before on the same machine may have used it, or, if none ran, a part. Parts of a retry are rounded at random, so that many instances with
 // less than one retry each use their parts together, and hardly more. The methods
 // are safe for concurrent use.
 type SharedBudget struct {
@@ -95,11 +101,15 @@
 // half the square root of the number of instances from the sum of their parts, and
 // twice that is kept free.
 func (s *SharedBudget) slackShare() float64 {
-	if s.config.Now().Sub(s.config.Started) < s.config.Window {
-		return 0
-	}
 	n := float64(max(1, s.config.Instances()))
-	return max(usableFraction*s.config.Slack-math.Sqrt(n), minSlackFraction*s.config.Slack) / n
+	share := max(usableFraction*s.config.Slack-math.Sqrt(n), minSlackFraction*s.config.Slack) / n
+	switch {
+	case s.config.Now().Sub(s.config.Started) >= s.config.Window:
+		return share
+	case s.config.Fresh != nil && s.config.Fresh():
+		return share * freshFraction
+	}
+	return 0
 }
 
 // advance begins new parts, and draws the rounding again, if the current ones have
--- a/internal/decide/retry/shared_test.go
+++ b/internal/decide/retry/shared_test.go
@@ -229,3 +229,22 @@
 		m.serve(m.start(), perSecond, 25*time.Second)
 	})
 }
+
+// Guards against a fresh fleet that cannot retry, and against fresh processes that together
+// exceed the bound after those before them have used their slack.
+func TestFreshProcessesUseAPartOfTheSlack(t *testing.T) {
+	for _, size := range fleetSizes {
+		m := newFleetModel(1, size.instances, size.slack)
+		m.config.Fresh = func() bool { return true }
+		perSecond := size.instances
+		m.serve(m.start(), perSecond, 9*time.Second)
+		if n := float64(len(m.retries)) - m.config.Ratio*float64(len(m.requests)); n < 0 {
+			t.Errorf("%d instances: %d retries for %d requests, want the slack used too", size.instances, len(m.retries), len(m.requests))
+		}
+		m.serve(m.start(), perSecond, 20*time.Second)
+		m.serve(m.start(), perSecond, 15*time.Second)
+		if excess := m.worstExcess(); excess > 0 {
+			t.Errorf("%d instances: %.0f retries beyond the bound", size.instances, excess)
+		}
+	}
+}
--- a/internal/entry/gateway/apply.go
+++ b/internal/entry/gateway/apply.go
@@ -81,6 +81,8 @@
 		f.applyPlan(item)
 	case item.Key == dutyKey:
 		f.duty.Apply(item)
+	case item.Key == fleetSizeKey:
+		f.applyFleetSize(item)
 	}
 }
 
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -194,6 +194,11 @@
 	// registeredCount is the number of registered instances, and allowanceCount that
 	// by which allowances are divided.
 	registeredCount, allowanceCount recentMax
+	// fleetSize is the stored number of instances, or 0, and restarted is set once an entry of
+	// an earlier process of this instance was seen.
+	fleetSize   atomic.Int64
+	restarted   atomic.Bool
+	incarnation int64
 	// rosters are those of the last call of publishColdStart. Only apply and the methods
 	// that it calls use them.
 	rosters    *coldstart.Rosters
@@ -266,7 +271,7 @@
 		return nil, err
 	}
 	budgets, err := newRetryBudgets(retry.SharedConfig{
-		Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instanceCount, Started: f.now(), Now: f.now,
+		Ratio: c.Retry.Ratio, Slack: c.Retry.Slack, Window: c.Retry.Window, Instances: f.instanceCount, Started: f.now(), Fresh: f.isFresh, Now: f.now,
 	}, f.registry)
 	if err != nil {
 		return nil, err
@@ -286,10 +291,10 @@
 // of the shared counters and crash records.
 func (f *Instance) initCluster() (err error) {
 	c := &f.config
-	incarnation := time.Now().UnixNano()
-	f.node = fmt.Sprintf("%s/%d", c.ID, incarnation)
+	f.incarnation = time.Now().UnixNano()
+	f.node = fmt.Sprintf("%s/%d", c.ID, f.incarnation)
 	f.members = membership.NewTable(membership.Config{Hubs: hubsPerDomain, Self: membership.Member{
-		ID: c.ID, Incarnation: incarnation, FailureDomain: c.FailureDomain, PeerAddress: c.Peer.Addr().String(),
+		ID: c.ID, Incarnation: f.incarnation, FailureDomain: c.FailureDomain, PeerAddress: c.Peer.Addr().String(),
 		OperationsAddress: c.Operations.Addr().String(), Capacity: c.Capacity,
 	}})
 	f.relay.members = f.members
@@ -376,6 +381,7 @@
 	var dutyDone sync.WaitGroup
 	dutyDone.Go(func() { f.duty.Run(dutyCtx) })
 	wg.Go(func() { f.mover.run(workCtx) })
+	wg.Go(func() { f.storeFleetSize(workCtx) })
 	wg.Go(func() { f.sampleBurn(workCtx) })
 	if f.config.UsageWindow > 0 {
 		wg.Go(func() { f.usage.Run(workCtx) })
--- a/internal/entry/gateway/members.go
+++ b/internal/entry/gateway/members.go
@@ -150,6 +150,9 @@
 		f.config.Log.Warn("ignoring invalid instance entry", zap.String("instance-entry", id), zap.Error(err))
 		return
 	}
+	if r.ID == f.config.ID && r.Incarnation != f.incarnation {
+		f.restarted.Store(true)
+	}
 	f.registered[id] = r.member()
 }
 
@@ -167,9 +170,11 @@
 	f.publishColdStart()
 }
 
-// instanceCount returns the number of instances that share the allowances and the
-// retry budgets, including this one.
-func (f *Instance) instanceCount() int { return max(1, f.registeredCount.get(f.now())) }
+// instanceCount returns the number of instances that share the retry budgets, including this
+// one. It is no less than the stored size of the fleet.
+func (f *Instance) instanceCount() int {
+	return max(1, f.registeredCount.get(f.now()), int(f.fleetSize.Load()))
+}
 
 // registeredIDs returns the IDs of the registered instances.
 func (f *Instance) registeredIDs() (ids []string) {
