--- a/internal/entry/gateway/fleet_test.go
+++ b/internal/entry/gateway/fleet_test.go
@@ -27,6 +27,7 @@
 
 var (
 	fleetSeeds     = flag.Uint64("fleet-seeds", 1, "further seeds of each model of a fleet that follows the store")
+	fleetLargest   = flag.Int("fleet-largest", 100, "size of the largest fleet that follows a store that comes back")
 	fleetFirstSeed = flag.Uint64("fleet-first-seed", 1, "first of the further seeds")
 )
 
@@ -543,3 +544,47 @@
 		})
 	}
 }
+
+// Guards against a fleet whose instances all list the store when it comes back from a copy.
+func TestReturnOfTheStoreCostsFewCalls(t *testing.T) {
+	for _, instances := range []int{76, *fleetLargest} {
+		t.Run(strconv.Itoa(instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newModelFleet(instances, 1)
+				ctx, cancel := context.WithCancel(t.Context())
+				f.store.put(fleetConfigKey, "1")
+				f.store.keepCopy()
+				for _, i := range f.instances {
+					i.start(ctx)
+				}
+				wait.For(ctx, 10*time.Second)
+				f.store.setAway(true)
+				wait.For(ctx, time.Second)
+				f.store.restore(time.Second)
+				before := f.store.calls()
+				f.store.setAway(false)
+				f.store.put(fleetConfigKey, "2")
+				wait.For(ctx, 5*time.Second)
+				calls := f.store.calls() - before
+				cancel()
+				for _, i := range f.instances {
+					if v := i.process.Load().version.Load(); v != 2 {
+						t.Errorf("%s has version %d, want 2", i.member.ID, v)
+					}
+					i.stop()
+				}
+				t.Logf("%d instances: %d calls", instances, calls)
+				if limit := 2 * instances; calls > limit {
+					t.Errorf("%d calls in 5 s after the return, want at most %d", calls, limit)
+				}
+			})
+		})
+	}
+}
+
+// calls returns the number of calls that have reached the store.
+func (s *fleetStore) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -300,7 +300,7 @@
 // updateFromPeer gets changes from a peer instead of the store. The result ok is
 // false if the store must be called.
 func (f *Follower) updateFromPeer(ctx context.Context, from int64, sent time.Time) (next int64, count int, ok bool) {
-	if f.config.Relay == nil || sent.Before(f.directUntil) || from == 0 && !f.Failing() {
+	if f.config.Relay == nil || sent.Before(f.directUntil) {
 		return 0, 0, false
 	}
 	if f.Confirmed().IsZero() && !f.Failing() {
