Continue a peer's listing from its oldest page, and keep a limit that varies a little

The pages of a listing may come from two peers, and it was continued from the first one's revision: changes that the second had not seen were missed (the test fails before). And a server whose limit varies with each answer would have caused an urgent exchange and a log line for each; limits within a tenth of each other count as the same, but for the renewal every 5 s.

--- a/internal/decide/pacing/pacing_test.go
+++ b/internal/decide/pacing/pacing_test.go
@@ -175,6 +175,9 @@
 	if !l.Observe("server", 2.5, now, now.Add(time.Second)) {
 		t.Error("a limit is not a change")
 	}
+	if l.Observe("server", 2.6, now, now.Add(time.Second)) || !l.Observe("server", 2, now, now.Add(time.Second)) || !l.Observe("server", 2.5, now, now.Add(time.Second)) {
+		t.Error("a limit that varies a little is a change, or another limit is none")
+	}
 	l.Observe("server", 0, now, now.Add(2*time.Second))
 	if rate, ok := l.Rate("server"); !ok || rate != 2.5 {
 		t.Errorf("after a response to an earlier request: got limit %v, %v, want 2.5", rate, ok)
--- a/internal/decide/pacing/set.go
+++ b/internal/decide/pacing/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,9 @@
 	// refreshPeriod is the age of a record from which on a response that names the same
 	// limit renews it.
 	refreshPeriod = 5 * time.Second
+	// sameRate is the relative difference up to which two rates count as the same limit, so
+	// that a server whose limit varies a little does not cause an exchange with each answer.
+	sameRate = 0.1
 	// maxLimits bounds the records, in case peers report processes that do not exist.
 	maxLimits = 4096
 )
@@ -76,11 +80,16 @@
 	switch {
 	case rate == 0 && !sentAt.After(r.ObservedAt):
 		return false
-	case limited && rate == known && now.Sub(r.ObservedAt) < refreshPeriod:
+	case isSameRate(rate, known) && now.Sub(r.ObservedAt) < refreshPeriod:
 		return false
 	}
 	l.put(Limit{process, rate, now})
-	return !limited || rate != known
+	return !isSameRate(rate, known)
+}
+
+// isSameRate reports whether two rates count as the same limit. A rate of 0 is no limit.
+func isSameRate(a, b float64) bool {
+	return a == b || a > 0 && b > 0 && math.Abs(a-b) <= sameRate*b
 }
 
 // Merge merges the reports of a peer, and reports whether a limit has changed.
@@ -96,7 +105,7 @@
 			continue
 		}
 		l.put(r)
-		changed = changed || r.Rate != known.Rate
+		changed = changed || !isSameRate(r.Rate, known.Rate)
 	}
 	return changed
 }
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -388,30 +388,33 @@
 	f.changes.wakeWaiting()
 }
 
-// listFromPeer lists the items of a peer. The listing has all changes up to the revision
-// that the first page names.
+// listFromPeer lists the items of a peer. Another peer may return a later page, so that the
+// listing has all changes up to the lowest revision of a page.
 func (f *Follower) listFromPeer(ctx context.Context) (next int64, count int, err error) {
-	sent := f.config.Now()
 	var items []store.Item
-	var first RelayPage
+	var asOf time.Time
 	for n := range maxRelayPages {
 		after := ""
 		if n > 0 {
 			after = items[len(items)-1].Key
 		}
+		sent := f.config.Now()
 		page, err := f.callPeerForPage(ctx, after)
 		if err != nil {
 			return 0, 0, err
 		}
-		if n == 0 {
-			first = page
+		if pageAsOf := sent.Add(-page.Age); n == 0 || pageAsOf.Before(asOf) {
+			asOf = pageAsOf
+		}
+		if n == 0 || page.Next < next {
+			next = page.Next
 		}
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			f.applyListing(items, first.Next)
-			f.confirm(sent.Add(-first.Age))
-			f.config.Log.Info("follower listed the items of a peer", zap.Int64("revision", first.Next), zap.Int("items", len(items)))
-			return first.Next, len(items), nil
+			f.applyListing(items, next)
+			f.confirm(asOf)
+			f.config.Log.Info("follower listed the items of a peer", zap.Int64("revision", next), zap.Int("items", len(items)))
+			return next, len(items), nil
 		}
 	}
 	return 0, 0, fmt.Errorf("%w: its listing has too many pages", ErrRelayGap)
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -372,3 +372,26 @@
 	wait.For(ctx, failAfter)
 	return nil, 0, store.ErrUnavailable
 }
+
+// Guards against changes that are missed because a later page of a listing comes from a peer
+// that is behind the one that returned the first page.
+func TestListingOfPeersContinuesFromTheOldestPage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pages := []RelayPage{
+		{Items: []store.Item{{Key: "a", Revision: 6}}, More: true, Next: 9, Age: 100 * time.Millisecond},
+		{Items: []store.Item{{Key: "b", Revision: 5}}, Next: 7, Age: time.Second},
+	}
+	f := New(Config{Now: func() time.Time { return now }, Apply: func(Change) {}, RelayList: func(_ context.Context, after string) (RelayPage, error) {
+		if after == "" {
+			return pages[0], nil
+		}
+		return pages[1], nil
+	}})
+	next, count, err := f.listFromPeer(t.Context())
+	if err != nil || next != 7 || count != 2 {
+		t.Errorf("got revision %d, %d items and error %v, want 7, 2 and none", next, count, err)
+	}
+	if got, want := f.Confirmed(), now.Add(-time.Second); !got.Equal(want) {
+		t.Errorf("confirmed as of %v, want %v", got, want)
+	}
+}
