Take an order that a copy kept and the operator wrote again for the same

Found by reading: an order that the store's copy had kept was taken for the same, but when the operator wrote it again in the same era it counted as a new one, and its move began again. An order is written again once an era at most; after that the same words are a new order. The case 'kept by the copy and written again' fails before.

--- a/internal/entry/gateway/moves.go
+++ b/internal/entry/gateway/moves.go
@@ -75,9 +75,32 @@
 	MoveOrder
 	revision   int64
 	receivedAt time.Time
-	// seenRevision is the revision under which the order was seen last: the operator
-	// writes it again after the store came back from a copy.
-	seenRevision int64
+	// seenRevision is the revision under which the order was seen last, and rewrittenIn the
+	// last era of the store in which the operator wrote it again, after the store came back
+	// from a copy.
+	seenRevision, rewrittenIn int64
+}
+
+// isCopiedAs reports whether an order found at a revision is o itself, which a copy of the
+// store has kept.
+func (o receivedOrder) isCopiedAs(found MoveOrder, revision int64) bool {
+	return o.MoveOrder == found && store.Era(revision) > store.Era(o.revision) && store.Revision(revision) == store.Revision(o.revision)
+}
+
+// writtenAgain returns o as seen at a revision, if the order found there is not a new one: the
+// store's copy has kept it, or the operator has written it again, which happens once an era.
+func (o receivedOrder) writtenAgain(found MoveOrder, revision int64) (again receivedOrder, ok bool) {
+	era := store.Era(revision)
+	again = o
+	again.seenRevision = revision
+	switch {
+	case o.isCopiedAs(found, revision):
+		return again, true
+	case o.MoveOrder == found && era > store.Era(o.revision) && era > o.rewrittenIn:
+		again.rewrittenIn = era
+		return again, true
+	}
+	return o, false
 }
 
 // storedMove is the record of a move and its revision in the store.
@@ -112,17 +135,12 @@
 	if ok && known.seenRevision >= item.Revision {
 		return
 	}
-	if ok && store.Era(item.Revision) > store.Era(known.seenRevision) {
-		if o == known.MoveOrder {
-			known.seenRevision = item.Revision
-			m.orders[o.Service] = known
-			return
-		}
-		if isPast := func(past receivedOrder) bool {
-			return past.MoveOrder == o && store.Revision(past.revision) == store.Revision(item.Revision)
-		}; slices.ContainsFunc(m.pastOrders[o.Service], isPast) {
-			return // the copy does not have the order that replaced this one
-		}
+	if again, same := known.writtenAgain(o, item.Revision); ok && same {
+		m.orders[o.Service] = again
+		return
+	}
+	if slices.ContainsFunc(m.pastOrders[o.Service], func(past receivedOrder) bool { return past.isCopiedAs(o, item.Revision) }) {
+		return // the store's copy does not have the order that replaced this one
 	}
 	if ok {
 		past := append(m.pastOrders[o.Service], known)
--- a/internal/entry/gateway/moves_test.go
+++ b/internal/entry/gateway/moves_test.go
@@ -7,6 +7,7 @@
 
 	"wasabiworks.example/wasabiworks/internal/caller/forward"
 	"wasabiworks.example/wasabiworks/internal/decide/evidence"
+	"wasabiworks.example/wasabiworks/internal/platform/store"
 )
 
 // Guards against a good version that is reported as complete only after its time
@@ -87,3 +88,39 @@
 		}
 	}
 }
+
+// Guards against a move that begins again because the store came back from a copy and the
+// operator's order was written again, and against a later order that is ignored.
+func TestOrderWrittenAgainIsTheSameOrder(t *testing.T) {
+	era := func(n, revision int64) int64 { return n<<44 | revision }
+	order := func(to string) MoveOrder { return MoveOrder{Service: "s", To: to, Within: time.Minute} }
+	type write struct {
+		to       string
+		revision int64
+		isNew    bool
+	}
+	for _, tt := range []struct {
+		name   string
+		writes []write
+	}{
+		{"lost and written again", []write{{"v2", era(1, 50), true}, {"v2", era(2, 40), false}}},
+		{"kept by the copy", []write{{"v2", era(1, 50), true}, {"v2", era(2, 50), false}}},
+		{"kept by the copy and written again", []write{{"v2", era(1, 50), true}, {"v2", era(2, 50), false}, {"v2", era(2, 60), false}}},
+		{"ordered once more afterwards", []write{{"v2", era(1, 50), true}, {"v2", era(2, 40), false}, {"v2", era(2, 60), true}}},
+		{"the copy has the order before", []write{{"v2", era(1, 30), true}, {"v3", era(1, 50), true}, {"v2", era(2, 30), false}, {"v3", era(2, 40), false}}},
+		{"another order in the new era", []write{{"v2", era(1, 50), true}, {"v3", era(2, 40), true}}},
+		{"the same order in the same era", []write{{"v2", era(1, 50), true}, {"v2", era(1, 60), true}}},
+		{"a store without eras", []write{{"v2", 50, true}, {"v2", 60, true}}},
+	} {
+		f := newApplying()
+		m := newMover(f)
+		for n, w := range tt.writes {
+			f.config.Format.DecodeMove = func(string, []byte) (MoveOrder, error) { return order(w.to), nil }
+			before := moveID(m.orders["s"])
+			m.applyOrder(store.Item{Key: "s", Revision: w.revision})
+			if isNew := moveID(m.orders["s"]) != before; isNew != w.isNew {
+				t.Errorf("%s, write %d: got a new order %v, want %v", tt.name, n, isNew, w.isNew)
+			}
+		}
+	}
+}
