Compare the era of a position with the era as it fits into one

A store whose eras are above 524287 had every watch ended at once, because the wrapped era of a position was compared with the era itself. The test now also watches in such an era, and fails before.

--- a/internal/platform/store/era.go
+++ b/internal/platform/store/era.go
@@ -114,7 +114,7 @@
 
 // isPast reports whether a position belongs to an era that has ended.
 func (s *eraStore) isPast(position int64) bool {
-	return position != 0 && Era(position) < s.latest.Load()
+	return position != 0 && Era(position) < fitEra(s.latest.Load())
 }
 
 // Get implements Store.
--- a/internal/platform/store/era_test.go
+++ b/internal/platform/store/era_test.go
@@ -143,6 +143,14 @@
 		if err != nil || after <= before {
 			t.Errorf("era %d: got position %d (%v) after %d, want a higher one", era+1, after, err, before)
 		}
+		s := WithEras(&scriptedClient{era: era})
+		item, err := s.Get(t.Context(), "k")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := s.Watch(t.Context(), "", item.Revision, 0); err != nil {
+			t.Errorf("era %d: a watch in the same era fails: %v", era, err)
+		}
 	}
 }
 
