--- a/review/scene-2/store.go
+++ b/review/scene-2/store.go
@@ -49,6 +49,8 @@
 	era   int64
 	down  bool
 	wake  chan struct{}
+	// translate, if it is not nil, gives an item that the system writes another value.
+	translate func(key string, val []byte) []byte
 }
 
 func newStore() *metaStore {
@@ -318,6 +320,9 @@
 	}
 	s.state.revision++
 	for _, p := range t.Puts {
+		if s.translate != nil {
+			p.Val = s.translate(p.Key, p.Val)
+		}
 		s.apply(item{Key: p.Key, Val: p.Val, Lease: p.Lease, Revision: s.state.revision})
 	}
 	for _, key := range t.Remove {
--- a/review/scene-2/volley.go
+++ b/review/scene-2/volley.go
@@ -12,7 +12,7 @@
 
 // volley: a request crashes each worker that begins to run it, and comes again. With trouble
 // its client is one of those that repeat at once: the request and three copies of it come
-// at four machines at the same moment. Without, it comes once at a time.
+// at four machines, 40 ms apart. Without, it comes once at a time.
 func volley(w *world, trouble bool) (string, error) {
 	type arrival struct {
 		at        time.Time
@@ -21,17 +21,17 @@
 	var mu sync.Mutex
 	var arrivals []arrival
 	var crashes []time.Time
-	c := newConfig("ledger-desk")
-	c.route("payout-entry", "/payout/", "non_idempotent", "ledger-desk", 3000, 100, 1)
+	c := newConfig("sack-assist")
+	c.route("counter-query", "/query/", "streaming", "sack-assist", 10000, 500, 1)
 	c.tenant("hule930", 400000, "key-hule930")
 	var workers []*worker
-	for i := range 8 {
-		workers = append(workers, &worker{service: "ledger-desk", zone: zones[i%4], down: 2 * time.Second, serve: func(s *worker, rw http.ResponseWriter, r *http.Request, q *run) bool {
+	for i := range 18 {
+		workers = append(workers, &worker{service: "sack-assist", zone: zones[i%4], down: 2 * time.Second, serve: func(s *worker, rw http.ResponseWriter, r *http.Request, q *run) bool {
 			if strings.Contains(string(q.body), "crashes") {
 				mu.Lock()
 				arrivals = append(arrivals, arrival{q.at, q.id, q.entry})
 				mu.Unlock()
-				if !sleep(r.Context(), 15*time.Millisecond) {
+				if !sleep(r.Context(), 250*time.Millisecond) { // until it begins to run, with its first token
 					return false
 				}
 				mu.Lock()
@@ -39,7 +39,7 @@
 				mu.Unlock()
 				return true
 			}
-			plain(rw, r, 15*time.Millisecond)
+			stream(rw, r, 60*time.Millisecond, 20*time.Millisecond, 20)
 			return false
 		}})
 	}
@@ -48,10 +48,10 @@
 	}
 	start := time.Now()
 	var wg sync.WaitGroup
-	sound := func(n int) {
-		q := request{method: http.MethodPost, path: "/payout/2f", key: "key-hule930", deadline: time.Second, body: fmt.Appendf(nil, "payout %d", n)}
-		w.send(w.fronts[n%len(w.fronts)], q)
+	query := func(n int, body string) request {
+		return request{method: http.MethodPost, path: "/query/2f", key: "key-hule930", tokens: "1460,40", prefix: fmt.Sprintf("e%07x:1460", n), deadline: 10 * time.Second, body: []byte(body)}
 	}
+	sound := func(n int) { w.send(w.fronts[n%len(w.fronts)], query(n, fmt.Sprint("query ", n))) }
 	end := start.Add(100 * time.Second)
 	wg.Go(func() { // sound requests, 5 a second
 		for n := 0; time.Now().Before(end); n++ {
@@ -60,7 +60,8 @@
 		}
 	})
 	bad := func(entry int) {
-		q := request{method: http.MethodPost, path: "/payout/2f", key: "key-hule930", deadline: time.Second, body: []byte("payout that crashes"), note: "that crashes"}
+		q := query(99999, "query that crashes")
+		q.note = "that crashes"
 		wg.Go(func() { w.send(w.fronts[entry%len(w.fronts)], q) })
 	}
 	// The request comes again after 1, 5, 5, .. s, at any machine, until it has crashed three
@@ -88,6 +89,7 @@
 		for range copies {
 			bad(entry)
 			entry++
+			time.Sleep(40 * time.Millisecond)
 		}
 	}
 	time.Sleep(2 * time.Second)
--- a/review/scene-2/world.go
+++ b/review/scene-2/world.go
@@ -33,6 +33,8 @@
 	file    *os.File
 	workers []*worker
 	nextID  atomic.Int64
+	// beforeStart is called before the entry instances start; it may be nil.
+	beforeStart func() error
 }
 
 // logf writes a line with the time since the start to record.txt.
@@ -166,6 +168,13 @@
 		p := ports[4*i:]
 		f := &front{world: w, name: fmt.Sprintf("edge-%d", i+1), zone: zones[i%len(zones)], client: p[0], ready: p[1], peer: p[2], oper: p[3]}
 		w.fronts = append(w.fronts, f)
+	}
+	if w.beforeStart != nil {
+		if err := w.beforeStart(); err != nil {
+			return err
+		}
+	}
+	for _, f := range w.fronts {
 		if err := f.run(); err != nil {
 			return err
 		}
