--- a/review/scene-2/worker.go
+++ b/review/scene-2/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,6 +25,7 @@
 type worker struct {
 	world                  *world
 	service, zone, address string
+	version                string // of its software; v1 if it is empty
 	serial                 int
 	// serve answers a request that the worker runs. If it returns true, the worker crashes.
 	serve func(s *worker, w http.ResponseWriter, r *http.Request, q *run) (crashes bool)
@@ -38,6 +40,7 @@
 	id      string
 	born    int64
 	life    int
+	state   string // ready if it is empty
 	conns   map[net.Conn]bool
 	server  *http.Server
 	crashed bool
@@ -90,7 +93,7 @@
 // entry is the worker's entry in the store.
 func (s *worker) entry() map[string]any {
 	return map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 64, "state": "ready",
+		"service": s.service, "address": s.address, "zone": s.zone, "version": cmp.Or(s.version, "v1"), "slots": 64, "state": cmp.Or(s.state, "ready"),
 		"cold_left_ms": 0, "phase": "mixed", "model_list": []any{map[string]any{"name": "m", "version": 1, "loras": []any{}}}, "seq": 4, "born": s.born,
 	}
 }
@@ -136,6 +139,26 @@
 	})
 }
 
+// stop ends the worker at once, for good.
+func (s *worker) stop() {
+	s.mu.Lock()
+	id, server := s.id, s.server
+	s.crashed = true
+	s.mu.Unlock()
+	s.world.logf("worker %s stops", id)
+	s.world.store.remove("servers/" + id)
+	_ = server.Close()
+}
+
+// drain reports that the worker drains, and ends it after a while.
+func (s *worker) drain(after time.Duration) {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	s.register()
+	time.AfterFunc(after+time.Second, s.stop)
+}
+
 func (s *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	id := s.id
