--- a/review/scene-2/rollout.go
+++ b/review/scene-2/rollout.go
@@ -16,7 +16,7 @@
 	// rolloutTime is the time that the order allows.
 	rolloutTime = 15 * time.Second
 	// slowPart of the answers of the bad version take slowTimes as long.
-	slowPart, slowTimes = 0.2, 6
+	slowPart, slowTimes = 0.2, 4
 )
 
 // rollout: the operator orders a new version, whose workers are started alongside the old
