--- a/review/scene-2/rollout.go
+++ b/review/scene-2/rollout.go
@@ -15,13 +15,16 @@
 const (
 	// rolloutTime is the time that the order allows.
 	rolloutTime = 15 * time.Second
-	// slowPart of the answers of the bad version take slowTimes as long.
-	slowPart, slowTimes = 0.2, 4
+	// failingPart of the answers of the bad version are failures.
+	failingPart = 0.04
+	// payoutErrors and balanceErrors are the parts of failures of any version, as in the
+	// site file.
+	payoutErrors, balanceErrors = 0.004, 0.14
 )
 
 // rollout: the operator orders a new version, whose workers are started alongside the old
-// ones. With trouble a fifth of its answers arrive several times slower; without, it is as
-// good as the old one.
+// ones. With trouble 4 in 100 of its answers are failures; without, it is as good as the old
+// one.
 func rollout(w *world, trouble bool) (string, error) {
 	const (
 		share, slack = 0.1, 50 // exposure_share and exposure_slack
@@ -49,13 +52,21 @@
 			if random.Float64() < 0.01 {
 				work *= 5
 			}
-			slow := isNew && trouble && random.Float64() < slowPart
+			fails := isNew && trouble && random.Float64() < failingPart
+			usual := payoutErrors
+			if r.Method == http.MethodGet {
+				usual = balanceErrors
+			}
+			failed := fails || random.Float64() < usual
 			mu.Unlock()
-			if slow {
-				work *= slowTimes
+			if failed {
+				if sleep(r.Context(), time.Duration(work*float64(time.Millisecond))) {
+					rw.WriteHeader(http.StatusInternalServerError)
+				}
+			} else {
+				plain(rw, r, time.Duration(work*float64(time.Millisecond)))
 			}
-			plain(rw, r, time.Duration(work*float64(time.Millisecond)))
-			if slow {
+			if fails {
 				mu.Lock()
 				bad = append(bad, time.Now())
 				mu.Unlock()
