--- a/review/scene-2/rollout.go
+++ b/review/scene-2/rollout.go
@@ -15,15 +15,12 @@
 const (
 	// rolloutTime is the time that the order allows.
 	rolloutTime = 15 * time.Second
-	// failingPart of the answers of the bad version are failures.
-	failingPart = 0.04
-	// payoutErrors and balanceErrors are the parts of failures of any version, as in the
-	// site file.
-	payoutErrors, balanceErrors = 0.004, 0.14
+	// failingEach is the number of answers of the bad version of which one is a failure.
+	failingEach = 25
 )
 
 // rollout: the operator orders a new version, whose workers are started alongside the old
-// ones. With trouble 4 in 100 of its answers are failures; without, it is as good as the old
+// ones. With trouble each 25th of its answers is a failure; without, it is as good as the old
 // one.
 func rollout(w *world, trouble bool) (string, error) {
 	const (
@@ -38,6 +35,7 @@
 	random := rand.New(rand.NewPCG(7, 44))
 	var arrivals []arrival
 	var bad []time.Time // the ends of the bad answers
+	answers := 0        // of the new version
 	c := newConfig("ledger-desk")
 	c.route("payout-entry", "/payout/", "non_idempotent", "ledger-desk", 1000, 100, 1)
 	c.route("balance-check", "/balance/", "idempotent", "ledger-desk", 1000, 100, 2)
@@ -52,14 +50,12 @@
 			if random.Float64() < 0.01 {
 				work *= 5
 			}
-			fails := isNew && trouble && random.Float64() < failingPart
-			usual := payoutErrors
-			if r.Method == http.MethodGet {
-				usual = balanceErrors
+			if isNew {
+				answers++
 			}
-			failed := fails || random.Float64() < usual
+			fails := isNew && trouble && answers%failingEach == 0
 			mu.Unlock()
-			if failed {
+			if fails {
 				if sleep(r.Context(), time.Duration(work*float64(time.Millisecond))) {
 					rw.WriteHeader(http.StatusInternalServerError)
 				}
