--- a/review/scene-3/main.go
+++ b/review/scene-3/main.go
@@ -22,6 +22,8 @@
 		code = partition(w, seed)
 	case "leave":
 		code = leave(w, seed)
+	case "parity":
+		parity(w)
 	case "mix-fuzz":
 		mixFuzz(w, seed, 60*time.Second)
 	case "memory":
