--- a/review/scene-3/leave.go
+++ b/review/scene-3/leave.go
@@ -25,7 +25,8 @@
 	for _, x := range w.workers {
 		x.respond = func(rw http.ResponseWriter, r *http.Request) { stream(rw, r, "", 0) }
 	}
-	proxies := w.addCuttable([]string{"a", "b", "c", "d"})
+	zones := zoneNames(envInt("INSTANCES", 4))
+	proxies := w.addCuttable(zones)
 	if proxies == nil {
 		return 2
 	}
@@ -48,7 +49,7 @@
 	cutAt, from := start.Add(3*time.Second), start.Add(3*time.Second+contact)
 	to := from.Add(leaveLength)
 	cut := false
-	for t := time.NewTicker(time.Second / 60); time.Now().Before(to); <-t.C {
+	for t := time.NewTicker(time.Second / time.Duration(15*len(zones))); time.Now().Before(to); <-t.C {
 		now := time.Now()
 		if trouble && !cut && now.After(cutAt) {
 			cut = true
@@ -69,6 +70,15 @@
 	return w.judgePartition(patient, impatient, from, to)
 }
 
+// zoneNames returns the names of n zones.
+func zoneNames(n int) []string {
+	zones := make([]string, n)
+	for k := range zones {
+		zones[k] = string(rune('a' + k))
+	}
+	return zones
+}
+
 // addCuttable starts one instance in each zone. The first one reaches the workers through the
 // proxies that addCuttable returns; they are nil if an instance does not become ready.
 func (w *world) addCuttable(zones []string) (proxies []*proxy) {
--- a/review/scene-3/main.go
+++ b/review/scene-3/main.go
@@ -24,6 +24,8 @@
 		code = leave(w, seed)
 	case "parity":
 		parity(w)
+	case "stop":
+		stopUnderLoad(w, seed)
 	case "mix-fuzz":
 		mixFuzz(w, seed, 60*time.Second)
 	case "memory":
--- a/review/scene-3/partition.go
+++ b/review/scene-3/partition.go
@@ -33,11 +33,11 @@
 		}
 	}
 	w.addWorkers("ai", 1, 64, 15*time.Millisecond)
-	proxies := w.addCuttable([]string{"a", "b", "c"})
+	proxies := w.addCuttable(zoneNames(envInt("INSTANCES", 3)))
 	if proxies == nil {
 		return 2
 	}
-	c := w.startClients(seed, 60, []string{"/once/", "/once/", "/once/", "/safe/", "/safe/"})
+	c := w.startClients(seed, 20*len(w.instances), []string{"/once/", "/once/", "/once/", "/safe/", "/safe/"})
 	time.Sleep(4 * time.Second)
 	cutAt := time.Now()
 	if os.Getenv("TROUBLE") != "0" {
--- a/review/scene-3/world.go
+++ b/review/scene-3/world.go
@@ -43,6 +43,7 @@
 	stop      chan struct{}
 	mu        sync.Mutex
 	version   int
+	config    []byte // the newest one
 	seq       int
 	lapsed    bool
 }
@@ -101,6 +102,7 @@
 	}
 	data, err := json.Marshal(c)
 	check(err)
+	w.config = data
 	w.store.put("op/config", data)
 }
 
