--- a/review/scene-3/instance.go
+++ b/review/scene-3/instance.go
@@ -136,3 +136,15 @@
 	}
 	return false
 }
+
+// processorTime returns what the process has used, in clock ticks of 10 ms.
+func (i *instance) processorTime() time.Duration {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", i.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	f := strings.Fields(string(data))
+	user, _ := strconv.Atoi(f[13])
+	system, _ := strconv.Atoi(f[14])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
--- a/review/scene-3/main.go
+++ b/review/scene-3/main.go
@@ -26,6 +26,8 @@
 		parity(w)
 	case "stop":
 		stopUnderLoad(w, seed)
+	case "parts":
+		code = parts(w, seed)
 	case "mix-fuzz":
 		mixFuzz(w, seed, 60*time.Second)
 	case "memory":
--- a/review/scene-3/worker.go
+++ b/review/scene-3/worker.go
@@ -47,6 +47,7 @@
 	slots                      int
 	born                       int64
 	runs                       *runs
+	server                     *http.Server
 	mu                         sync.Mutex
 	work                       time.Duration
 	// respond, if set, takes over what comes after the run.
@@ -57,7 +58,8 @@
 	l, err := net.Listen("tcp", freeAddress())
 	check(err)
 	w.address, w.born = l.Addr().String(), time.Now().UnixMilli()
-	go http.Serve(l, w)
+	w.server = &http.Server{Handler: w}
+	go w.server.Serve(l)
 	return w
 }
 
@@ -112,3 +114,15 @@
 	}
 	_, _ = fmt.Fprintf(rw, "answer to %s by %s", id, w.id)
 }
+
+// crash ends the worker: its channels are reset and new ones are refused.
+func (w *worker) crash() { w.server.Close() }
+
+// restart starts the worker again at its address, as a new lifetime.
+func (w *worker) restart() {
+	l, err := net.Listen("tcp", w.address)
+	check(err)
+	w.born = time.Now().UnixMilli()
+	w.server = &http.Server{Handler: w}
+	go w.server.Serve(l)
+}
