--- a/review/scene-3/drill.go
+++ b/review/scene-3/drill.go
@@ -63,6 +63,10 @@
 			if what == 2 && h != nil {
 				w.freeze(h, time.Duration(500+random.IntN(7000))*time.Millisecond)
 			}
+			for _, i := range w.instances {
+				i.front.setMode([]string{"", "lose", "late"}[random.IntN(3)])
+			}
+			time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
 			w.store.setDown(true)
 			time.Sleep(time.Duration(50+random.IntN(1500)) * time.Millisecond)
 			w.store.restore(copied)
@@ -80,6 +84,11 @@
 			case what == 6 && h != nil:
 				w.freeze(h, time.Duration(500+random.IntN(7000))*time.Millisecond)
 			}
+			time.AfterFunc(time.Second, func() {
+				for _, i := range w.instances {
+					i.front.setMode("")
+				}
+			})
 			if random.IntN(2) == 0 {
 				copied = w.store.copyNow()
 			}
--- a/review/scene-3/store.go
+++ b/review/scene-3/store.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -183,7 +184,7 @@
 	address string
 	server  *http.Server
 	mu      sync.Mutex
-	mode    string // "", silent, reset, busy, many
+	mode    string // "", silent, reset, busy, many, lose, late
 	// addresses, if set, maps the addresses of workers to those at which the instance
 	// reaches them.
 	addresses map[string]string
@@ -228,6 +229,16 @@
 	case "many":
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
+	case "lose", "late": // some writes are done, at once or later, and not answered
+		if r.Method == http.MethodGet || rand.IntN(100) >= 35 {
+			break
+		}
+		var delay time.Duration
+		if mode == "late" {
+			delay = time.Duration(1000+rand.IntN(5000)) * time.Millisecond
+		}
+		time.AfterFunc(delay, func() { f.store.serve(httptest.NewRecorder(), r, body) })
+		panic(http.ErrAbortHandler)
 	}
 	if f.addresses == nil {
 		f.store.serve(w, r, body)
