--- a/review/scene-3/main.go
+++ b/review/scene-3/main.go
@@ -28,6 +28,8 @@
 		stopUnderLoad(w, seed)
 	case "parts":
 		code = parts(w, seed)
+	case "helper-stop":
+		helperStop(w, seed)
 	case "mix-fuzz":
 		mixFuzz(w, seed, 60*time.Second)
 	case "memory":
