Count why requests could not be sent through another instance

Logs and metrics did not tell why an instance that reaches no backend server stops sending through another one: no connection, a stream that broke, a stream that this instance or its client ended, or a peer that is partitioned too.

A counter by cause, and a log line when a peer begins to be avoided. Decisions are as before.

--- a/internal/decide/reach/peers.go
+++ b/internal/decide/reach/peers.go
@@ -75,8 +75,9 @@
 	}
 }
 
-// Failed records that a call to a peer failed, or that the peer reaches no server either.
-func (p *Peers) Failed(id string, isPartitioned bool, now time.Time) {
+// Failed records that a call to a peer failed, or that the peer reaches no server either. It
+// reports whether the peer was not avoided before.
+func (p *Peers) Failed(id string, isPartitioned bool, now time.Time) (begins bool) {
 	pause := failedPeerPause
 	if isPartitioned {
 		pause = partitionedPeerPause
@@ -86,5 +87,7 @@
 	if p.avoidUntil == nil {
 		p.avoidUntil = make(map[string]time.Time)
 	}
+	begins = !now.Before(p.avoidUntil[id])
 	p.avoidUntil[id] = now.Add(pause)
+	return begins
 }
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -289,9 +289,13 @@
 	if err != nil {
 		return nil, err
 	}
+	peers, err := newPeerSender(f)
+	if err != nil {
+		return nil, err
+	}
 	f.handler, err = forward.New(forward.Config{
 		Headers: c.Format.Headers, FailureDomain: c.FailureDomain, View: f.view, Pool: f.pool,
-		Allowances: f.allowances, Usage: f.usage, Poison: poisonFilter{f}, Versions: f.mover, Claims: f.claims, Peers: &peerSender{instance: f},
+		Allowances: f.allowances, Usage: f.usage, Poison: poisonFilter{f}, Versions: f.mover, Claims: f.claims, Peers: peers,
 		Budget:           budgets,
 		MaxResponseBytes: c.MaxResponseBytes, Requests: f.connections.requests, MemoryBytes: 2 * f.connections.shares.ResponseBytes, OnLimitChange: f.exchange.Notify, OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
 		Refusing: f.refusing.Load, Ending: f.ending,
--- a/internal/entry/gateway/peersends.go
+++ b/internal/entry/gateway/peersends.go
@@ -8,6 +8,9 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
 	"wasabiworks.example/wasabiworks/internal/decide/reach"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 	"wasabiworks.example/wasabiworks/internal/peer/proxy"
@@ -21,6 +24,34 @@
 type peerSender struct {
 	instance *Instance
 	peers    reach.Peers
+	failures *prometheus.CounterVec
+}
+
+// newPeerSender returns a sender of requests of f. An error means that a metric cannot be
+// registered.
+func newPeerSender(f *Instance) (*peerSender, error) {
+	failures := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "forward_peer_failures_total", Help: "Requests that could not be sent through another instance, by cause.",
+	}, []string{"cause"})
+	return &peerSender{instance: f, failures: failures}, f.registry.Register(failures)
+}
+
+// peerFailure is the cause for which another instance is not asked to send for a while.
+type peerFailure string
+
+const (
+	peerNotConnected peerFailure = "not-connected" // no connection to it was established in time
+	peerLost         peerFailure = "lost"          // the stream to it ended without a reply
+	peerEndedHere    peerFailure = "ended-here"    // this instance or its client ended the stream before a reply
+	peerPartitioned  peerFailure = "partitioned"   // it reaches no server either
+)
+
+// avoid records that a request could not be sent through a peer.
+func (s *peerSender) avoid(id string, cause peerFailure, err error) {
+	s.failures.WithLabelValues(string(cause)).Inc()
+	if s.peers.Failed(id, cause == peerPartitioned, s.instance.now()) {
+		s.instance.config.Log.Warn("requests are not sent through another instance for a while", zap.String("peer", id), zap.String("cause", string(cause)), zap.Error(err))
+	}
 }
 
 // RoundTrip implements forward.Peers.
@@ -62,15 +93,20 @@
 	if err != nil {
 		cancel()
 		s.peers.End(id)
-		s.peers.Failed(id, false, s.instance.now())
+		s.avoid(id, peerNotConnected, err)
 		return proxy.Response{}, &proxy.Failure{NotSent: true, Message: err.Error()}
 	}
 	response, err := proxy.RoundTrip(stream, r)
 	if err != nil {
 		var failure *proxy.Failure
 		replied := errors.As(err, &failure) && (failure.NotSent || failure.Replied)
-		if !replied || failure.Partitioned {
-			s.peers.Failed(id, replied, s.instance.now())
+		switch {
+		case replied && failure.Partitioned:
+			s.avoid(id, peerPartitioned, err)
+		case !replied && ctx.Err() != nil:
+			s.avoid(id, peerEndedHere, err)
+		case !replied:
+			s.avoid(id, peerLost, err)
 		}
 		release(replied)
 		cancel()
