Move the sends through other instances from gateway to proxy

They need no instance to be tested: proxy.Client gets the streams, the candidates, the clock and the random source. No decision changes.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -289,7 +289,7 @@
 	if err != nil {
 		return nil, err
 	}
-	peers, err := newPeerSender(f)
+	peers, err := f.newProxyClient()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/proxy/client.go
+++ b/internal/peer/proxy/client.go
@@ -1,112 +1,147 @@
 package proxy
 
 import (
+	"context"
 	"errors"
-	"fmt"
 	"io"
-	"net/http"
+	"sync"
+	"time"
 
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
+	"wasabiworks.example/wasabiworks/internal/decide/reach"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 )
 
-// RoundTrip sends a request on a new stream to another instance and returns the response once
-// its head has arrived. The stream must end with the context of the request. An error is a
-// *Failure, also one of reading the body of the response.
-func RoundTrip(stream peerpb.Peer_SendClient, r Request) (Response, error) {
-	err := stream.Send(&peerpb.SendRequest{Head: &peerpb.RequestHead{
-		Server: r.Server, Method: r.HTTP.Method, Target: r.Target, Host: r.HTTP.Host, Headers: headersToWire(r.HTTP.Header), ContentLength: r.HTTP.ContentLength,
-		Instance: r.Instance, Request: r.ID, Fingerprint: r.Fingerprint, Parts: r.Parts, FreshConnection: r.FreshConnection,
-	}})
-	if err == nil && r.Body != nil {
-		go sendBody(stream, r.Body()) // ends with the stream
-	}
-	reply, err := stream.Recv()
-	if err != nil {
-		return Response{}, lost(err)
-	}
-	if failure := reply.GetFailure(); failure != nil {
-		return Response{}, fromWire(failure)
-	}
-	head := reply.GetHead()
-	if head == nil {
-		return Response{}, &Failure{Message: "response of the other instance has no head"}
-	}
-	response := &http.Response{
-		StatusCode: int(head.GetStatus()), Header: headersFromWire(head.GetHeaders()), ContentLength: head.GetContentLength(),
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Request: r.HTTP, Body: &responseBody{stream: stream},
-	}
-	if head.GetChunked() {
-		response.TransferEncoding = []string{"chunked"}
+// maxPeers bounds the instances that are asked to send one request. An instance that does not
+// send it says so at once.
+const maxPeers = 4
+
+// Streams opens streams to other instances.
+type Streams interface {
+	// OpenSend opens a stream to an instance, which ends with ctx. After an error, nothing
+	// was sent. The caller calls release at the end, and says whether the instance replied.
+	OpenSend(ctx context.Context, instance string) (stream peerpb.Peer_SendClient, release func(replied bool), err error)
+}
+
+// ClientConfig configures a Client. All fields but Registerer are required.
+type ClientConfig struct {
+	// Instance is the ID of this instance.
+	Instance string
+	Streams  Streams
+	// Candidates returns the live instances but this one.
+	Candidates func() []reach.Peer
+	// Random returns a random number below n.
+	Random func(n int) int
+	// Now reads the boot clock.
+	Now        func() time.Time
+	Registerer prometheus.Registerer
+	Log        *zap.Logger
+}
+
+// Client sends requests through other instances. Its methods are safe for concurrent use.
+type Client struct {
+	config   ClientConfig
+	peers    reach.Peers
+	failures *prometheus.CounterVec
+}
+
+// NewClient returns a Client. An error means that a metric cannot be registered.
+func NewClient(config ClientConfig) (*Client, error) {
+	c := &Client{config: config, failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "forward_peer_failures_total", Help: "Requests that could not be sent through another instance, by cause.",
+	}, []string{"cause"})}
+	if config.Registerer == nil {
+		return c, nil
 	}
-	return Response{HTTP: response, NewConnection: head.GetNewConnection()}, nil
+	return c, config.Registerer.Register(c.failures)
 }
 
-// sendBody sends the body of a request. If it fails, the stream has ended, which its receiver
-// sees too.
-func sendBody(stream peerpb.Peer_SendClient, body io.ReadCloser) {
-	defer body.Close()
-	buffer := make([]byte, chunkBytes)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 && stream.Send(&peerpb.SendRequest{Body: buffer[:n]}) != nil {
-			return
+// cause is why another instance is not asked to send for a while.
+type cause string
+
+const (
+	causeNotConnected cause = "not-connected" // no connection to it was established in time
+	causeLost         cause = "lost"          // the stream to it ended without a reply
+	causeEndedHere    cause = "ended-here"    // this instance or its client ended the stream before a reply
+	causePartitioned  cause = "partitioned"   // it reaches no server either
+)
+
+// RoundTrip sends a request through another instance, once at most, and returns the ID of that
+// instance. The error is a *Failure, or ErrNoPeer if no other instance can send it.
+func (c *Client) RoundTrip(ctx context.Context, r Request) (Response, string, error) {
+	r.Instance = c.config.Instance
+	candidates := c.config.Candidates()
+	var tried []string
+	for len(tried) < maxPeers {
+		id, ok := c.peers.Choose(candidates, tried, c.config.Random, c.config.Now())
+		if !ok {
+			break
 		}
-		if err != nil {
-			_ = stream.CloseSend()
-			return
+		tried = append(tried, id)
+		response, err := c.sendThrough(ctx, id, r)
+		var failure *Failure
+		if errors.As(err, &failure) && failure.NotSent && !failure.Refused && ctx.Err() == nil {
+			continue // the instance cannot send any request
 		}
+		return response, id, err
 	}
+	return Response{}, "", ErrNoPeer
 }
 
-// responseBody reads the body of a response from a stream.
-type responseBody struct {
-	stream peerpb.Peer_SendClient
-	rest   []byte
-	err    error
-}
-
-// Read implements io.Reader. The error is io.EOF only if the body is complete.
-func (b *responseBody) Read(p []byte) (int, error) {
-	for len(b.rest) == 0 && b.err == nil {
-		reply, err := b.stream.Recv()
+// sendThrough sends a request through one instance.
+func (c *Client) sendThrough(ctx context.Context, id string, r Request) (Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	stream, release, err := c.config.Streams.OpenSend(ctx, id)
+	if err != nil {
+		cancel()
+		c.peers.End(id)
+		c.avoid(id, causeNotConnected, err)
+		return Response{}, &Failure{NotSent: true, Message: err.Error()}
+	}
+	response, err := RoundTrip(stream, r)
+	if err != nil {
+		var failure *Failure
+		replied := errors.As(err, &failure) && (failure.NotSent || failure.Replied)
 		switch {
-		case err != nil:
-			b.err = lost(err)
-		case reply.GetFailure() != nil:
-			b.err = fromWire(reply.GetFailure())
-		default:
-			b.rest = reply.GetBody()
-			if reply.GetEnd() {
-				b.err = io.EOF
-			}
+		case replied && failure.Partitioned:
+			c.avoid(id, causePartitioned, err)
+		case !replied && ctx.Err() != nil:
+			c.avoid(id, causeEndedHere, err)
+		case !replied:
+			c.avoid(id, causeLost, err)
 		}
+		release(replied)
+		cancel()
+		c.peers.End(id)
+		return Response{}, err
 	}
-	n := copy(p, b.rest)
-	b.rest = b.rest[n:]
-	if n > 0 {
-		return n, nil
-	}
-	return 0, b.err
+	response.HTTP.Body = &clientBody{ReadCloser: response.HTTP.Body, end: func() {
+		release(true)
+		cancel()
+		c.peers.End(id)
+	}}
+	return response, nil
 }
 
-// Close implements io.Closer. The stream ends with the context of its request.
-func (b *responseBody) Close() error { return nil }
-
-// lost returns the failure of a stream that ended without a word on the request, which may
-// have been sent unless the other instance has a build that knows no such requests.
-func lost(err error) error {
-	if status.Code(err) == codes.Unimplemented {
-		return &Failure{NotSent: true, Message: "other instance does not send requests for others"}
+// avoid records that a request could not be sent through an instance.
+func (c *Client) avoid(id string, why cause, err error) {
+	c.failures.WithLabelValues(string(why)).Inc()
+	if c.peers.Failed(id, why == causePartitioned, c.config.Now()) {
+		c.config.Log.Warn("requests are not sent through another instance for a while", zap.String("peer", id), zap.String("cause", string(why)), zap.Error(err))
 	}
-	if errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
-	}
-	return &Failure{Message: fmt.Sprintf("stream to the other instance ended: %v", err)}
 }
 
-func fromWire(f *peerpb.SendFailure) error {
-	return &Failure{NotSent: f.GetNotSent(), Partitioned: f.GetPartitioned(), Refused: f.GetRefused(), Replied: true, Message: "at the other instance: " + f.GetError()}
+// clientBody is the body of a response that came through another instance.
+type clientBody struct {
+	io.ReadCloser
+	once sync.Once
+	end  func()
+}
+
+// Close implements io.Closer.
+func (b *clientBody) Close() error {
+	b.once.Do(b.end)
+	return b.ReadCloser.Close()
 }
