--- a/internal/decide/reach/reach_test.go
+++ b/internal/decide/reach/reach_test.go
@@ -97,7 +97,7 @@
 			t.Errorf("%s sends %d of 160 requests, want about %d", peer.ID, chosen[peer.ID], fair)
 		}
 	}
-	p.Failed("strong", true, at(0))
+	p.Unable("strong", at(0))
 	for range 50 {
 		if id, _ := p.Choose(peers, []string{"weak0"}, random.IntN, at(999)); id == "strong" || id == "weak0" {
 			t.Fatalf("%s is asked again at once", id)
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"wasabiworks.example/wasabiworks/internal/peer/duty"
 	"wasabiworks.example/wasabiworks/internal/peer/exchange"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
+	"wasabiworks.example/wasabiworks/internal/peer/proxy"
 	"wasabiworks.example/wasabiworks/internal/peer/serverlimit"
 	"wasabiworks.example/wasabiworks/internal/peer/usage"
 	"wasabiworks.example/wasabiworks/internal/platform/boottime"
@@ -216,6 +217,7 @@
 	// that it calls use them.
 	rosters    *coldstart.Rosters
 	exchange   *exchange.Node
+	proxy      *proxy.Client
 	allowances *allowance.Limiter
 	claims     *claim.Client
 	// trackers holds the IDs of the instances that track servers, by failure domain.
@@ -289,13 +291,12 @@
 	if err != nil {
 		return nil, err
 	}
-	peers, err := f.newProxyClient()
-	if err != nil {
+	if f.proxy, err = f.newProxyClient(); err != nil {
 		return nil, err
 	}
 	f.handler, err = forward.New(forward.Config{
 		Headers: c.Format.Headers, FailureDomain: c.FailureDomain, View: f.view, Pool: f.pool,
-		Allowances: f.allowances, Usage: f.usage, Poison: poisonFilter{f}, Versions: f.mover, Claims: f.claims, Peers: peers,
+		Allowances: f.allowances, Usage: f.usage, Poison: poisonFilter{f}, Versions: f.mover, Claims: f.claims, Peers: f.proxy,
 		Budget:           budgets,
 		MaxResponseBytes: c.MaxResponseBytes, Requests: f.connections.requests, MemoryBytes: 2 * f.connections.shares.ResponseBytes, OnLimitChange: f.exchange.Notify, OnRequestEnd: f.countResult, Now: f.now, Random: rand.Uint64, Registerer: f.registry, Log: c.Log, Draining: f.draining.Load,
 		Refusing: f.refusing.Load, Ending: f.ending,
@@ -391,6 +392,7 @@
 	wg.Go(func() { f.follower.Run(workCtx) })
 	wg.Go(func() { f.followConfigurations(workCtx) })
 	wg.Go(func() { f.handler.WatchReach(workCtx) })
+	wg.Go(func() { f.proxy.Run(workCtx) })
 	wg.Go(func() { f.expireServers(workCtx) })
 	wg.Go(func() { f.register(workCtx) })
 	wg.Go(func() { f.refreshAllowancesAndCrashes(workCtx) })
--- a/internal/entry/gateway/peersends.go
+++ b/internal/entry/gateway/peersends.go
@@ -12,7 +12,7 @@
 // newProxyClient returns the client that sends requests through other instances.
 func (f *Instance) newProxyClient() (*proxy.Client, error) {
 	return proxy.NewClient(proxy.ClientConfig{
-		Instance: f.config.ID, Streams: f.exchange, Candidates: f.sendPeers, Random: rand.IntN, Now: f.now, Registerer: f.registry, Log: f.config.Log,
+		Instance: f.config.ID, Exchange: f.exchange, Candidates: f.sendPeers, Random: rand.IntN, Now: f.now, Registerer: f.registry, Log: f.config.Log,
 	})
 }
 
--- a/internal/peer/exchange/connection.go
+++ b/internal/peer/exchange/connection.go
@@ -45,6 +45,13 @@
 	s.lastReceived, s.waitingSince = now, time.Time{}
 }
 
+// receivedSince reports whether bytes have arrived since a time.
+func (s *silence) receivedSince(t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastReceived.After(t)
+}
+
 // unanswered records that a call that began at start has got no reply until now, and returns
 // for how long nothing has arrived while calls were waiting.
 func (s *silence) unanswered(start, now time.Time) time.Duration {
--- a/internal/peer/exchange/node.go
+++ b/internal/peer/exchange/node.go
@@ -14,6 +14,8 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
@@ -174,8 +176,12 @@
 	}
 }
 
-// Register adds the Peer service to s.
-func (n *Node) Register(s grpc.ServiceRegistrar) { peerpb.RegisterPeerServer(s, n.server) }
+// Register adds the Peer service to s, and the health service, by which others tell whether
+// this instance replies.
+func (n *Node) Register(s grpc.ServiceRegistrar) {
+	peerpb.RegisterPeerServer(s, n.server)
+	healthpb.RegisterHealthServer(s, health.NewServer())
+}
 
 // Notify starts an urgent exchange with all links. It does not block.
 func (n *Node) Notify() {
--- a/internal/peer/exchange/stream.go
+++ b/internal/peer/exchange/stream.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/status"
 
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
 )
@@ -46,6 +49,34 @@
 	}, nil
 }
 
+// Probe asks a member for a sign of life on the connection that streams to it use. It returns
+// nil if any arrives before ctx ends, also one of a build that does not serve probes. A
+// connection that stays silent is replaced.
+func (n *Node) Probe(ctx context.Context, id string) error {
+	m, ok := n.config.Members.Member(id)
+	if !ok || m.PeerAddress == "" {
+		return UnknownMember.New("member %q is unknown or has no peer address", id)
+	}
+	p := n.peer(id)
+	c, err := n.connect(p, m.PeerAddress)
+	if err != nil {
+		return err
+	}
+	defer p.release(c)
+	if !c.awaitReady(ctx) {
+		return CallFailed.New("connection to %s is not established in time", id)
+	}
+	start := time.Now()
+	_, err = healthpb.NewHealthClient(c.conn).Check(ctx, &healthpb.HealthCheckRequest{})
+	if err == nil || status.Code(err) == codes.Unimplemented || c.silence.receivedSince(start) {
+		return nil
+	}
+	if c.silence.unanswered(start, time.Now()) >= silenceTimeout {
+		n.replace(p, c)
+	}
+	return CallFailed.Wrap(err, "probe %s", id)
+}
+
 // awaitReady waits until the connection is established, for openTimeout at most, and reports
 // whether it is.
 func (c *connection) awaitReady(ctx context.Context) bool {
--- a/internal/peer/proxy/proxy.go
+++ b/internal/peer/proxy/proxy.go
@@ -48,9 +48,15 @@
 	// Partitioned reports whether the other instance reaches no server either, and Refused
 	// whether the server wants no requests from it.
 	Partitioned, Refused bool
+	// Unsupported reports whether the other instance has a build that does not send requests
+	// for others.
+	Unsupported bool
 	// Replied reports whether the other instance said that the request failed.
 	Replied bool
-	Message string
+	// PeerSuspect reports whether the other instance, and not the server, may be why there is
+	// no response.
+	PeerSuspect bool
+	Message     string
 }
 
 // Error implements error.
--- a/internal/peer/proxy/roundtrip.go
+++ b/internal/peer/proxy/roundtrip.go
@@ -99,7 +99,7 @@
 // have been sent unless the other instance has a build that knows no such requests.
 func lost(err error) error {
 	if status.Code(err) == codes.Unimplemented {
-		return &Failure{NotSent: true, Message: "other instance does not send requests for others"}
+		return &Failure{NotSent: true, Unsupported: true, Replied: true, Message: "other instance does not send requests for others"}
 	}
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
