Blame no server for an instance that was lost while it sent for this one

Seen by callers of an instance that reaches no server: when an instance through which it sends dies or hangs, the servers of the requests in progress are avoided for 0.5 s and more, and each lost request counts as a failure of the version in a move, so that a good version may be rolled back.

Cause: an attempt through another instance that ended without a word was taken for a failure of the server behind it.

Such an attempt is no evidence about the server, its speed or its version. What the other instance says of the server still counts.

--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -15,6 +15,7 @@
 	"wasabiworks.example/wasabiworks/internal/decide/limit"
 	"wasabiworks.example/wasabiworks/internal/operator/routes"
 	"wasabiworks.example/wasabiworks/internal/peer/claim"
+	"wasabiworks.example/wasabiworks/internal/peer/proxy"
 )
 
 // attempt records one attempt to have a server run the request.
@@ -41,11 +42,14 @@
 	held            *limit.Holding
 	claim           *claim.Claim
 	// throughPeer is set if the request was sent through another instance, peer, and
-	// peerNotSent and peerNewConn are what that instance said of it. inPartition is set if it
-	// was sent directly although this instance reached no server, because no other one did.
-	throughPeer, peerNotSent, peerNewConn, inPartition bool
+	// peerNotSent and peerNewConn are what that instance said of it. peerSuspect is set if
+	// that instance may be why the attempt failed.
+	throughPeer, peerNotSent, peerNewConn, peerSuspect bool
 	peer                                               string
-	padding                                            int // bytes of the stream that brought the client nothing
+	// inPartition is set if the request was sent directly although this instance reached no
+	// server, because no other one did.
+	inPartition bool
+	padding     int // bytes of the stream that brought the client nothing
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
@@ -201,18 +205,21 @@
 }
 
 // handleTransportError returns the outcome of an attempt without a complete
-// response. It marks the server as failed unless the client disconnected or a
-// planned stop ended the request, or this instance reaches no server. If the server may
+// response. It marks the server as failed unless that is excused. If the server may
 // have run the request, it also counts the usage, and reports the loss to Poison unless
 // the attempt was canceled or timed out, or made through another instance, which reports
 // it. nothingSent reports whether provably no byte of the request was
 // sent.
 func (e *exchange) handleTransportError(a *attempt, nothingSent bool) outcome {
-	canceled := e.r.Context().Err() != nil || e.interrupted()
+	var failure *proxy.Failure
+	if errors.As(a.err, &failure) {
+		a.peerSuspect = failure.PeerSuspect
+	}
+	canceled := e.canceled()
 	if nothingSent && !canceled && !a.throughPeer && e.reach.detector.ConnectFailed(a.server.ID, a.sentAt, e.config.Now()) {
 		e.reach.requestProbe()
 	}
-	if !canceled && !e.failedByPartition(a) {
+	if !e.excused(a) {
 		a.server.Failed(e.config.Now())
 	}
 	if nothingSent {
--- a/internal/caller/forward/speed.go
+++ b/internal/caller/forward/speed.go
@@ -65,7 +65,7 @@
 		if a.pace.events > 0 && a.status < http.StatusMultipleChoices {
 			e.learn(a, speed.Response, a.pace.first.Sub(a.sentAt), false)
 		}
-	case a.outcome == outcomeLost && a.pace.events == 0 && a.cacheSource == nil:
+	case a.outcome == outcomeLost && a.pace.events == 0 && a.cacheSource == nil && !e.failedByLinks(a):
 		kind := speed.Response
 		if e.route.Kind == routes.Streaming {
 			kind = speed.FirstEvent
--- a/internal/caller/forward/throughpeer.go
+++ b/internal/caller/forward/throughpeer.go
@@ -40,7 +40,9 @@
 	a.peer, a.peerNewConn = peer, response.NewConnection
 	if err != nil {
 		var failure *proxy.Failure
-		a.peerNotSent = errors.As(err, &failure) && failure.NotSent
+		if errors.As(err, &failure) {
+			a.peerNotSent, a.peerSuspect = failure.NotSent, failure.PeerSuspect
+		}
 		return nil, err
 	}
 	return response.HTTP, nil
--- a/internal/caller/forward/verdict.go
+++ b/internal/caller/forward/verdict.go
@@ -68,13 +68,12 @@
 }
 
 // recordEnd records the attempt at its end. It skips an attempt in which the server
-// did not run the request, and one that the client, a planned stop, a lack of memory or a
-// partition of this instance has ended. Any status but a success is a failure here: errors
+// did not run the request, one that a lack of memory has ended, and one that is excused. Any status but a success is a failure here: errors
 // of clients meet both versions alike, and a version that rejects what the old one serves
 // is a bad one.
 func (e *exchange) recordEnd(a *attempt) {
 	a.verdict.stopLate()
-	if a.outcome == outcomeNotRun || a.outcome == outcomeUnreachable || a.outcome == outcomeDropped || e.failedByPartition(a) || e.r.Context().Err() != nil || e.interrupted() {
+	if a.outcome == outcomeNotRun || a.outcome == outcomeUnreachable || a.outcome == outcomeDropped || e.excused(a) {
 		return
 	}
 	if a.outcome != outcomeAnswered || a.status >= http.StatusMultipleChoices {
