Blame no server for a partition that has ended

Seen by callers: after an instance has lost its links for a moment, requests that were in progress fail when their connections do, after the partition has ended. Their servers are then avoided, and in a move the failures count against the version.

Cause: whether a failure is due to a partition was asked when the attempt ended, not for the time since it began; a connection attempt that began in the partition was excused only while that lasted.

Change: an attempt is excused if a partition began since it was sent, or if it was sent in one and no byte left.

TestPastPartitionsSayNothingAboutServers fails on the code before ("with a partition true: got server avoided true") and passes; without a partition the same loss counts.

--- a/internal/caller/forward/blame_test.go
+++ b/internal/caller/forward/blame_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -88,6 +89,45 @@
 	}
 }
 
+// Guards against servers that are avoided, and versions that are rolled back, because a partition
+// of this instance began and ended while a request was in progress.
+func TestPastPartitionsSayNothingAboutServers(t *testing.T) {
+	for _, inPartition := range []bool{false, true} {
+		begun, lost := make(chan struct{}), make(chan struct{})
+		s := serveRaw(t, func(c *rawConn) {
+			if c.readRequest() != "" {
+				close(begun)
+				<-lost // and close the connection without a response
+			}
+		})
+		v := new(undecidedVersions)
+		h := newHandlerWith(t, func(c *Config) { c.Versions = v }, 1000, 4*time.Second, s)
+		f := httptest.NewServer(h)
+		t.Cleanup(f.Close)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			call(t, f, http.MethodPost, "/book/", "book")
+		}()
+		<-begun
+		if inPartition {
+			now := time.Now()
+			h.reach.detector.EndProbe(1, 0, now)
+			h.beginPartition(1)
+			h.reach.detector.EndProbe(1, 1, now)
+			h.endPartition(1, 1)
+		}
+		close(lost)
+		<-ended
+		if got := blames(h); got == inPartition {
+			t.Errorf("with a partition %v: got server avoided %v", inPartition, got)
+		}
+		if got := v.failures() > 0; got == inPartition {
+			t.Errorf("with a partition %v: got a failure of the version %v", inPartition, got)
+		}
+	}
+}
+
 // Guards against servers that an instance avoids because another one, or a client of that one,
 // ended a request that it sent for it.
 func TestEndsOfOtherInstancesSayNothingAboutServers(t *testing.T) {
--- a/internal/caller/forward/send.go
+++ b/internal/caller/forward/send.go
@@ -47,8 +47,9 @@
 	throughPeer, peerNotSent, peerNewConn, peerSuspect bool
 	peer                                               string
 	// inPartition is set if the request was sent directly although this instance reached no
-	// server, because no other one did.
+	// server, because no other one did, and partitions is the number of partitions before.
 	inPartition bool
+	partitions  int64
 	padding     int // bytes of the stream that brought the client nothing
 }
 
--- a/internal/caller/forward/throughpeer.go
+++ b/internal/caller/forward/throughpeer.go
@@ -19,7 +19,7 @@
 		}
 		a.throughPeer = false
 	}
-	a.inPartition = e.Partitioned()
+	a.inPartition, a.partitions = e.Partitioned(), e.reach.partitions.Load()
 	stop := context.AfterFunc(e.reach.partitionBegun(), func() {
 		if e.Partitioned() && a.sent.Connecting() {
 			a.cancel() // the server will not accept the connection
@@ -65,9 +65,14 @@
 	return a.sent.NewConn()
 }
 
-// failedByPartition reports whether an attempt failed because this instance reached no server,
-// which says nothing about the server.
-func (e *exchange) failedByPartition(a *attempt) bool { return !a.throughPeer && e.Partitioned() }
+// failedByPartition reports whether an attempt may have failed because this instance reached no
+// server at some time since it began, which says nothing about the server.
+func (e *exchange) failedByPartition(a *attempt) bool {
+	if a.throughPeer {
+		return false
+	}
+	return e.Partitioned() || e.reach.partitions.Load() != a.partitions || a.inPartition && a.sent.NothingSent()
+}
 
 // endedByPartition reports whether the last attempt ended because a partition has begun since:
 // the next one is made through another instance.
