--- a/internal/caller/forward/blame_test.go
+++ b/internal/caller/forward/blame_test.go
@@ -89,6 +89,41 @@
 	}
 }
 
+// Guards against servers that are avoided, and versions that are rolled back, because clients
+// gave them less time than the route's objective.
+func TestShortTimeoutsOfClientsSayNothingAboutServers(t *testing.T) {
+	tests := []struct {
+		name      string
+		remaining string // ms; the objective is 500
+		blamed    bool
+	}{
+		{"less than the objective", "60", false},
+		{"more than the objective", "800", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			s := serveRaw(t, func(c *rawConn) {
+				c.readRequest()
+				<-release
+			})
+			t.Cleanup(func() { close(release) })
+			v := new(undecidedVersions)
+			h := newHandlerWith(t, func(c *Config) { c.Versions = v }, 1000, 2*time.Second, s)
+			f := httptest.NewServer(h)
+			t.Cleanup(f.Close)
+			send(t, f, http.MethodPost, "/book/", "book", http.Header{"Remaining": {tt.remaining}})
+			if got := blames(h); got != tt.blamed {
+				t.Errorf("got server avoided %v, want %v", got, tt.blamed)
+			}
+			if got := v.failures() > 0; got != tt.blamed {
+				t.Errorf("got a failure of the version %v, want %v", got, tt.blamed)
+			}
+		})
+	}
+}
+
 // Guards against servers that are avoided, and versions that are rolled back, because a partition
 // of this instance began and ended while a request was in progress.
 func TestPastPartitionsSayNothingAboutServers(t *testing.T) {
