Test probes beside older builds and slow backend servers

TestPeersOfOlderBuildsAreNotAskedAgainAtOnce: with five instances of an older build and one that sends, the second request is sent.

--- a/internal/peer/exchange/probe_test.go
+++ b/internal/peer/exchange/probe_test.go
@@ -69,3 +69,36 @@
 		}
 	}
 }
+
+// Guards against a connection to a sound instance that is replaced because the client of a request
+// through it left while the backend server behind it took its time.
+func TestProbedConnectionsOfSlowRequestsStay(t *testing.T) {
+	t.Parallel()
+	accepted := &countingListener{Listener: listen(t)}
+	serveNode(t, exchange.Services{Send: func(stream peerpb.Peer_SendServer) error {
+		<-stream.Context().Done()
+		return stream.Context().Err()
+	}}, accepted)
+	caller := newCaller(t, accepted.Addr().String())
+	ctx, leave := context.WithCancel(t.Context())
+	stream, release, err := caller.OpenSend(ctx, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := stream.Send(&peerpb.SendRequest{}); err != nil {
+		t.Fatal(err)
+	}
+	for start := time.Now(); time.Since(start) < 2*time.Second; time.Sleep(100 * time.Millisecond) {
+		if err := probe(t, caller, 10*time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	leave()
+	release(false)
+	if err := probe(t, caller, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if n := accepted.accepted.Load(); n != 1 {
+		t.Errorf("%d connections were made, want 1", n)
+	}
+}
--- a/internal/peer/proxy/client_test.go
+++ b/internal/peer/proxy/client_test.go
@@ -250,3 +250,22 @@
 		})
 	}
 }
+
+// Guards against requests that reach no instance that sends, because most have an older build and
+// are asked again and again.
+func TestPeersOfOlderBuildsAreNotAskedAgainAtOnce(t *testing.T) {
+	f := make(fleet)
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		f[id] = &peer{client: serve(t, grpc.NewServer(), peerpb.UnimplementedPeerServer{})}
+	}
+	f.add(t, "f", func(context.Context, proxy.Request) (proxy.Response, error) { return ok() })
+	c := newClient(t, f)
+	if _, _, err := c.RoundTrip(t.Context(), request("first")); !errors.Is(err, proxy.ErrNoPeer) {
+		t.Errorf("first request: got %v, want %v", err, proxy.ErrNoPeer)
+	}
+	response, via, err := c.RoundTrip(t.Context(), request("second"))
+	if err != nil || via != "f" {
+		t.Fatalf("second request: got %v through %q, want a response through f", err, via)
+	}
+	_ = response.HTTP.Body.Close()
+}
