--- a/internal/peer/proxy/client.go
+++ b/internal/peer/proxy/client.go
@@ -60,7 +60,7 @@
 // registered.
 func NewClient(config ClientConfig) (*Client, error) {
 	c := &Client{config: config, sent: make(chan struct{}, 1), failures: prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "forward_peer_failures_total", Help: "Requests that could not be sent through another instance, and silences of other instances, by cause.",
+		Name: "forward_peer_failures_total", Help: "Requests that got no response through another instance, and silences of other instances, by cause.",
 	}, []string{"cause"})}
 	if config.Registerer == nil {
 		return c, nil
@@ -101,6 +101,14 @@
 	}
 }
 
+// startProbing lets Run watch the instance through which a request is sent.
+func (c *Client) startProbing() {
+	select {
+	case c.sent <- struct{}{}:
+	default:
+	}
+}
+
 // probe asks an instance for a sign of life.
 func (c *Client) probe(ctx context.Context, id string) {
 	probeCtx, cancel := context.WithTimeout(ctx, reach.PeerProbeTimeout)
@@ -129,10 +137,7 @@
 			break
 		}
 		tried = append(tried, id)
-		select {
-		case c.sent <- struct{}{}:
-		default:
-		}
+		c.startProbing()
 		response, err := c.sendThrough(ctx, id, r)
 		var failure *Failure
 		if errors.As(err, &failure) && failure.NotSent && !failure.Refused && ctx.Err() == nil {
@@ -146,28 +151,22 @@
 // sendThrough sends a request through one instance.
 func (c *Client) sendThrough(ctx context.Context, id string, r Request) (Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	send := &clientSend{Client: c, ctx: ctx, peer: id, sentAt: c.config.Now()}
+	send := &clientSend{Client: c, ctx: ctx, cancel: cancel, peer: id, sentAt: c.config.Now()}
 	stream, release, err := c.config.Exchange.OpenSend(ctx, id)
 	if err != nil {
 		failure := send.fail(&Failure{NotSent: true, Message: err.Error()}, causeNotConnected)
-		cancel()
-		c.peers.End(id)
+		send.end()
 		return Response{}, failure
 	}
 	response, err := RoundTrip(stream, r)
 	if err != nil {
 		failure := send.fail(err, causeLost)
 		release(failure.Replied)
-		cancel()
-		c.peers.End(id)
+		send.end()
 		return Response{}, failure
 	}
 	c.peers.Replied(id, c.config.Now())
-	response.HTTP.Body = &clientBody{ReadCloser: response.HTTP.Body, send: send, end: func() {
-		release(true)
-		cancel()
-		c.peers.End(id)
-	}}
+	response.HTTP.Body = &clientBody{ReadCloser: response.HTTP.Body, send: send, release: release}
 	return response, nil
 }
 
@@ -175,10 +174,17 @@
 type clientSend struct {
 	*Client
 	ctx    context.Context // of the stream
+	cancel context.CancelFunc
 	peer   string
 	sentAt time.Time
 }
 
+// end ends the stream.
+func (s *clientSend) end() {
+	s.cancel()
+	s.peers.End(s.peer)
+}
+
 // fail records what the end of the stream says about the other instance, and returns the failure
 // of the request, which says whether that instance may be the cause. lost is the cause if the
 // stream broke.
@@ -210,9 +216,9 @@
 // clientBody is the body of a response that came through another instance.
 type clientBody struct {
 	io.ReadCloser
-	send *clientSend
-	once sync.Once
-	end  func()
+	send    *clientSend
+	release func(replied bool)
+	closed  sync.Once
 }
 
 // Read implements io.Reader. An error other than io.EOF is a *Failure.
@@ -227,6 +233,9 @@
 
 // Close implements io.Closer.
 func (b *clientBody) Close() error {
-	b.once.Do(b.end)
+	b.closed.Do(func() {
+		b.release(true)
+		b.send.end()
+	})
 	return b.ReadCloser.Close()
 }
