--- a/internal/caller/forward/verdict.go
+++ b/internal/caller/forward/verdict.go
@@ -68,9 +68,9 @@
 }
 
 // recordEnd records the attempt at its end. It skips an attempt in which the server
-// did not run the request, one that a lack of memory has ended, and one that is excused. Any status but a success is a failure here: errors
-// of clients meet both versions alike, and a version that rejects what the old one serves
-// is a bad one.
+// did not run the request, one that a lack of memory has ended, and one that is excused.
+// Any status but a success is a failure here: errors of clients meet both versions alike,
+// and a version that rejects what the old one serves is a bad one.
 func (e *exchange) recordEnd(a *attempt) {
 	a.verdict.stopLate()
 	if a.outcome == outcomeNotRun || a.outcome == outcomeUnreachable || a.outcome == outcomeDropped || e.excused(a) {
--- a/internal/decide/reach/peers_test.go
+++ b/internal/decide/reach/peers_test.go
@@ -64,7 +64,7 @@
 		sends    map[int]bool
 		patience int // ms
 		replies  func(ms int) bool
-		latest   int // ms; 0 means never
+		latest   int // ms; 0 means never. The delay, two probes, and up to 100 ms before each
 	}{
 		{"one patient client", map[int]bool{0: true}, 5000, never, 900},
 		{"one client that leaves at once", map[int]bool{0: true}, 1, never, 900},
