--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -378,71 +377,3 @@
 	}
 	return 2
 }
-
-// Run serves until ctx ends, then performs a planned shutdown. It returns early
-// if a listener fails.
-func (f *Instance) Run(ctx context.Context) error {
-	workCtx, stopWork := context.WithCancel(context.Background())
-	defer stopWork()
-	// dutyCtx ends with ctx, so that a draining instance gives up the duty.
-	dutyCtx, stopDuty := context.WithCancel(ctx)
-	defer stopDuty()
-	defer f.endClients()
-	var wg sync.WaitGroup
-	wg.Go(func() { f.follower.Run(workCtx) })
-	wg.Go(func() { f.followConfigurations(workCtx) })
-	wg.Go(func() { f.handler.WatchReach(workCtx) })
-	wg.Go(func() { f.proxy.Run(workCtx) })
-	wg.Go(func() { f.expireServers(workCtx) })
-	wg.Go(func() { f.register(workCtx) })
-	wg.Go(func() { f.refreshAllowancesAndCrashes(workCtx) })
-	wg.Go(func() { f.collectAllowances(workCtx) })
-	wg.Go(func() { f.exchangeWithPeers(workCtx) })
-	wg.Go(func() { f.chooseTrackers(workCtx) })
-	wg.Go(func() { f.updateSenders(workCtx) })
-	wg.Go(func() { f.claims.Run(workCtx) })
-	var dutyDone sync.WaitGroup
-	dutyDone.Go(func() { f.duty.Run(dutyCtx) })
-	wg.Go(func() { f.mover.run(workCtx) })
-	wg.Go(func() { f.storeFleetSize(workCtx) })
-	wg.Go(func() { f.sampleBurn(workCtx) })
-	if f.config.UsageWindow > 0 {
-		wg.Go(func() { f.usage.Run(workCtx) })
-	}
-	if f.config.UsageWindow > 0 && f.config.Scale {
-		wg.Go(func() { (&scaler{instance: f}).run(workCtx) })
-	}
-	clients, ready, operation := &http.Server{Handler: f.handler}, &http.Server{Handler: f.readinessHandler()}, &http.Server{Handler: f.operationsHandler()}
-	failed := make(chan error, 3)
-	for _, s := range []struct {
-		server   *http.Server
-		listener net.Listener
-		group    *connlimit.Group
-	}{
-		{clients, f.config.Clients, f.connections.clients}, {ready, f.config.Ready, f.connections.ready}, {operation, f.config.Operations, f.connections.operations},
-	} {
-		wg.Go(func() {
-			if err := s.group.Serve(s.server, s.listener); !errors.Is(err, http.ErrServerClosed) {
-				failed <- fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
-			}
-		})
-	}
-	f.config.Log.Info("instance started", zap.Stringer("clients", f.config.Clients.Addr()))
-	var err error
-	select {
-	case err = <-failed:
-	case <-ctx.Done():
-		err = f.drain(clients)
-	}
-	f.usage.Flush(workCtx)
-	stopDuty()
-	dutyDone.Wait()
-	f.usage.HandOver(workCtx)
-	stopWork()
-	err = errors.Join(err, clients.Close(), ready.Close(), operation.Close())
-	wg.Wait()
-	f.crashChecks.Wait()
-	f.restores.Wait()
-	f.config.Log.Info("instance stopped", zap.Error(err))
-	return err
-}
--- a/internal/peer/exchange/stream.go
+++ b/internal/peer/exchange/stream.go
@@ -19,19 +19,10 @@
 // OpenSend opens a stream to a member, which ends with ctx. After an error, nothing was sent.
 // The caller calls release at the end, and says whether the member replied.
 func (n *Node) OpenSend(ctx context.Context, id string) (stream peerpb.Peer_SendClient, release func(replied bool), err error) {
-	m, ok := n.config.Members.Member(id)
-	if !ok || m.PeerAddress == "" {
-		return nil, nil, UnknownMember.New("member %q is unknown or has no peer address", id)
-	}
-	p := n.peer(id)
-	c, err := n.connect(p, m.PeerAddress)
+	p, c, err := n.readyConnection(ctx, id)
 	if err != nil {
 		return nil, nil, err
 	}
-	if !c.awaitReady(ctx) {
-		p.release(c)
-		return nil, nil, CallFailed.New("connection to %s is not established in time", id)
-	}
 	start := time.Now()
 	stream, err = peerpb.NewPeerClient(c.conn).Send(ctx)
 	if err != nil {
@@ -53,19 +44,11 @@
 // nil if any arrives before ctx ends, also one of a build that does not serve probes. A
 // connection that stays silent is replaced.
 func (n *Node) Probe(ctx context.Context, id string) error {
-	m, ok := n.config.Members.Member(id)
-	if !ok || m.PeerAddress == "" {
-		return UnknownMember.New("member %q is unknown or has no peer address", id)
-	}
-	p := n.peer(id)
-	c, err := n.connect(p, m.PeerAddress)
+	p, c, err := n.readyConnection(ctx, id)
 	if err != nil {
 		return err
 	}
 	defer p.release(c)
-	if !c.awaitReady(ctx) {
-		return CallFailed.New("connection to %s is not established in time", id)
-	}
 	start := time.Now()
 	_, err = healthpb.NewHealthClient(c.conn).Check(ctx, &healthpb.HealthCheckRequest{})
 	if err == nil || status.Code(err) == codes.Unimplemented || c.silence.receivedSince(start) {
@@ -77,6 +60,25 @@
 	return CallFailed.Wrap(err, "probe %s", id)
 }
 
+// readyConnection returns an established connection to a member, which the caller releases. It
+// waits for openTimeout at most.
+func (n *Node) readyConnection(ctx context.Context, id string) (*peer, *connection, error) {
+	m, ok := n.config.Members.Member(id)
+	if !ok || m.PeerAddress == "" {
+		return nil, nil, UnknownMember.New("member %q is unknown or has no peer address", id)
+	}
+	p := n.peer(id)
+	c, err := n.connect(p, m.PeerAddress)
+	if err != nil {
+		return nil, nil, err
+	}
+	if !c.awaitReady(ctx) {
+		p.release(c)
+		return nil, nil, CallFailed.New("connection to %s is not established in time", id)
+	}
+	return p, c, nil
+}
+
 // awaitReady waits until the connection is established, for openTimeout at most, and reports
 // whether it is.
 func (c *connection) awaitReady(ctx context.Context) bool {
