Let instances that hang in tests of proxy send no reply

The deadline of a request travels with its stream. The instance of the test, which was meant to hang, waited for that and then replied, and its reply came before the deadline here. An instance that replies does not hang, so the test was wrong and the product right.

Instances that hang now do nothing until the test ends. What is checked is the same.

--- a/internal/peer/proxy/client_test.go
+++ b/internal/peer/proxy/client_test.go
@@ -87,6 +87,18 @@
 	return c
 }
 
+// addHanging adds an instance that takes requests and then does nothing until the test ends.
+func (f fleet) addHanging(t *testing.T, id string) {
+	t.Helper()
+	ended := make(chan struct{})
+	f.add(t, id, func(context.Context, proxy.Request) (proxy.Response, error) {
+		<-ended
+		return proxy.Response{}, errors.New("test has ended")
+	})
+	t.Cleanup(func() { close(ended) })
+	f[id].silent.Store(true)
+}
+
 // request returns a request without a body.
 func request(id string) proxy.Request {
 	return proxy.Request{Server: "server/1", Target: "/", ID: id, HTTP: &http.Request{Method: http.MethodGet, Host: "app.example", Header: http.Header{}}}
@@ -152,11 +164,7 @@
 // leave before anything else ends them.
 func TestPeersThatHangAreFoundAlthoughClientsLeave(t *testing.T) {
 	f := make(fleet)
-	f.add(t, "a", func(ctx context.Context, _ proxy.Request) (proxy.Response, error) {
-		<-ctx.Done()
-		return proxy.Response{}, ctx.Err()
-	})
-	f["a"].silent.Store(true)
+	f.addHanging(t, "a")
 	f.add(t, "b", func(context.Context, proxy.Request) (proxy.Response, error) { return ok() })
 	c := newClient(t, f)
 	sendVia := func() string {
@@ -218,23 +226,25 @@
 	broken := proxy.Response{HTTP: &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(&failingReader{"part"})}}
 	tests := []struct {
 		name    string
-		send    proxy.Sender
-		silent  bool
+		send    proxy.Sender // nil if the instance hangs
 		suspect bool
 	}{
 		{"the server is lost", func(context.Context, proxy.Request) (proxy.Response, error) {
 			return proxy.Response{}, &proxy.Failure{Message: "test"}
-		}, false, false},
-		{"the server breaks off its response", func(context.Context, proxy.Request) (proxy.Response, error) { return broken, nil }, false, false},
-		{"the server is slow", slow, false, false},
-		{"the instance hangs", slow, true, true},
-		{"the instance breaks off the stream", func(context.Context, proxy.Request) (proxy.Response, error) { panic("test") }, false, true},
+		}, false},
+		{"the server breaks off its response", func(context.Context, proxy.Request) (proxy.Response, error) { return broken, nil }, false},
+		{"the server is slow", slow, false},
+		{"the instance hangs", nil, true},
+		{"the instance breaks off the stream", func(context.Context, proxy.Request) (proxy.Response, error) { panic("test") }, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := make(fleet)
-			f.add(t, "a", tt.send)
-			f["a"].silent.Store(tt.silent)
+			if tt.send == nil {
+				f.addHanging(t, "a")
+			} else {
+				f.add(t, "a", tt.send)
+			}
 			c := newClient(t, f)
 			ctx, leave := context.WithTimeout(t.Context(), 3*time.Second)
 			defer leave()
