Do not avoid instances that notice a request's deadline first

Seen by callers of an instance that reaches no server: a request that times out makes the instance through which it was sent look lost, if that one ends the stream at the deadline before this one has noticed it. Others are then preferred for 2 s, and the attempt says nothing about a slow server.

Cause: the deadline travels with the stream. Whether a stream ended with the request was asked of the context here only; the status DEADLINE_EXCEEDED of the other side was taken for a stream that broke.

Change: a stream that ends with that status has timed out, whoever noticed.

TestDeadlinesNoticedByPeersAreNoFailureOfPeers fails on the code before ("request 1: got error <nil> through b, want one through a") and passes.

--- a/internal/peer/proxy/client.go
+++ b/internal/peer/proxy/client.go
@@ -200,7 +200,7 @@
 		s.peers.Unable(s.peer, now)
 	case failure.Replied:
 		s.peers.Replied(s.peer, now)
-	case s.ctx.Err() != nil:
+	case s.ctx.Err() != nil || failure.TimedOut:
 		s.failures.WithLabelValues(string(causeEndedHere)).Inc()
 		failure.PeerSuspect = !s.peers.HasReplied(s.peer, s.sentAt)
 	default:
--- a/internal/peer/proxy/client_test.go
+++ b/internal/peer/proxy/client_test.go
@@ -13,6 +13,8 @@
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"wasabiworks.example/wasabiworks/internal/decide/reach"
 	"wasabiworks.example/wasabiworks/internal/peer/peerpb"
@@ -279,3 +281,23 @@
 	}
 	_ = response.HTTP.Body.Close()
 }
+
+// timingOut ends streams as an instance does that notices the deadline of a request first.
+type timingOut struct{ peerpb.UnimplementedPeerServer }
+
+func (timingOut) Send(peerpb.Peer_SendServer) error {
+	return status.Error(codes.DeadlineExceeded, "test")
+}
+
+// Guards against an instance that is avoided because it noticed the deadline of a request before
+// this one did.
+func TestDeadlinesNoticedByPeersAreNoFailureOfPeers(t *testing.T) {
+	f := fleet{"a": &peer{client: serve(t, grpc.NewServer(), timingOut{})}}
+	f.add(t, "b", func(context.Context, proxy.Request) (proxy.Response, error) { return ok() })
+	c := newClient(t, f)
+	for n := range 2 {
+		if _, via, err := c.RoundTrip(t.Context(), request("id")); via != "a" || err == nil {
+			t.Errorf("request %d: got error %v through %q, want one through a", n, err, via)
+		}
+	}
+}
--- a/internal/peer/proxy/proxy.go
+++ b/internal/peer/proxy/proxy.go
@@ -51,6 +51,9 @@
 	// Unsupported reports whether the other instance has a build that does not send requests
 	// for others.
 	Unsupported bool
+	// TimedOut reports whether the stream ended with the deadline of the request, which the
+	// other instance may notice first.
+	TimedOut bool
 	// Replied reports whether the other instance said that the request failed.
 	Replied bool
 	// PeerSuspect reports whether the other instance, and not the server, may be why there is
--- a/internal/peer/proxy/roundtrip.go
+++ b/internal/peer/proxy/roundtrip.go
@@ -104,7 +104,7 @@
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
-	return &Failure{Message: fmt.Sprintf("stream to the other instance ended: %v", err)}
+	return &Failure{TimedOut: status.Code(err) == codes.DeadlineExceeded, Message: fmt.Sprintf("stream to the other instance ended: %v", err)}
 }
 
 func fromWire(f *peerpb.SendFailure) error {
